--- a/src/libpollenledge/connection/http_server.cc
+++ b/src/libpollenledge/connection/http_server.cc
@@ -24,6 +24,10 @@
 namespace {
 
 constexpr int kMaxWaitingConnections = 1024;
+// What is read and dropped of a body that is too large, so that its sender
+// sees the answer instead of a connection reset.
+constexpr std::size_t kMaxDropped = 16UL << 20;
+constexpr Duration kMaxDropTime = std::chrono::seconds(2);
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
 
 // Shuts down connections whose first request's header does not arrive in time.
@@ -97,6 +101,17 @@
   std::thread thread_;
 };
 
+void DropBody(std::istream& in) {
+  const auto end = std::chrono::steady_clock::now() + kMaxDropTime;
+  char buffer[16 * 1024];
+  std::size_t dropped = 0;
+  while (in.good() && dropped < kMaxDropped &&
+         std::chrono::steady_clock::now() < end) {
+    in.read(buffer, sizeof buffer);
+    dropped += static_cast<std::size_t>(in.gcount());
+  }
+}
+
 class Handler : public Poco::Net::HTTPRequestHandler {
  public:
   Handler(const BoundedHttpServer::Handle& handle, HeaderDeadline* deadline)
@@ -186,15 +201,21 @@
       ErrorCode::kInvalidArgument,
       "the body is larger than " + std::to_string(max_bytes) + " bytes"};
   const bool has_length = request.hasContentLength();
-  if (has_length && request.getContentLength64() > max_bytes) return too_large;
   std::istream& in = request.stream();
+  if (has_length && request.getContentLength64() > max_bytes) {
+    DropBody(in);
+    return too_large;
+  }
   std::string body;
   char buffer[16 * 1024];
   try {
     while (in.good()) {
       in.read(buffer, sizeof buffer);
       body.append(buffer, static_cast<std::size_t>(in.gcount()));
-      if (static_cast<std::int64_t>(body.size()) > max_bytes) return too_large;
+      if (static_cast<std::int64_t>(body.size()) > max_bytes) {
+        DropBody(in);
+        return too_large;
+      }
     }
   } catch (const Poco::Exception&) {
     return Error{ErrorCode::kUnavailable, "the body did not arrive in time"};
