--- /dev/null
+++ b/src/bench/pollenledge_bench.cc
@@ -0,0 +1,214 @@
+// Benchmarks of the deciding code: time and allocations of a request's whole
+// decision, and the slopes of state and work that docs/CAPACITY.md rests on.
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include "allocation_count.h"
+#include "pollenledge/process/entry_node.h"
+#include "virtual_world.h"
+
+namespace pollenledge {
+namespace {
+
+using testing::MakeSpec;
+using testing::MakeTables;
+
+Instant At(Duration since_start) {
+  const TimePoint now(std::chrono::seconds(1000) + since_start);
+  return {now, WallTime(now.time_since_epoch())};
+}
+
+std::vector<UpstreamInfo> MakeUpstreams(std::int64_t count) {
+  std::vector<UpstreamInfo> list;
+  for (std::int64_t i = 0; i < count; ++i) {
+    const std::string name = "runner-" + std::to_string(i);
+    const std::string domain = "domain-" + std::to_string(i % 14);
+    list.push_back({{name, 1},
+                    "10.0.0.1:8000",
+                    "models",
+                    domain,
+                    "l4",
+                    true,
+                    200'000 + 50'000 * (i % 4),
+                    8});
+  }
+  return list;
+}
+
+MemberRecord MakeMember(std::int64_t index, std::uint64_t heartbeat) {
+  MemberRecord record;
+  record.id = {"entry-" + std::to_string(index), 1'700'000'000'000};
+  record.heartbeat = heartbeat;
+  record.domain = "domain-" + std::to_string(index % 14);
+  record.peer_address = "10.10.20.30:7002";
+  record.admin_address = "10.10.20.30:7003";
+  record.tables_version = 78'000;
+  for (int i = 0; i < 5; ++i) {
+    record.demands.push_back({"customer-" + std::to_string(i), 1000});
+  }
+  return record;
+}
+
+std::unique_ptr<EntryNode> MakeNode(std::int64_t upstreams,
+                                    std::int64_t members) {
+  EntryOptions options;
+  options.self = MakeMember(0, 1);
+  options.self.id.name = "self";
+  options.time_line_events = 8192;
+  auto node = std::make_unique<EntryNode>(options);
+  node->Handle(event::TablesAdopted{std::make_shared<const Tables>(
+                   MakeTables({"a", "b", "c", "d", "e"}))},
+               At(Duration(0)));
+  const std::vector<UpstreamInfo> list = MakeUpstreams(upstreams);
+  node->Handle(event::UpstreamsListed{list}, At(Duration(1)));
+  LoadReport report;
+  report.running = 2;
+  report.prefill_tokens_per_s = 8000;
+  report.between_tokens_ms = 20;
+  for (const UpstreamInfo& info : list) {
+    node->Handle(event::LoadReported{info.id, report}, At(Duration(2)));
+  }
+  for (std::int64_t i = 1; i < members; ++i) {
+    node->Handle(event::HeartbeatReceived{{MakeMember(i, 1)}}, At(Duration(3)));
+  }
+  return node;
+}
+
+// Admission, routing, dispatch, first token and end of one request.
+void WholeDecision(benchmark::State& state) {
+  const auto node = MakeNode(state.range(0), 7);
+  RequestSpec spec = MakeSpec("a", Rank::kUrgent, 200, 100);
+  spec.prefix_hashes = {1, 2, 3};
+  std::int64_t step = 1000;
+  std::size_t counted = 0;
+  for (auto _ : state) {
+    step += 1000;
+    const std::size_t before = bench::Allocations();
+    const RequestId id = node->NextRequestId();
+    const auto actions =
+        node->Handle(event::RequestArrived{id, spec}, At(Duration(step)));
+    if (actions.size() != 1 ||
+        !std::holds_alternative<action::Dispatch>(actions[0])) {
+      state.SkipWithError("the request was not dispatched at once");
+      break;
+    }
+    node->Handle(event::FirstToken{id, 1}, At(Duration(step + 300)));
+    event::AttemptEnded ended;
+    ended.id = id;
+    ended.attempt = 1;
+    ended.end = AttemptEnd::kCompleted;
+    ended.http_status = 200;
+    ended.delivered_tokens = 100;
+    node->Handle(ended, At(Duration(step + 900)));
+    counted += bench::Allocations() - before;
+  }
+  state.counters["allocations"] = benchmark::Counter(
+      static_cast<double>(counted), benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(WholeDecision)->Arg(22)->Arg(1200)->Arg(12'000);
+
+// One heartbeat message with all its records, received by an entry that knows
+// so many others.
+void ReceiveHeartbeat(benchmark::State& state) {
+  const auto node = MakeNode(22, state.range(0));
+  std::uint64_t beat = 2;
+  std::int64_t next = 1;
+  for (auto _ : state) {
+    event::HeartbeatReceived message;
+    for (std::size_t i = 0; i < Membership::kRecordsPerMessage; ++i) {
+      message.records.push_back(MakeMember(next, beat));
+      if (++next >= state.range(0)) {
+        next = 1;
+        ++beat;
+      }
+    }
+    node->Handle(message, At(Duration(10)));
+  }
+}
+BENCHMARK(ReceiveHeartbeat)->Arg(10)->Arg(100)->Arg(360);
+
+// One tick in which heartbeats are due: records, shares and queues.
+void TickWithHeartbeats(benchmark::State& state) {
+  const auto node = MakeNode(22, state.range(0));
+  Duration time = std::chrono::seconds(1);
+  for (auto _ : state) {
+    time += Membership::kPeriod;
+    benchmark::DoNotOptimize(node->Handle(event::Ticked{}, At(time)));
+  }
+}
+BENCHMARK(TickWithHeartbeats)->Arg(10)->Arg(100)->Arg(360);
+
+// The platform's whole list, read anew.
+void ReadUpstreamList(benchmark::State& state) {
+  const auto node = MakeNode(state.range(0), 7);
+  const event::UpstreamsListed listed{MakeUpstreams(state.range(0))};
+  for (auto _ : state) {
+    node->Handle(listed, At(std::chrono::seconds(1)));
+  }
+}
+BENCHMARK(ReadUpstreamList)
+    ->Arg(22)
+    ->Arg(1200)
+    ->Arg(12'000)
+    ->Unit(benchmark::kMillisecond);
+
+void ReceiveLoadReport(benchmark::State& state) {
+  const auto node = MakeNode(state.range(0), 7);
+  const std::vector<UpstreamInfo> list = MakeUpstreams(state.range(0));
+  LoadReport report;
+  report.running = 3;
+  std::size_t next = 0;
+  for (auto _ : state) {
+    node->Handle(event::LoadReported{list[next].id, report},
+                 At(std::chrono::seconds(1)));
+    next = (next + 1) % list.size();
+  }
+}
+BENCHMARK(ReceiveLoadReport)->Arg(22)->Arg(1200)->Arg(12'000);
+
+// Tables with so many routes, parsed and checked.
+void ParseTablesOfSize(benchmark::State& state) {
+  std::string routes = "customers: []\nroutes:\n";
+  std::string pools = "domains: [d]\npools:\n";
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    const std::string n = std::to_string(i);
+    routes += "  - {name: r" + n + ", model: m" + n + ", pool: p" + n + "}\n";
+    pools += "  - {name: p" + n + ", model: m" + n +
+             ", members: [{domain: d, class: l4, price_per_hour: 1}]}\n";
+  }
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(ParseTables({routes, pools}, 1));
+  }
+  state.counters["document_bytes"] =
+      static_cast<double>(routes.size() + pools.size());
+}
+BENCHMARK(ParseTablesOfSize)
+    ->Arg(10)
+    ->Arg(100)
+    ->Arg(500)
+    ->Unit(benchmark::kMillisecond);
+
+// Bytes that a node's state holds, by the allocator's own account.
+void StateBytes(benchmark::State& state) {
+  double held = 0;
+  for (auto _ : state) {
+    const auto before = mallinfo2().uordblks;
+    const auto node = MakeNode(state.range(0), state.range(1));
+    held = static_cast<double>(mallinfo2().uordblks - before);
+  }
+  state.counters["bytes"] = held;
+}
+BENCHMARK(StateBytes)
+    ->Args({22, 7})
+    ->Args({1200, 7})
+    ->Args({12'000, 7})
+    ->Args({22, 100})
+    ->Args({22, 360})
+    ->Args({12'000, 360})
+    ->Iterations(1);
+
+}  // namespace
+}  // namespace pollenledge
+
+BENCHMARK_MAIN();
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -91,7 +91,7 @@
         connection.close()
 
 
-@dataclass
+@dataclass(eq=False)
 class Process:
     name: str
     popen: subprocess.Popen
@@ -268,8 +268,8 @@
             text=True,
         )
 
-    def apply_example(self, node=None):
-        tables = ROOT / "examples" / self.example
+    def apply_example(self, node=None, tables=None):
+        tables = tables or ROOT / "examples" / self.example
         wait_until(
             lambda: self.probe((node or self.nodes[0]).admin_port, "/healthz"),
             "the admin API",
