Less idle work: ticks each 50 ms, tables pushed on change and each second

Change: the agent sent the whole tables four times a second and does so once now or on a change; the entry's tick is 50 ms instead of 20.

--- a/src/libpollenledge/process/control_service.cc
+++ b/src/libpollenledge/process/control_service.cc
@@ -13,7 +13,9 @@
 
 constexpr Duration kWatchIdle = std::chrono::seconds(4);
 constexpr Duration kWatchPause = std::chrono::milliseconds(500);
-constexpr Duration kPushInterval = std::chrono::milliseconds(250);
+constexpr Duration kPushRetry = std::chrono::milliseconds(250);
+// The entry may have been restarted since the tables were pushed.
+constexpr Duration kPushAgain = std::chrono::seconds(1);
 constexpr Duration kEditTimeout = std::chrono::seconds(4);
 
 TimePoint Now() {
@@ -212,14 +214,13 @@
     VersionedTexts tables;
     {
       std::unique_lock lock(mutex_);
-      changed_.wait_for(lock, kPushInterval, [this] {
+      changed_.wait_for(lock, kPushAgain, [this] {
         return stopping_ || tables_.version > version_at_entry_;
       });
       if (stopping_) return;
       tables = tables_;
     }
     if (tables.version == 0) continue;
-    // Pushed again and again: the entry may have been restarted.
     const Result<std::uint64_t> in_force =
         link_.ApplyTables(settings_.peer_address, tables);
     const bool done = Ok(in_force) && Value(in_force) >= tables.version;
@@ -227,7 +228,7 @@
       const std::lock_guard lock(mutex_);
       version_at_entry_ = done ? tables.version : 0;
     }
-    if (SleepUnlessStopped(kPushInterval)) return;
+    if (!done && SleepUnlessStopped(kPushRetry)) return;
   }
 }
 
--- a/src/libpollenledge/process/entry_service.cc
+++ b/src/libpollenledge/process/entry_service.cc
@@ -13,7 +13,7 @@
 constexpr std::size_t kMaxWaitingJobs = 65536;
 constexpr std::size_t kTakenOverThreads = 32;
 constexpr std::size_t kPollerThreads = 4;
-constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr Duration kTick = std::chrono::milliseconds(50);
 constexpr Duration kOrderWait = std::chrono::milliseconds(100);
 constexpr Duration kLoadTimeout = std::chrono::milliseconds(500);
 // Writes a second that all entries together may make for claims; the key-value
