--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := cmake make g++ python3 clang-format clang-tidy \
   libpoco-dev libcapnp-dev libboost-dev libboost-program-options-dev \
   liblog4cplus-dev libyaml-cpp-dev nlohmann-json3-dev libgtest-dev libgmock-dev \
-  librapidcheck-dev libxxhash-dev libssl-dev libbenchmark-dev
+  libxxhash-dev libssl-dev libbenchmark-dev
 SOURCES = $(shell git ls-files 'src/*.cc' 'src/*.h' | grep -v '/wire/')
 
 .PHONY: help deps build demo run test check bench format check-format lint \
--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -8,7 +8,6 @@
 find_package(benchmark REQUIRED)
 find_library(LOG4CPLUS_LIBRARY log4cplus REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
-find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
 # Cap'n Proto's own package file asks for a libatomic that this platform's
 # compiler does not need, so its libraries are found one by one.
 set(CAPNP_LIBRARIES "")
--- a/src/include/pollenledge/process/command_line.h
+++ b/src/include/pollenledge/process/command_line.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/program_options.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -34,13 +35,21 @@
 DaemonStart ParseDaemonCommandLine(int argc, char** argv,
                                    const std::string& description);
 
+/// The `main` of a daemon: handles the command line, blocks the stop signals,
+/// and calls `run` with the settings. What `run` throws because it cannot
+/// listen or the like is printed; the exit status says that it failed.
+int RunDaemon(int argc, char** argv, const std::string& description,
+              const std::function<int(const Settings&)>& run);
+
 /// A number that is larger at each start of the process.
 std::uint64_t NewIncarnation();
 
-/// Blocks until SIGINT or SIGTERM, or until `done` returns true. Call
-/// `BlockStopSignals` before any thread starts.
+/// Keeps SIGINT and SIGTERM for the functions below. Call it before any thread
+/// starts.
 void BlockStopSignals();
+/// Waits for SIGINT or SIGTERM.
 void WaitForStopSignal();
+/// True if one came within `wait`.
 bool StopSignalPending(Duration wait);
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/caller_api.cc
+++ b/src/libpollenledge/process/caller_api.cc
@@ -135,8 +135,17 @@
   SendBody(response, answer.http_status, answer.content_type, answer.data);
 }
 
-int BodyErrorStatus(const Error& error) {
-  return error.code == ErrorCode::kInvalidArgument ? 413 : 408;
+// The request's body; nothing if it is unusable and the caller was told so.
+std::optional<std::string> ReadBodyOrAnswer(HTTPServerRequest& request,
+                                            std::int64_t max_bytes,
+                                            HTTPServerResponse& response) {
+  Result<std::string> body = ReadBody(request, max_bytes);
+  if (Ok(body)) return std::move(Value(body));
+  const bool too_large = ErrorOf(body).code == ErrorCode::kInvalidArgument;
+  response.setKeepAlive(false);
+  SendProblem(response, too_large ? 413 : 408, "bad-body",
+              ErrorOf(body).message);
+  return std::nullopt;
 }
 
 }  // namespace
@@ -180,15 +189,10 @@
 void CallerApi::HandleCompletion(CompletionApi api, const std::string& customer,
                                  HTTPServerRequest& request,
                                  HTTPServerResponse& response) {
-  const Result<std::string> body = ReadBody(request, settings_.max_body_bytes);
-  if (!Ok(body)) {
-    response.setKeepAlive(false);
-    SendProblem(response, BodyErrorStatus(ErrorOf(body)), "bad-body",
-                ErrorOf(body).message);
-    return;
-  }
-  Result<CompletionRequest> parsed =
-      ParseCompletion(api, customer, Value(body));
+  const std::optional<std::string> body =
+      ReadBodyOrAnswer(request, settings_.max_body_bytes, response);
+  if (!body.has_value()) return;
+  Result<CompletionRequest> parsed = ParseCompletion(api, customer, *body);
   if (!Ok(parsed)) {
     SendProblem(response, 400, "invalid-request", ErrorOf(parsed).message);
     return;
@@ -199,7 +203,7 @@
   const auto exchange = service_->Open(
       customer,
       api == CompletionApi::kChat ? "/v1/chat/completions" : "/v1/completions",
-      Value(body));
+      *body);
   StreamWriter writer(response, exchange->id());
   CallerSink sink;
   sink.on_event = [&](const std::string& event, std::int64_t) {
@@ -226,13 +230,9 @@
                               const std::string& path,
                               HTTPServerRequest& request,
                               HTTPServerResponse& response) {
-  const Result<std::string> body = ReadBody(request, settings_.max_body_bytes);
-  if (!Ok(body)) {
-    response.setKeepAlive(false);
-    SendProblem(response, BodyErrorStatus(ErrorOf(body)), "bad-body",
-                ErrorOf(body).message);
-    return;
-  }
+  const std::optional<std::string> body =
+      ReadBodyOrAnswer(request, settings_.max_body_bytes, response);
+  if (!body.has_value()) return;
   const std::string uri = request.getURI();
   const std::string rest = path.substr(sizeof kServicesPath - 1);
   const std::size_t slash = rest.find('/');
@@ -250,7 +250,7 @@
   if (call.path.empty() || call.path.front() != '/') {
     call.path = "/" + call.path;
   }
-  call.body = Value(body);
+  call.body = *body;
   for (const char* name :
        {"Content-Type", "Accept", "traceparent", "Idempotency-Key"}) {
     if (request.has(name)) call.headers[name] = request.get(name);
--- a/src/libpollenledge/process/command_line.cc
+++ b/src/libpollenledge/process/command_line.cc
@@ -1,5 +1,7 @@
 #include "pollenledge/process/command_line.h"
 
+#include <Poco/Exception.h>
+
 #include <csignal>
 #include <ctime>
 #include <iostream>
@@ -63,6 +65,21 @@
   return {std::get<Settings>(std::move(settings)), kExitOk};
 }
 
+int RunDaemon(int argc, char** argv, const std::string& description,
+              const std::function<int(const Settings&)>& run) {
+  const DaemonStart start = ParseDaemonCommandLine(argc, argv, description);
+  if (!start.settings.has_value()) return start.exit_status;
+  BlockStopSignals();
+  try {
+    return run(*start.settings);
+  } catch (const Poco::Exception& error) {
+    std::cerr << argv[0] << ": " << error.displayText() << '\n';
+  } catch (const std::exception& error) {
+    std::cerr << argv[0] << ": " << error.what() << '\n';
+  }
+  return kExitFailure;
+}
+
 std::uint64_t NewIncarnation() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(
--- a/src/libpollenledge/process/control_service.cc
+++ b/src/libpollenledge/process/control_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pollenledge/connection/http.h"
+#include "pollenledge/process/clock.h"
 #include "pollenledge/process/log.h"
 
 namespace pollenledge {
@@ -18,11 +19,6 @@
 constexpr Duration kPushAgain = std::chrono::seconds(1);
 constexpr Duration kEditTimeout = std::chrono::seconds(4);
 
-TimePoint Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 Result<Json> GetJson(const std::string& address, const std::string& path) {
   HttpCall call;
   call.address = address;
@@ -88,13 +84,13 @@
          std::to_string(size) + " bytes",
          "at most " + std::to_string(kMaxConfigBytes) + " bytes together"}};
   }
-  ConfigEdit edit(change, Now() + kEditTimeout);
+  ConfigEdit edit(change, ReadClocks().monotonic + kEditTimeout);
   EditStep step = edit.Start();
   while (true) {
     if (std::holds_alternative<ReadConfig>(step)) {
-      step = edit.OnRead(kv_.Read(kConfigKey), Now());
+      step = edit.OnRead(kv_.Read(kConfigKey), ReadClocks().monotonic);
     } else if (const auto* write = std::get_if<WriteConfig>(&step)) {
-      step = edit.OnWrite(kv_.Write({write->write}), Now());
+      step = edit.OnWrite(kv_.Write({write->write}), ReadClocks().monotonic);
     } else {
       break;
     }
--- a/src/pollen_control/main.cc
+++ b/src/pollen_control/main.cc
@@ -1,9 +1,5 @@
 // The control agent: tables, the platform's list and notices, and operators.
 
-#include <Poco/Exception.h>
-
-#include <iostream>
-
 #include "pollenledge/process/admin_api.h"
 #include "pollenledge/process/command_line.h"
 #include "pollenledge/process/log.h"
@@ -33,16 +29,5 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const pollenledge::DaemonStart start =
-      pollenledge::ParseDaemonCommandLine(argc, argv, kDescription);
-  if (!start.settings.has_value()) return start.exit_status;
-  pollenledge::BlockStopSignals();
-  try {
-    return Run(*start.settings);
-  } catch (const Poco::Exception& error) {
-    std::cerr << argv[0] << ": " << error.displayText() << '\n';
-  } catch (const std::exception& error) {
-    std::cerr << argv[0] << ": " << error.what() << '\n';
-  }
-  return pollenledge::kExitFailure;
+  return pollenledge::RunDaemon(argc, argv, kDescription, Run);
 }
