A first token that comes after its attempt ended is dropped

Cause: reading the attempt's code as a newcomer: the event was checked against the attempt's number only, and read the upstream of a request that has none.

Change: it counts only while the attempt runs. The test failed before (two of three outdated events counted) and passes now.

Ruled out: the daemon itself, whose thread reports both in order; a bench that drives the deciding code need not.

--- a/src/include/pollenledge/process/prefix_index.h
+++ b/src/include/pollenledge/process/prefix_index.h
@@ -13,10 +13,10 @@
 
 /// Remembers which upstreams are likely to hold the cached prefix of a prompt.
 ///
-/// Learns from three sources: this node's own dispatches, engines' cache
-/// events (late and with gaps), and the count of cached tokens that each
-/// answer reports, which overrules the other two. It is a hint only: a wrong
-/// entry costs recomputation, never correctness.
+/// Learns from the answers that come through this node, since an upstream that
+/// answered has the prompt cached, and from engines' cache events, late and
+/// with gaps. It is a hint only: a wrong entry costs recomputation, never
+/// correctness.
 ///
 /// Least-recently-used bound of `capacity` prefixes. Not thread-safe.
 class PrefixIndex {
--- a/src/libpollenledge/process/entry_attempts.cc
+++ b/src/libpollenledge/process/entry_attempts.cc
@@ -28,7 +28,8 @@
 
 void EntryNode::On(const event::FirstToken& token) {
   RequestState* request = FindRequest(token.id);
-  if (request == nullptr || request->attempt != token.attempt) {
+  if (request == nullptr || request->attempt != token.attempt ||
+      request->phase != RequestPhase::kRunning) {
     ++stats_.outdated_events;
     return;
   }
--- a/src/libpollenledge/process/survive_test.cc
+++ b/src/libpollenledge/process/survive_test.cc
@@ -138,6 +138,19 @@
   world->Submit(0, event::FirstToken{id, 0});
   EXPECT_TRUE(world->AnswersTo(id).empty());
   EXPECT_EQ(world->entries[0].node->stats().outdated_events, 2U);
+  // The first token of an attempt that was interrupted in the meantime.
+  late.attempt = 1;
+  late.end = AttemptEnd::kInterrupted;
+  for (auto& upstream : world->upstreams) {
+    world->Submit(
+        0, event::UpstreamNoticed{upstream.info.id, UpstreamState::kLeaving,
+                                  std::nullopt, "notice"});
+  }
+  world->Submit(0, late);
+  world->Submit(0, event::FirstToken{id, 1});
+  EXPECT_EQ(world->entries[0].node->stats().outdated_events, 3U);
+  for (auto& upstream : world->upstreams) ++upstream.info.id.incarnation;
+  world->PublishList();
   world->RunFor(std::chrono::seconds(10));
   EXPECT_EQ(world->AnswersTo(id).size(), 1U);
 }
