Spare room on the bill, slot time as a metric, pools apart

Two pools with instances of one class in one domain would have shared their use.

Change: a pool's spare room is what the loss of its largest failure domain takes; pollenledge_slot_seconds_total by customer, route, rank, domain, class and purpose; the billed class names its pool.

--- a/src/include/pollenledge/process/cost_ledger.h
+++ b/src/include/pollenledge/process/cost_ledger.h
@@ -22,13 +22,18 @@
 /// The name of `purpose` in reports.
 const char* ToString(CostPurpose purpose);
 
+/// The class as it stands in reports and on the bill: pool, machine class and
+/// market, so that two pools with instances of one class stay apart.
+std::string BilledClass(const std::string& pool,
+                        const std::string& machine_class, bool reclaimable);
+
 /// Whose use of which instances a line is about.
 struct UsageKey {
   std::string customer;
   std::string route;
   Rank rank = Rank::kStandard;
   std::string domain;
-  std::string machine_class;
+  std::string machine_class;  ///< As `BilledClass` names it.
   CostPurpose purpose = CostPurpose::kAnswers;
 
   friend auto operator<=>(const UsageKey&, const UsageKey&) = default;
@@ -82,6 +87,11 @@
 std::vector<CostLine> ExplainCost(const std::vector<BilledInstances>& bill,
                                   const std::map<UsageKey, Usage>& usage);
 
+/// Sets the spare part of each line to what the loss of the largest failure
+/// domain takes: that domain's part of all slot time. Call it for the lines of
+/// one pool.
+void SetSpareRoom(std::vector<BilledInstances>* bill);
+
 /// The whole bill in millionths of the currency.
 std::int64_t TotalOf(const std::vector<BilledInstances>& bill);
 
--- a/src/include/pollenledge/process/entry_stats.h
+++ b/src/include/pollenledge/process/entry_stats.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "pollenledge/process/cost_ledger.h"
 #include "pollenledge/process/latency_histogram.h"
 #include "pollenledge/request/request.h"
 #include "pollenledge/time.h"
@@ -44,7 +45,7 @@
 };
 
 /// The counters in the Prometheus text format.
-std::string RenderMetrics(const EntryStats& stats, std::size_t active_requests,
-                          int live_entries);
+std::string RenderMetrics(const EntryStats& stats, const CostLedger& costs,
+                          std::size_t active_requests, int live_entries);
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/admin_api.cc
+++ b/src/libpollenledge/process/admin_api.cc
@@ -65,7 +65,8 @@
                      {"class", line.machine_class},
                      {"price_micros_per_hour", line.price_micros_per_hour},
                      {"instance_us", line.instance_time.count()},
-                     {"slots", line.slots}});
+                     {"slots", line.slots},
+                     {"spare_share", line.spare_share}});
   }
   return lines;
 }
--- a/src/libpollenledge/process/admin_client.cc
+++ b/src/libpollenledge/process/admin_client.cc
@@ -105,6 +105,7 @@
       billed.instance_time =
           Duration(line.value("instance_us", std::int64_t{0}));
       billed.slots = line.value("slots", 1);
+      billed.spare_share = line.value("spare_share", 0.0);
       bill.push_back(billed);
     }
   }
--- a/src/libpollenledge/process/control_service.cc
+++ b/src/libpollenledge/process/control_service.cc
@@ -116,7 +116,8 @@
   const std::lock_guard lock(mutex_);
   TablesResult parsed = ParseTables(tables_.texts, tables_.version);
   const auto* tables = std::get_if<pollenledge::Tables>(&parsed);
-  std::map<std::pair<std::string, std::string>, BilledInstances> bill;
+  using Kind = std::pair<std::string, std::string>;  // Domain and class.
+  std::map<std::string, std::map<Kind, BilledInstances>> by_pool;
   if (tables == nullptr) return {};
   for (const auto& [id, seen] : seen_) {
     const ListedUpstream& upstream = seen.upstream;
@@ -125,10 +126,9 @@
     const PoolMember* member = pool->FindMember(
         upstream.domain, upstream.machine_class, upstream.reclaimable);
     if (member == nullptr) continue;
-    const std::string name =
-        upstream.machine_class +
-        (upstream.reclaimable ? " reclaimable" : " on_demand");
-    BilledInstances& line = bill[{upstream.domain, name}];
+    const std::string name = BilledClass(upstream.pool, upstream.machine_class,
+                                         upstream.reclaimable);
+    BilledInstances& line = by_pool[upstream.pool][{upstream.domain, name}];
     line.domain = upstream.domain;
     line.machine_class = name;
     line.price_micros_per_hour = member->price_micros_per_hour;
@@ -137,8 +137,13 @@
         std::chrono::duration_cast<Duration>(seen.last - seen.first);
   }
   std::vector<BilledInstances> lines;
-  lines.reserve(bill.size());
-  for (auto& [key, line] : bill) lines.push_back(std::move(line));
+  for (auto& [pool, kinds] : by_pool) {
+    std::vector<BilledInstances> pool_lines;
+    pool_lines.reserve(kinds.size());
+    for (auto& [kind, line] : kinds) pool_lines.push_back(std::move(line));
+    SetSpareRoom(&pool_lines);
+    lines.insert(lines.end(), pool_lines.begin(), pool_lines.end());
+  }
   return lines;
 }
 
--- a/src/libpollenledge/process/cost_ledger.cc
+++ b/src/libpollenledge/process/cost_ledger.cc
@@ -87,6 +87,12 @@
   return "?";
 }
 
+std::string BilledClass(const std::string& pool,
+                        const std::string& machine_class, bool reclaimable) {
+  return pool + "/" + machine_class +
+         (reclaimable ? " reclaimable" : " on_demand");
+}
+
 void CostLedger::Add(const UsageKey& key, const Usage& usage) {
   Usage& total = usage_[key];
   total.slot_time += usage.slot_time;
@@ -103,6 +109,23 @@
   return lines;
 }
 
+void SetSpareRoom(std::vector<BilledInstances>* bill) {
+  std::map<std::string, double> slot_time;
+  double total = 0;
+  for (const BilledInstances& line : *bill) {
+    const double time =
+        static_cast<double>(line.instance_time.count()) * line.slots;
+    slot_time[line.domain] += time;
+    total += time;
+  }
+  if (total <= 0) return;
+  double largest = 0;
+  for (const auto& [domain, time] : slot_time) {
+    largest = std::max(largest, time);
+  }
+  for (BilledInstances& line : *bill) line.spare_share = largest / total;
+}
+
 std::int64_t TotalOf(const std::vector<BilledInstances>& bill) {
   std::int64_t total = 0;
   for (const BilledInstances& instances : bill) total += PriceOf(instances);
--- a/src/libpollenledge/process/entry_attempts.cc
+++ b/src/libpollenledge/process/entry_attempts.cc
@@ -139,8 +139,8 @@
   key.route = request.route->name;
   key.rank = request.route->rank;
   key.domain = entry->info.domain;
-  key.machine_class = entry->info.machine_class +
-                      (entry->info.reclaimable ? " reclaimable" : " on_demand");
+  key.machine_class = BilledClass(entry->info.pool, entry->info.machine_class,
+                                  entry->info.reclaimable);
   const std::int64_t generated = std::max(
       std::int64_t{0}, ended.delivered_tokens - request.delivered_tokens);
   const std::int64_t computed = request.spec.prompt_tokens + generated;
--- a/src/libpollenledge/process/entry_service.cc
+++ b/src/libpollenledge/process/entry_service.cc
@@ -115,7 +115,8 @@
 
 std::string EntryService::Metrics() const {
   const std::lock_guard lock(node_mutex_);
-  return RenderMetrics(node_.stats(), node_.active_requests(),
+  return RenderMetrics(node_.stats(), node_.cost_ledger(),
+                       node_.active_requests(),
                        node_.membership().AliveCount(ReadClocks().monotonic));
 }
 
--- a/src/libpollenledge/process/entry_stats.cc
+++ b/src/libpollenledge/process/entry_stats.cc
@@ -23,8 +23,8 @@
 
 }  // namespace
 
-std::string RenderMetrics(const EntryStats& stats, std::size_t active_requests,
-                          int live_entries) {
+std::string RenderMetrics(const EntryStats& stats, const CostLedger& costs,
+                          std::size_t active_requests, int live_entries) {
   std::ostringstream out;
   for (std::size_t i = 0; i < kRankCount; ++i) {
     RenderRank(static_cast<Rank>(i), stats.ranks[i], &out);
@@ -33,6 +33,13 @@
     out << "pollenledge_customer_tokens_total{customer=\"" << customer << "\"} "
         << tokens << '\n';
   }
+  for (const auto& [key, usage] : costs.usage()) {
+    out << "pollenledge_slot_seconds_total{customer=\"" << key.customer
+        << "\",route=\"" << key.route << "\",rank=\"" << ToString(key.rank)
+        << "\",domain=\"" << key.domain << "\",class=\"" << key.machine_class
+        << "\",purpose=\"" << ToString(key.purpose) << "\"} "
+        << ToSeconds(usage.slot_time) << '\n';
+  }
   const auto line = [&out](const char* name, std::uint64_t value) {
     out << "pollenledge_" << name << ' ' << value << '\n';
   };
--- a/src/libpollenledge/process/product_test.cc
+++ b/src/libpollenledge/process/product_test.cc
@@ -94,6 +94,17 @@
   }
 }
 
+TEST(CostTest, SpareRoomIsThatOfTheLargestDomain) {
+  std::vector<BilledInstances> bill = {
+      {"d1", "l4", 100, std::chrono::hours(2), 8, 0},
+      {"d2", "l4", 100, std::chrono::hours(1), 8, 0},
+      {"d2", "a10", 100, std::chrono::hours(1), 8, 0}};
+  SetSpareRoom(&bill);
+  for (const BilledInstances& line : bill) {
+    EXPECT_DOUBLE_EQ(line.spare_share, 0.5);
+  }
+}
+
 TEST(CostTest, IdleAndSpareStandApart) {
   CostLedger ledger;
   UsageKey key;
@@ -116,7 +127,13 @@
   EntryStats stats;
   stats.of(Rank::kUrgent).first_token.Add(std::chrono::milliseconds(250));
   stats.of(Rank::kUrgent).first_token.Add(std::chrono::hours(1));
-  const std::string text = RenderMetrics(stats, 3, 2);
+  CostLedger costs;
+  UsageKey key;
+  key.customer = "c";
+  key.rank = Rank::kUrgent;
+  costs.Add(key, {std::chrono::seconds(7), 1, 1});
+  const std::string text = RenderMetrics(stats, costs, 3, 2);
+  EXPECT_NE(text.find("purpose=\"answers\"} 7"), std::string::npos);
   EXPECT_NE(text.find("pollenledge_first_token_seconds_bucket{rank=\"urgent\","
                       "le=\"+Inf\"} 2"),
             std::string::npos);
--- a/src/pollenctl/main.cc
+++ b/src/pollenctl/main.cc
@@ -306,7 +306,7 @@
   for (const auto& line : Value(lines)) {
     std::cout << std::left << std::setw(15) << line.what << std::setw(22)
               << line.key.customer << std::setw(14) << line.key.route
-              << std::setw(12) << line.key.domain << std::setw(16)
+              << std::setw(12) << line.key.domain << std::setw(28)
               << line.key.machine_class << std::right << std::setw(12)
               << Money(line.micros) << '\n';
   }
