A refused request leaves nothing behind

Change: only answers are kept; a refusal is forgotten at once.

Conclusion: what is kept is bounded by what was answered.

--- a/src/include/pollenledge/process/entry_service.h
+++ b/src/include/pollenledge/process/entry_service.h
@@ -150,7 +150,10 @@
   void Do(const action::DrainCompleted& completed);
 
   std::shared_ptr<Exchange> FindExchange(const RequestId& id) const;
-  void Retire(const std::shared_ptr<Exchange>& exchange);
+  /// Ends an exchange. An answer is kept for a while so that it can be fetched
+  /// again; a refusal is forgotten at once, or a flood would fill the memory.
+  void Retire(const std::shared_ptr<Exchange>& exchange,
+              const ExchangeEnd& end);
   void RunAttempt(const std::shared_ptr<Exchange>& exchange,
                   const action::Dispatch& dispatch,
                   const CompletionRequest& request, const CallerSink& sink);
--- a/src/libpollenledge/process/entry_service.cc
+++ b/src/libpollenledge/process/entry_service.cc
@@ -139,7 +139,7 @@
     const CallerSink& sink) {
   Submit(event::RequestArrived{exchange->id(), request.spec});
   ExchangeEnd end = RunOrders(exchange, request, sink);
-  Retire(exchange);
+  Retire(exchange, end);
   return end;
 }
 
@@ -256,10 +256,10 @@
       }
       Submit(ended);
     } else if (const auto* end = std::get_if<action::Answer>(&*order)) {
-      Retire(exchange);
+      Retire(exchange, end->outcome);
       return end->outcome;
     } else if (const auto* replay = std::get_if<action::Replay>(&*order)) {
-      Retire(exchange);
+      Retire(exchange, replay->record);
       return replay->record;
     }
   }
@@ -362,10 +362,18 @@
   return found == exchanges_.end() ? nullptr : found->second;
 }
 
-void EntryService::Retire(const std::shared_ptr<Exchange>& exchange) {
+void EntryService::Retire(const std::shared_ptr<Exchange>& exchange,
+                          const ExchangeEnd& end) {
   exchange->answer().Finish();
+  const auto* outcome = std::get_if<Outcome>(&end);
+  const bool has_answer =
+      outcome != nullptr && !std::holds_alternative<NotRun>(*outcome);
   const std::lock_guard lock(exchanges_mutex_);
-  retired_.push_back({std::chrono::steady_clock::now(), exchange->id()});
+  if (has_answer) {
+    retired_.push_back({std::chrono::steady_clock::now(), exchange->id()});
+  } else {
+    exchanges_.erase(exchange->id());
+  }
 }
 
 void EntryService::ForgetOldExchanges() {
--- a/src/libpollenledge/process/entry_service_peers.cc
+++ b/src/libpollenledge/process/entry_service_peers.cc
@@ -48,7 +48,7 @@
       exchange->answer().Start(503, "application/json");
     }
   }
-  Retire(exchange);
+  Retire(exchange, end);
 }
 
 FetchedAnswer EntryService::FetchAnywhere(const RequestId& id,
--- a/testsuite/bad_input/run.py
+++ b/testsuite/bad_input/run.py
@@ -33,6 +33,13 @@
     story.tell(problem(call(node.caller_port, "GET", "/v1/requests/odd", headers=key)))
     story.tell(problem(call(node.caller_port, "GET", "/nowhere", headers=key)))
 
+    refused = deployment.chat(node, CUSTOMER, "no-such-model", "x")
+    gone = call(
+        node.caller_port, "GET", f"/v1/requests/{refused.headers['x-request-id']}",
+        headers=key,
+    )
+    story.tell(f"nothing is kept of a refused request: {problem(gone)}")
+
     slow = socket.create_connection(("127.0.0.1", node.caller_port))
     slow.sendall(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Unfinished: ")
     slow.settimeout(30)
