--- /dev/null
+++ b/src/libpollenledge/process/worker_pool_test.cc
@@ -0,0 +1,46 @@
+#include "pollenledge/process/worker_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+
+namespace pollenledge {
+namespace {
+
+TEST(WorkerPoolTest, RunsEveryJobOnce) {
+  std::atomic<int> ran = 0;
+  {
+    WorkerPool pool(4, 100'000);
+    std::vector<std::thread> senders;
+    for (int s = 0; s < 4; ++s) {
+      senders.emplace_back([&] {
+        for (int i = 0; i < 1000; ++i) {
+          EXPECT_TRUE(pool.Run([&ran] { ++ran; }));
+        }
+      });
+    }
+    for (std::thread& sender : senders) sender.join();
+  }
+  EXPECT_EQ(ran, 4000);
+}
+
+TEST(WorkerPoolTest, RefusesBeyondItsBoundAndAfterItStopped) {
+  WorkerPool pool(1, 1);
+  std::promise<void> started;
+  std::promise<void> gate;
+  std::shared_future<void> opened = gate.get_future().share();
+  ASSERT_TRUE(pool.Run([&started, opened] {
+    started.set_value();
+    opened.wait();
+  }));
+  started.get_future().wait();
+  EXPECT_TRUE(pool.Run([] {}));
+  EXPECT_FALSE(pool.Run([] {}));
+  gate.set_value();
+  pool.Stop();
+  EXPECT_FALSE(pool.Run([] {}));
+}
+
+}  // namespace
+}  // namespace pollenledge
