--- a/testsuite/bad_input/run.py
+++ b/testsuite/bad_input/run.py
@@ -19,7 +19,9 @@
 
 
 def tell(deployment, story):
-    deploy(deployment, nodes=1, engines=1, services=1)
+    deploy(
+        deployment, nodes=1, engines=1, services=1, extra="caller_timeout_ms: 1500\n"
+    )
     node = deployment.nodes[0]
     post = "/v1/chat/completions"
     key = {"Authorization": f"Bearer {deployment.key_of(CUSTOMER)}"}
@@ -45,6 +47,14 @@
     slow.settimeout(30)
     story.tell(f"an unfinished header is closed: {slow.recv(100) == b''}")
 
+    slow = socket.create_connection(("127.0.0.1", node.caller_port))
+    slow.sendall(
+        f"POST {post} HTTP/1.1\r\nHost: x\r\nAuthorization: {key['Authorization']}"
+        "\r\nContent-Length: 100\r\n\r\n{".encode()
+    )
+    slow.settimeout(30)
+    story.tell(f"an unfinished body is answered: {slow.recv(100).split()[1].decode()}")
+
     leaver = socket.create_connection(("127.0.0.1", node.caller_port))
     body = (
         f'{{"model":"{MODEL}","stream":true,"max_tokens":20000,'
--- a/testsuite/story.py
+++ b/testsuite/story.py
@@ -22,7 +22,9 @@
         self.out.write(f"{line}\n")
 
 
-def deploy(deployment, nodes=2, engines=3, services=2, engine=None, service=None):
+def deploy(
+    deployment, nodes=2, engines=3, services=2, engine=None, service=None, extra=""
+):
     """Starts upstreams and nodes in turn over the failure domains, with the
     example's tables in force."""
     domains = ["batumi-a", "kobuleti", "batumi-b"]
@@ -37,7 +39,7 @@
         )
     deployment.publish_list()
     for i in range(nodes):
-        deployment.add_node(f"node-{i + 1}", domains[i % 3])
+        deployment.add_node(f"node-{i + 1}", domains[i % 3], extra=extra)
     deployment.apply_example()
     deployment.wait_ready()
 
