Log lines for a request's dispatch and answer

Change: "dispatched" and "answered" at level debug, unknown outcomes at warn, so that a flood of refusals writes nothing at the usual level.

Figures: the case product follows one request through them; no key in the logs. Conclusion: a request can be followed by its id in both.

--- a/src/libpollenledge/process/entry_service.cc
+++ b/src/libpollenledge/process/entry_service.cc
@@ -28,6 +28,14 @@
                   FromSeconds(entries / kClaimWritesPerSecond));
 }
 
+std::string OutcomeName(const Outcome& outcome) {
+  return std::visit(
+      Overloaded{[](const Completed&) { return std::string("completed"); },
+                 [](const NotRun& not_run) { return not_run.type; },
+                 [](const UnknownOutcome&) { return std::string("unknown"); }},
+      outcome);
+}
+
 EntryOptions MakeOptions(const Settings& settings, const NodeId& node) {
   EntryOptions options;
   options.self.id = node;
@@ -280,7 +288,13 @@
 
 void EntryService::Do(const action::Dispatch& dispatch) {
   const auto exchange = FindExchange(dispatch.id);
-  if (exchange != nullptr) exchange->Order(dispatch);
+  if (exchange == nullptr) return;
+  Log(LogLevel::kDebug, "dispatched",
+      {{"request", ToString(dispatch.id)},
+       {"attempt", std::to_string(dispatch.attempt)},
+       {"customer", exchange->customer()},
+       {"upstream", dispatch.upstream.name}});
+  exchange->Order(dispatch);
 }
 
 void EntryService::Do(const action::Interrupt& interrupt) {
@@ -290,7 +304,13 @@
 
 void EntryService::Do(const action::Answer& answer) {
   const auto exchange = FindExchange(answer.id);
-  if (exchange != nullptr) exchange->Order(answer);
+  if (exchange == nullptr) return;
+  const bool unknown = std::holds_alternative<UnknownOutcome>(answer.outcome);
+  Log(unknown ? LogLevel::kWarn : LogLevel::kDebug, "answered",
+      {{"request", ToString(answer.id)},
+       {"customer", exchange->customer()},
+       {"outcome", OutcomeName(answer.outcome)}});
+  exchange->Order(answer);
 }
 
 void EntryService::Do(const action::Replay& replay) {
--- a/testsuite/product/run.py
+++ b/testsuite/product/run.py
@@ -64,6 +64,12 @@
         "logs are JSON lines with node and domain: "
         f"{all(p['node'] == 'node-1' and p['domain'] == 'batumi-a' for p in parsed)}"
     )
+    third = deployment.add_node("node-3", "gonio", extra="log_level: debug\n")
+    deployment.wait_ready([third])
+    answer = deployment.chat(third, CUSTOMER, MODEL, "logged", max_tokens=2)
+    lines = [json.loads(t) for t in third.entry.log.read_text().strip().split("\n")]
+    way = [p["event"] for p in lines if p.get("request") == answer.headers["x-request-id"]]
+    story.tell(f"a request's lines at level debug: {way}")
     secret = deployment.key_of(CUSTOMER)
     story.tell(f"no key in the logs: {all(secret not in text for text in logs)}")
 
