--- a/src/libpollenledge/process/claim_batch_test.cc
+++ b/src/libpollenledge/process/claim_batch_test.cc
@@ -50,6 +50,7 @@
     Store store,
     const std::vector<std::pair<std::string, WriteClaim>>& claims) {
   std::vector<bool> written;
+  written.reserve(claims.size());
   for (const auto& [key, write] : claims) {
     written.push_back(
         store.Commit({{key, ToJson(write.record), write.expected_revision, 0}})
