--- a/src/libpollenledge/process/worker_pool_test.cc
+++ b/src/libpollenledge/process/worker_pool_test.cc
@@ -13,6 +13,7 @@
   {
     WorkerPool pool(4, 100'000);
     std::vector<std::thread> senders;
+    senders.reserve(4);
     for (int s = 0; s < 4; ++s) {
       senders.emplace_back([&] {
         for (int i = 0; i < 1000; ++i) {
--- a/src/libpollenledge/request/answer_buffer_test.cc
+++ b/src/libpollenledge/request/answer_buffer_test.cc
@@ -15,6 +15,7 @@
   for (int i = 0; i < 500; ++i) expected += "event " + std::to_string(i);
   std::vector<std::string> read(3);
   std::vector<std::thread> readers;
+  readers.reserve(read.size());
   for (std::string& text : read) {
     readers.emplace_back([&buffer, &text] {
       while (true) {
