Limits over sliding windows, dealt by reported use

Cause: LimitShares shrinks a share at once and grows it after 2 s, so with the few large requests of one node each share sat at its lowest wish; it also held only two seconds of burst where the limit is over eight. Ruled out: the key's share of callers for each node (uneven, but no node had over a third). LimitShares stays the product's own for limits by rate.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -11,10 +11,10 @@
 #include "pollenledge/process/fair_queue.h"
 #include "pollenledge/process/forward_events.h"
 #include "pollenledge/process/forward_upstreams.h"
-#include "pollenledge/process/limit_shares.h"
 #include "pollenledge/process/membership.h"
 #include "pollenledge/process/retry_budget.h"
 #include "pollenledge/process/usage_ledger.h"
+#include "pollenledge/process/window_limits.h"
 
 namespace pollenledge {
 
@@ -27,6 +27,7 @@
   Duration key_freshness{0};
   double retries_per_request = 0.2;  ///< Over all nodes, for each service.
   double retry_slack = 0;            ///< Besides, over all nodes.
+  Duration limit_window = std::chrono::seconds(8);
   Duration usage_window = std::chrono::seconds(5);
   std::uint64_t random_seed = 1;
 };
@@ -143,7 +144,7 @@
   void OnSilence(Request* request);
   std::optional<TimePoint> SilenceDue(const Request& request) const;
   void ScheduleCheck(Request* request);
-  void UpdateShares();
+  void DealLimits();
 
   void AdoptTables(const std::shared_ptr<const ForwardingIndex>& tables,
                    const char* source);
@@ -163,8 +164,8 @@
   std::optional<TimePoint> tables_proven_at_;
   ForwardUpstreams upstreams_;
   Membership membership_;
-  LimitShares limit_shares_{LimitShares::Start::kEmpty};
-  TimePoint shares_updated_at_;
+  WindowLimits limits_;
+  TimePoint limits_dealt_at_;
   RetryBudget retry_budget_;
   UsageLedger usage_;
   std::map<std::string, FairQueue> queues_;  ///< By service.
--- a/src/include/pollenledge/process/limit_shares.h
+++ b/src/include/pollenledge/process/limit_shares.h
@@ -34,14 +34,6 @@
  public:
   static constexpr Duration kGrowDelay = std::chrono::seconds(2);
 
-  /// What a customer may use at once when this entry has just started.
-  enum class Start : std::uint8_t {
-    kWithBurst,  ///< The whole burst.
-    kEmpty,      ///< Nothing: another start may have used it just now.
-  };
-
-  explicit LimitShares(Start start = Start::kWithBurst) : start_(start) {}
-
   /// Computes the shares anew. Call once a heartbeat period. A limit is split
   /// into at least `minimum_parts`, so that an entry that starts within a
   /// partition and has heard nobody does not take it all.
@@ -76,7 +68,6 @@
 
   void SetRate(Bucket* bucket, double wanted, TimePoint now);
 
-  Start start_;
   std::map<std::string, Bucket> buckets_;
   TimePoint updated_at_;
 };
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -53,6 +53,7 @@
 struct Member {
   MemberRecord record;
   MemberStatus status = MemberStatus::kAlive;
+  Duration silence{0};  ///< Since the last news of it.
 
   friend bool operator==(const Member&, const Member&) = default;
 };
@@ -66,6 +67,16 @@
                          const HeartbeatMessage&) = default;
 };
 
+/// How often and to how many peers heartbeats go.
+struct HeartbeatOptions {
+  Duration period = std::chrono::milliseconds(500);
+  std::size_t fanout = 2;
+  std::size_t records_per_message = 10;
+
+  friend bool operator==(const HeartbeatOptions&,
+                         const HeartbeatOptions&) = default;
+};
+
 /// Finds and watches the other entries by gossip of heartbeat counters (van
 /// Renesse, Minsky and Hayden, "A Gossip-Style Failure Detection Service",
 /// Middleware 1998).
@@ -78,9 +89,8 @@
 /// Not thread-safe.
 class Membership {
  public:
+  /// The usual period of heartbeats.
   static constexpr Duration kPeriod = std::chrono::milliseconds(500);
-  static constexpr std::size_t kFanout = 2;
-  static constexpr std::size_t kRecordsPerMessage = 10;
   static constexpr Duration kSuspectAfter = std::chrono::seconds(3);
   static constexpr Duration kUnreachableAfter = std::chrono::seconds(10);
   /// A member unheard of for this long is forgotten, and its part of the
@@ -89,9 +99,9 @@
 
   /// `seeds` are peer addresses to begin with; they may include this entry's.
   Membership(MemberRecord self, std::vector<std::string> seeds,
-             std::uint64_t seed);
+             std::uint64_t seed, HeartbeatOptions options = {});
 
-  /// Call at least every `kPeriod`; returns the messages that are due.
+  /// Call at least every period; returns the messages that are due.
   std::vector<HeartbeatMessage> OnTick(TimePoint now);
   void OnHeartbeat(const std::vector<MemberRecord>& records, TimePoint now);
 
@@ -119,6 +129,7 @@
   std::vector<std::string> Targets(TimePoint now);
   std::vector<MemberRecord> PickRecords();
 
+  HeartbeatOptions options_;
   MemberRecord self_;
   std::vector<std::string> seeds_;
   std::mt19937_64 random_;
--- a/src/include/pollenledge/process/node_settings.h
+++ b/src/include/pollenledge/process/node_settings.h
@@ -26,6 +26,7 @@
   Duration key_freshness{0};  ///< 0: keys need no proof.
   double retry_ratio = 0;
   double retry_slack = 0;
+  Duration limit_window{0};
   Duration usage_window{0};
   Duration usage_delay{0};
   Duration duty_lease{0};
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -13,8 +13,13 @@
 /// A keyed request is sent only if the proof of its key holds this much longer
 /// than now, for the time on the way to the upstream.
 constexpr Duration kKeyMargin = std::chrono::milliseconds(400);
+/// Heartbeats carry what limits are dealt out by, so they come several times
+/// within the time that an overrun may take.
+constexpr HeartbeatOptions kHeartbeat{.period = std::chrono::milliseconds(250),
+                                      .fanout = 6,
+                                      .records_per_message = 8};
 /// Longest pause between two ticks.
-constexpr Duration kTickPeriod = std::chrono::milliseconds(500);
+constexpr Duration kTickPeriod = kHeartbeat.period;
 /// When a caller may come back if nothing better is known.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
 /// A caller is told to come back after at most this part of its time left, so
@@ -84,7 +89,10 @@
     : options_(std::move(options)),
       random_(options_.random_seed),
       upstreams_(options_.random_seed + 1),
-      membership_(options_.self, options_.seeds, options_.random_seed + 2),
+      membership_(options_.self, options_.seeds, options_.random_seed + 2,
+                  kHeartbeat),
+      limits_({.window = options_.limit_window,
+               .least_nodes = kExpectedNodes}),
       retry_budget_(RetryBudgetOptions{
           .retries_per_attempt = options_.retries_per_request,
           .max_saved = options_.retry_slack / kExpectedNodes,
@@ -170,7 +178,7 @@
   }
   const double units = LimitUnits(request->spec, *request->customer);
   const std::optional<Duration> wait =
-      limit_shares_.Take(request->customer->name, units, now());
+      limits_.Take(request->customer->name, units, now());
   if (wait.has_value()) {
     return NotRun{429, "over-limit", "the customer's limit is used up", *wait};
   }
@@ -429,7 +437,7 @@
                                     ? Milliseconds(now() - *tables_proven_at_)
                                     : "never"}});
   if (request->limit_units > 0) {
-    limit_shares_.Correct(request->customer->name, -request->limit_units);
+    limits_.Return(request->customer->name, request->limit_units);
   }
   Emit(forward_action::Refuse{request->id, std::move(not_run)});
   Forget(request);
@@ -508,7 +516,8 @@
       {{"version", std::to_string(tables->tables().version)},
        {"source", source}}});
   index_ = tables;
-  UpdateShares();
+  limits_.Configure(LimitsOf(index_->tables()));
+  DealLimits();
 }
 
 void ForwardNode::On(const forward_event::UpstreamsListed& listed) {
@@ -547,19 +556,17 @@
   self.tables_version = index_ == nullptr ? 0 : index_->tables().version;
   self.active_requests = static_cast<std::uint32_t>(requests_.size());
   self.leaving = draining_;
-  self.demands = limit_shares_.Demands();
+  self.demands = limits_.Usage(now());
   membership_.UpdateSelf(self);
   for (HeartbeatMessage& message : membership_.OnTick(now())) {
     Emit(forward_action::SendHeartbeat{std::move(message)});
   }
-  if (now() - shares_updated_at_ >= Membership::kPeriod) UpdateShares();
+  if (now() - limits_dealt_at_ >= kHeartbeat.period) DealLimits();
 }
 
-void ForwardNode::UpdateShares() {
-  if (index_ == nullptr) return;
-  shares_updated_at_ = now();
-  limit_shares_.Update(LimitsOf(index_->tables()), membership_.Others(now()),
-                       kExpectedNodes, now());
+void ForwardNode::DealLimits() {
+  limits_dealt_at_ = now();
+  limits_.Deal(membership_.Others(now()), now());
   const int nodes =
       std::max(kExpectedNodes, membership_.ShareholderCount(now()));
   retry_budget_.SetMaxSaved(options_.retry_slack / nodes);
--- a/src/libpollenledge/process/limit_shares.cc
+++ b/src/libpollenledge/process/limit_shares.cc
@@ -132,8 +132,7 @@
   if (is_new) {
     bucket->filled_at = now;
     bucket->rate = wanted;
-    bucket->balance =
-        start_ == Start::kWithBurst ? wanted * bucket->burst_s : 0;
+    bucket->balance = wanted * bucket->burst_s;
     bucket->wanted_rate = wanted;
     bucket->wanted_since = now;
     return;
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -32,15 +32,15 @@
 }
 
 Membership::Membership(MemberRecord self, std::vector<std::string> seeds,
-                       std::uint64_t seed)
-    : self_(std::move(self)), seeds_(std::move(seeds)), random_(seed) {
+                       std::uint64_t seed, HeartbeatOptions options)
+    : options_(options), self_(std::move(self)), seeds_(std::move(seeds)), random_(seed) {
   seeds_.erase(std::remove(seeds_.begin(), seeds_.end(), self_.peer_address),
                seeds_.end());
 }
 
 std::vector<HeartbeatMessage> Membership::OnTick(TimePoint now) {
   std::vector<HeartbeatMessage> messages;
-  if (sent_at_ != TimePoint() && now - sent_at_ < kPeriod) return messages;
+  if (sent_at_ != TimePoint() && now - sent_at_ < options_.period) return messages;
   sent_at_ = now;
   ++self_.heartbeat;
   for (auto it = others_.begin(); it != others_.end();) {
@@ -80,7 +80,8 @@
   std::vector<Member> members;
   members.reserve(others_.size());
   for (const auto& [name, known] : others_) {
-    members.push_back({known.record, StatusOf(known, now)});
+    members.push_back({known.record, StatusOf(known, now),
+                       now - known.advanced_at});
   }
   return members;
 }
@@ -132,7 +133,7 @@
   }
   std::shuffle(peers.begin(), peers.end(), random_);
   for (const std::string& peer : peers) {
-    if (targets.size() >= kFanout) break;
+    if (targets.size() >= options_.fanout) break;
     if (std::find(targets.begin(), targets.end(), peer) == targets.end()) {
       targets.push_back(peer);
     }
@@ -142,7 +143,7 @@
 
 std::vector<MemberRecord> Membership::PickRecords() {
   std::vector<MemberRecord> records = {self_};
-  const std::size_t wanted = std::min(kRecordsPerMessage, others_.size() + 1);
+  const std::size_t wanted = std::min(options_.records_per_message, others_.size() + 1);
   auto next = others_.upper_bound(cursor_);
   while (records.size() < wanted) {
     if (next == others_.end()) next = others_.begin();
--- a/src/libpollenledge/process/node_settings.cc
+++ b/src/libpollenledge/process/node_settings.cc
@@ -69,6 +69,9 @@
                     "Retries for each request of a service, over all nodes.");
   settings.retry_slack = reader.Number("retry_slack", 10, 0, 1e6,
                                        "Retries besides, over all nodes.");
+  settings.limit_window =
+      Milliseconds(&reader, "limit_window_ms", 8000,
+                   "Customers' limits hold in each window of this length.");
   settings.usage_window = Milliseconds(&reader, "usage_window_ms", 5000,
                                        "Length of a usage window.");
   settings.usage_delay = Milliseconds(
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -40,6 +40,7 @@
   options.node.key_freshness = settings.key_freshness;
   options.node.retries_per_request = settings.retry_ratio;
   options.node.retry_slack = settings.retry_slack;
+  options.node.limit_window = settings.limit_window;
   options.node.usage_window = settings.usage_window;
   options.node.random_seed = incarnation;
   return options;
