--- a/src/bench/pollenledge_bench.cc
+++ b/src/bench/pollenledge_bench.cc
@@ -125,7 +125,7 @@
   std::int64_t next = 1;
   for (auto _ : state) {
     event::HeartbeatReceived message;
-    for (std::size_t i = 0; i < Membership::kRecordsPerMessage; ++i) {
+    for (std::size_t i = 0; i < HeartbeatOptions().records_per_message; ++i) {
       message.records.push_back(MakeMember(next, beat));
       if (++next >= state.range(0)) {
         next = 1;
@@ -241,7 +241,7 @@
   for (auto _ : state) {
     capnp::MallocMessageBuilder message;
     auto params = message.initRoot<wire::Peer::HeartbeatParams>();
-    auto records = params.initRecords(Membership::kRecordsPerMessage);
+    auto records = params.initRecords(HeartbeatOptions().records_per_message);
     for (unsigned i = 0; i < records.size(); ++i) {
       ToWire(MakeMember(i, 1), records[i]);
     }
--- a/src/libpollenledge/process/product_test.cc
+++ b/src/libpollenledge/process/product_test.cc
@@ -179,9 +179,9 @@
     members.OnHeartbeat({MakeMember("n" + std::to_string(i), 1, 1)}, now);
   }
   const auto messages = members.OnTick(now);
-  EXPECT_LE(messages.size(), Membership::kFanout);
+  EXPECT_LE(messages.size(), HeartbeatOptions().fanout);
   for (const HeartbeatMessage& message : messages) {
-    EXPECT_LE(message.records.size(), Membership::kRecordsPerMessage);
+    EXPECT_LE(message.records.size(), HeartbeatOptions().records_per_message);
   }
   EXPECT_TRUE(members.OnTick(now + std::chrono::milliseconds(1)).empty());
 }
