--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -65,6 +65,8 @@
   std::size_t active_requests() const { return requests_.size(); }
   std::size_t queued_requests() const;
   bool draining() const { return draining_; }
+  /// Part of the recent streams of `service` whose first event came late.
+  double LateShare(const std::string& service) const;
   /// Age of the newest proof that the tables are in force.
   std::optional<Duration> TablesAge(TimePoint now) const;
 
@@ -168,7 +170,8 @@
   TimePoint limits_dealt_at_;
   RetryBudget retry_budget_;
   UsageLedger usage_;
-  std::map<std::string, FairQueue> queues_;  ///< By service.
+  std::map<std::string, FairQueue> queues_;   ///< By service.
+  std::map<std::string, double> late_share_;  ///< By service.
   std::unordered_map<ForwardId, Request> requests_;
   /// When requests have to be looked at next.
   std::multimap<TimePoint, ForwardId> due_;
--- a/src/include/pollenledge/process/node_settings.h
+++ b/src/include/pollenledge/process/node_settings.h
@@ -21,7 +21,6 @@
   std::vector<std::string> peers;  ///< Peer addresses to begin with.
   std::string store_address;
   std::string cloud_address;  ///< Empty if there are no duties.
-  std::vector<std::string> duties;
   Duration grace{0};
   Duration key_freshness{0};  ///< 0: keys need no proof.
   double retry_ratio = 0;
--- /dev/null
+++ b/src/libpollenledge/process/fleet_keeper.cc
@@ -0,0 +1,130 @@
+#include "pollenledge/process/fleet_keeper.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "pollenledge/connection/loop_clock.h"
+#include "pollenledge/process/log.h"
+
+namespace pollenledge {
+namespace {
+
+using Json = nlohmann::json;
+
+OrderOutcome OutcomeOf(const Status& status) {
+  if (Ok(status)) return OrderOutcome::kAccepted;
+  return ErrorOf(status).code == ErrorCode::kConflict ? OrderOutcome::kNoneThere
+                                                      : OrderOutcome::kUnknown;
+}
+
+}  // namespace
+
+FleetKeeper::FleetKeeper(boost::asio::io_context& loop, AsyncStore* store,
+                         AsyncCloud* cloud, const DutyLease* lease,
+                         const ForwardNode* node, std::string prefix)
+    : store_(store),
+      cloud_(cloud),
+      lease_(lease),
+      node_(node),
+      prefix_(std::move(prefix)),
+      timer_(loop) {}
+
+void FleetKeeper::Start() { Tick(); }
+
+void FleetKeeper::Tick() {
+  if (!lease_->held()) {
+    services_.clear();  // Another holder's orders are not known here.
+  } else if (lease_->MayAct(BootNow()) && node_->index() != nullptr) {
+    for (const ForwardingService& service :
+         node_->index()->tables().services) {
+      if (service.scaling.has_value()) Plan(service);
+    }
+  }
+  timer_.expires_after(kPeriod);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Tick();
+  });
+}
+
+std::vector<ForwardUpstreamInfo> FleetKeeper::Upstreams() const {
+  std::vector<ForwardUpstreamInfo> upstreams;
+  for (const auto& [name, upstream] : node_->upstreams().all()) {
+    if (upstream.listed) upstreams.push_back(upstream.info);
+  }
+  return upstreams;
+}
+
+void FleetKeeper::Plan(const ForwardingService& service) {
+  Service& state = services_[service.name];
+  if (!state.planner.has_value()) {
+    if (!state.busy) ReadReference(service.name);
+    return;
+  }
+  const double late_share = node_->LateShare(service.name);
+  const std::vector<UpstreamOrder> orders =
+      state.planner->Plan(service, Upstreams(), late_share, BootNow());
+  for (const UpstreamOrder& order : orders) Send(order);
+}
+
+void FleetKeeper::ReadReference(const std::string& service) {
+  services_[service].busy = true;
+  store_->Read(prefix_ + service,
+               [this, service](const Result<StoreItem>& item) {
+                 services_[service].busy = false;
+                 if (!Ok(item)) return;
+                 if (Value(item).entry.has_value()) {
+                   SetReference(service, *Value(item).entry);
+                 } else {
+                   WriteReference(service);
+                 }
+               });
+}
+
+void FleetKeeper::WriteReference(const std::string& service) {
+  DomainCounts counts;
+  for (const ForwardUpstreamInfo& upstream : Upstreams()) {
+    if (upstream.service == service && !upstream.leaving) {
+      ++counts[upstream.domain];
+    }
+  }
+  if (counts.empty()) return;
+  services_[service].busy = true;
+  StoreTransaction transaction;
+  transaction.writes.push_back({prefix_ + service, Json(counts).dump(), 0, 0});
+  store_->Commit(transaction, [this, service](const Result<KvTxnReply>&) {
+    // Read back: another holder may have been first, and answers get lost.
+    services_[service].busy = false;
+  });
+}
+
+void FleetKeeper::SetReference(const std::string& service,
+                               const KvEntry& entry) {
+  try {
+    services_[service].planner.emplace(
+        Json::parse(entry.value).get<DomainCounts>());
+  } catch (const std::exception& problem) {
+    Log(LogLevel::kError, "fleet_reference_malformed",
+        {{"key", entry.key}, {"error", problem.what()}});
+  }
+}
+
+void FleetKeeper::Send(const UpstreamOrder& order) {
+  // Checked directly before the call: the machine may have been suspended.
+  if (!lease_->MayAct(BootNow())) return;
+  cloud_->OrderUpstreams(
+      order, lease_->stamp(), [this, order](const Status& status) {
+        Log(LogLevel::kInfo, "upstreams_ordered",
+            {{"service", order.service},
+             {"domain", order.domain},
+             {"count", std::to_string(order.count)},
+             {"reclaimable", order.reclaimable ? "yes" : "no"},
+             {"late_share", std::to_string(node_->LateShare(order.service))},
+             {"outcome", Ok(status) ? "accepted" : ErrorOf(status).message}});
+        Service& state = services_[order.service];
+        if (state.planner.has_value()) {
+          state.planner->OnOrderEnded(order, OutcomeOf(status), BootNow());
+        }
+      });
+}
+
+}  // namespace pollenledge
--- /dev/null
+++ b/src/libpollenledge/process/fleet_planner.cc
@@ -0,0 +1,181 @@
+#include "pollenledge/process/fleet_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace pollenledge {
+
+void FleetPlanner::CountReady(
+    const ForwardingService& service,
+    const std::vector<ForwardUpstreamInfo>& upstreams) {
+  for (auto& [place, state] : places_) {
+    state.ready = 0;
+    state.leaving = 0;
+  }
+  for (const auto& [domain, price] : service.scaling->domain_prices) {
+    places_[{domain, true}];
+    places_[{domain, false}];
+  }
+  for (const ForwardUpstreamInfo& upstream : upstreams) {
+    if (upstream.service != service.name) continue;
+    PlaceState& state = places_[{upstream.domain, upstream.reclaimable}];
+    ++(upstream.leaving ? state.leaving : state.ready);
+  }
+}
+
+int FleetPlanner::ReferenceTotal() const {
+  return std::accumulate(
+      reference_.begin(), reference_.end(), 0,
+      [](int sum, const auto& entry) { return sum + entry.second; });
+}
+
+int FleetPlanner::ReadyIn(const std::string& domain, bool reclaimable) const {
+  const auto found = places_.find({domain, reclaimable});
+  return found == places_.end() ? 0 : found->second.ready;
+}
+
+std::vector<std::string> FleetPlanner::DomainsByPrice(
+    const ScalingBounds& bounds) const {
+  std::vector<std::string> domains;
+  for (const auto& [domain, price] : bounds.domain_prices) {
+    domains.push_back(domain);
+  }
+  std::sort(domains.begin(), domains.end(),
+            [&bounds](const std::string& a, const std::string& b) {
+              return bounds.domain_prices.at(a) < bounds.domain_prices.at(b);
+            });
+  return domains;
+}
+
+std::vector<UpstreamOrder> FleetPlanner::Plan(
+    const ForwardingService& service,
+    const std::vector<ForwardUpstreamInfo>& upstreams, double late_share,
+    TimePoint now) {
+  std::vector<UpstreamOrder> orders;
+  if (!service.scaling.has_value() || ReferenceTotal() == 0) return orders;
+  const ScalingBounds& bounds = *service.scaling;
+  CountReady(service, upstreams);
+  const bool reclaimable_offered = bounds.reclaimable_price < 1;
+  if (reclaimable_offered) {
+    AddOrders(service, PlanReclaimable(bounds, now), true, now, &orders);
+  }
+  AddOrders(service,
+            PlanOnDemand(bounds, late_share, reclaimable_offered, now), false,
+            now, &orders);
+  return orders;
+}
+
+DomainCounts FleetPlanner::PlanReclaimable(const ScalingBounds& bounds,
+                                           TimePoint now) {
+  DomainCounts wanted;
+  int missing = 0;
+  for (const auto& [domain, price] : bounds.domain_prices) {
+    const auto found = reference_.find(domain);
+    const int reference = found == reference_.end() ? 0 : found->second;
+    const int room = bounds.max - ReadyIn(domain, false);
+    wanted[domain] = std::clamp(reference, 0, std::max(0, room));
+    // What is not to be had here is ordered elsewhere.
+    if (now < places_[{domain, true}].blocked_until) {
+      missing += std::max(0, wanted[domain] - ReadyIn(domain, true));
+    }
+  }
+  for (const std::string& domain : DomainsByPrice(bounds)) {
+    if (now < places_[{domain, true}].blocked_until) continue;
+    const int room = bounds.max - ReadyIn(domain, false) - wanted[domain];
+    const int more = std::clamp(room, 0, missing);
+    wanted[domain] += more;
+    missing -= more;
+  }
+  return wanted;
+}
+
+DomainCounts FleetPlanner::PlanOnDemand(const ScalingBounds& bounds,
+                                        double late_share,
+                                        bool reclaimable_offered,
+                                        TimePoint now) {
+  int reclaimable = 0;
+  DomainCounts present;
+  for (const auto& [place, state] : places_) {
+    if (place.second) {
+      reclaimable += state.ready;
+    } else {
+      present[place.first] =
+          state.ordered.has_value() ? *state.ordered : state.ready;
+    }
+  }
+  const bool late = late_share > kLateShare;
+  const double part = late || !reclaimable_offered ? 1.0 : kLeastPart;
+  const int needed =
+      static_cast<int>(std::ceil(part * ReferenceTotal())) - reclaimable;
+  int have = 0;
+  for (const auto& [domain, count] : present) have += count;
+  std::vector<std::string> domains = DomainsByPrice(bounds);
+  DomainCounts wanted = present;
+  if (needed > have) {
+    int missing = needed - have;
+    for (const std::string& domain : domains) {
+      const int room = bounds.max - wanted[domain] - ReadyIn(domain, true);
+      const int more = std::clamp(room, 0, missing);
+      wanted[domain] += more;
+      missing -= more;
+    }
+    dispensable_since_.reset();
+    return wanted;
+  }
+  if (needed >= have) {
+    dispensable_since_.reset();
+    return wanted;
+  }
+  if (!dispensable_since_.has_value()) dispensable_since_ = now;
+  if (now - *dispensable_since_ < kLetGoDelay) return wanted;
+  int surplus = have - std::max(0, needed);
+  std::reverse(domains.begin(), domains.end());
+  for (const std::string& domain : domains) {
+    // The fewest that a failure domain must have.
+    const int least = std::max(0, bounds.min - ReadyIn(domain, true));
+    const int less = std::clamp(wanted[domain] - least, 0, surplus);
+    wanted[domain] -= less;
+    surplus -= less;
+  }
+  return wanted;
+}
+
+void FleetPlanner::AddOrders(const ForwardingService& service,
+                             const DomainCounts& wanted, bool reclaimable,
+                             TimePoint now,
+                             std::vector<UpstreamOrder>* orders) {
+  for (const auto& [domain, count] : wanted) {
+    PlaceState& state = places_[{domain, reclaimable}];
+    if (state.in_flight || now < state.blocked_until) continue;
+    const int standing = state.ordered.value_or(state.ready);
+    const bool overdue =
+        state.ordered.has_value() && state.ready < count &&
+        now - state.ordered_at > service.scaling->boot + kOverdue;
+    if (standing == count && !overdue) continue;
+    state.in_flight = true;
+    orders->push_back({service.name, domain, count, reclaimable});
+  }
+}
+
+void FleetPlanner::OnOrderEnded(const UpstreamOrder& order,
+                                OrderOutcome outcome, TimePoint now) {
+  PlaceState& state = places_[{order.domain, order.reclaimable}];
+  state.in_flight = false;
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      state.ordered = order.count;
+      state.ordered_at = now;
+      return;
+    case OrderOutcome::kNoneThere:
+      state.blocked_until = now + kBlockedTime;
+      return;
+    case OrderOutcome::kUnknown:
+      // Sent again after a pause, so that a slow cloud is not pressed.
+      constexpr Duration kPause = std::chrono::milliseconds(700);
+      state.blocked_until = now + kPause;
+      return;
+  }
+}
+
+}  // namespace pollenledge
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -41,6 +41,12 @@
 constexpr double kStandardFloor = 0.15;
 constexpr double kBackgroundFloor = 0.15;
 
+/// A first event counts as late past this part of its latency target, so that
+/// more upstreams are ordered before targets are missed.
+constexpr double kLatePart = 0.7;
+/// Weight of the newest stream in the share of late ones.
+constexpr double kLateGain = 0.05;
+
 Rank RankOfPriority(int priority) {
   if (priority <= 0) return Rank::kUrgent;
   return priority == 1 ? Rank::kStandard : Rank::kBackground;
@@ -314,6 +320,10 @@
   request->may_have_run = true;
   request->last_event_at = now();
   CountUsage(request, now_.wall);
+  const bool late = ToSeconds(now() - request->arrived_at) >
+                    kLatePart * ToSeconds(request->route->target);
+  double& share = late_share_[request->service];
+  share += kLateGain * ((late ? 1.0 : 0.0) - share);
   if (ForwardUpstream* upstream = upstreams_.Find(request->upstream)) {
     upstreams_.OnFirstEvent(upstream, request->spec.prompt_tokens);
   }
@@ -658,6 +668,11 @@
   return !upstreams_.all().empty();
 }
 
+double ForwardNode::LateShare(const std::string& service) const {
+  const auto found = late_share_.find(service);
+  return found == late_share_.end() ? 0 : found->second;
+}
+
 std::optional<Duration> ForwardNode::TablesAge(TimePoint now) const {
   if (!tables_proven_at_.has_value()) return std::nullopt;
   return now - *tables_proven_at_;
--- a/src/libpollenledge/process/node_settings.cc
+++ b/src/libpollenledge/process/node_settings.cc
@@ -57,7 +57,6 @@
       Address(&reader, "store_address", "The platform's key-value store.");
   settings.cloud_address = reader.Text(
       "cloud_address", "", "The cloud API; empty if there are no duties.");
-  settings.duties = reader.TextList("duties", "Duties towards the cloud API.");
   settings.grace = Milliseconds(&reader, "grace_ms", 8000,
                                 "From the stop signal to the process's end.");
   settings.key_freshness = Milliseconds(
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -12,6 +12,7 @@
 #include "pollenledge/process/command_line.h"
 #include "pollenledge/process/config_sync.h"
 #include "pollenledge/process/duty_lease.h"
+#include "pollenledge/process/fleet_keeper.h"
 #include "pollenledge/process/forward_service.h"
 #include "pollenledge/process/log.h"
 #include "pollenledge/process/upstream_sync.h"
@@ -23,6 +24,7 @@
 // The system's own keys in the store.
 constexpr char kDutyKey[] = "pollenledge/duties";
 constexpr char kUsagePrefix[] = "pollenledge/usage/";
+constexpr char kFleetPrefix[] = "pollenledge/fleet/";
 
 ForwardServiceOptions ServiceOptions(const NodeSettings& settings,
                                      std::uint64_t incarnation) {
@@ -80,7 +82,9 @@
                 [this] {
                   return service_.node().membership().AliveCount(
                       service_.Now().monotonic);
-                }}) {}
+                }}),
+        fleet_(loop_, &store_, &cloud_, &duties_, &service_.node(),
+               kFleetPrefix) {}
 
   void Run() {
     AwaitSignal();
@@ -89,6 +93,7 @@
     if (!settings_.cloud_address.empty()) {
       duties_.Start();
       usage_.Start();
+      fleet_.Start();
     }
     loop_.run();
   }
@@ -147,6 +152,7 @@
   UpstreamSync upstreams_;
   DutyLease duties_;
   UsageReporter usage_;
+  FleetKeeper fleet_;
 };
 
 }  // namespace
