--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -18,7 +18,7 @@
 /// nothing proves nothing. Not thread-safe.
 class ConfigSync {
  public:
-  static constexpr Duration kReadPeriod = std::chrono::milliseconds(1000);
+  static constexpr Duration kReadPeriod = std::chrono::milliseconds(2000);
   static constexpr Duration kWatchWait = std::chrono::seconds(20);
 
   using Decode = std::function<Result<ForwardingTables>(const std::string&)>;
--- a/src/include/pollenledge/process/fleet_planner.h
+++ b/src/include/pollenledge/process/fleet_planner.h
@@ -39,7 +39,7 @@
   /// Upstreams are let go only after they were dispensable for this long.
   static constexpr Duration kLetGoDelay = std::chrono::milliseconds(1500);
   /// After a refusal the same order waits this long.
-  static constexpr Duration kBlockedTime = std::chrono::seconds(3);
+  static constexpr Duration kBlockedTime = std::chrono::seconds(6);
   /// An order whose upstreams have not come is sent again this long after
   /// their boot time.
   static constexpr Duration kOverdue = std::chrono::seconds(4);
--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -58,7 +58,7 @@
 /// by a linearizable listing each `kListPeriod`. Not thread-safe.
 class UpstreamSync {
  public:
-  static constexpr Duration kListPeriod = std::chrono::milliseconds(1000);
+  static constexpr Duration kListPeriod = std::chrono::milliseconds(3000);
   static constexpr Duration kWatchWait = std::chrono::seconds(20);
 
   using Submit = std::function<void(ForwardEvent)>;
