--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -94,7 +94,7 @@
   bool close_after_write_ = false;
   bool close_when_idle_ = false;
   bool keep_alive_ = true;
-  std::string out_;      ///< Waits for the write in progress.
+  std::string out_;            ///< Waits for the write in progress.
   std::string writing_bytes_;  ///< The write in progress.
 };
 
--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
--- a/src/include/pollenledge/connection/forwarding_codec.h
+++ b/src/include/pollenledge/connection/forwarding_codec.h
@@ -25,7 +25,7 @@
 /// What the head of an upstream's answer says.
 struct AnswerFacts {
   std::optional<std::string> trace_id;  ///< Of the request it belongs to.
-  bool is_signed = false;   ///< Bears the upstream's own mark.
+  bool is_signed = false;               ///< Bears the upstream's own mark.
   bool not_run = false;     ///< The upstream did not run the request.
   bool is_encoded = false;  ///< The body is not the upstream's own bytes.
   std::optional<ReportedLoad> load;
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -69,13 +69,14 @@
 
 }  // namespace forward_event
 
-using ForwardEvent = std::variant<
-    forward_event::Arrived, forward_event::CallerLeft,
-    forward_event::FirstEvent, forward_event::EventsPassed,
-    forward_event::AttemptEnded, forward_event::LoadReported,
-    forward_event::TablesRead, forward_event::TablesHeard,
-    forward_event::UpstreamsListed, forward_event::HeartbeatReceived,
-    forward_event::DrainStarted, forward_event::Ticked>;
+using ForwardEvent =
+    std::variant<forward_event::Arrived, forward_event::CallerLeft,
+                 forward_event::FirstEvent, forward_event::EventsPassed,
+                 forward_event::AttemptEnded, forward_event::LoadReported,
+                 forward_event::TablesRead, forward_event::TablesHeard,
+                 forward_event::UpstreamsListed,
+                 forward_event::HeartbeatReceived, forward_event::DrainStarted,
+                 forward_event::Ticked>;
 
 /// What a forwarding node wants done.
 namespace forward_action {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -11,10 +11,10 @@
 #include "pollenledge/process/fair_queue.h"
 #include "pollenledge/process/forward_events.h"
 #include "pollenledge/process/forward_upstreams.h"
+#include "pollenledge/process/limit_buckets.h"
 #include "pollenledge/process/membership.h"
 #include "pollenledge/process/retry_budget.h"
 #include "pollenledge/process/usage_ledger.h"
-#include "pollenledge/process/window_limits.h"
 
 namespace pollenledge {
 
@@ -27,7 +27,6 @@
   Duration key_freshness{0};
   double retries_per_request = 0.2;  ///< Over all nodes, for each service.
   double retry_slack = 0;            ///< Besides, over all nodes.
-  Duration limit_window = std::chrono::seconds(8);
   Duration usage_window = std::chrono::seconds(5);
   std::uint64_t random_seed = 1;
 };
@@ -55,9 +54,7 @@
   /// True if the balancer may send requests here.
   bool Ready(TimePoint now) const;
 
-  const std::shared_ptr<const ForwardingIndex>& index() const {
-    return index_;
-  }
+  const std::shared_ptr<const ForwardingIndex>& index() const { return index_; }
   const Membership& membership() const { return membership_; }
   const ForwardUpstreams& upstreams() const { return upstreams_; }
   const UsageLedger& usage() const { return usage_; }
@@ -82,10 +79,10 @@
     int priority = 5;
     TimePoint arrived_at;
     TimePoint deadline;
-    TimePoint check_at;  ///< When `OnDue` looks at the request next.
+    TimePoint check_at;      ///< When `OnDue` looks at the request next.
     double limit_units = 0;  ///< Taken from the customer's limit.
     int attempts = 0;
-    int runs = 0;  ///< Attempts that may have run.
+    int runs = 0;                    ///< Attempts that may have run.
     std::vector<std::string> tried;  ///< Names of upstreams.
     std::string upstream;            ///< Of the present attempt; empty: none.
     TimePoint sent_at;
@@ -146,7 +143,7 @@
   void OnSilence(Request* request);
   std::optional<TimePoint> SilenceDue(const Request& request) const;
   void ScheduleCheck(Request* request);
-  void DealLimits();
+  void UpdateLimits();
 
   void AdoptTables(const std::shared_ptr<const ForwardingIndex>& tables,
                    const char* source);
@@ -166,8 +163,8 @@
   std::optional<TimePoint> tables_proven_at_;
   ForwardUpstreams upstreams_;
   Membership membership_;
-  WindowLimits limits_;
-  TimePoint limits_dealt_at_;
+  LimitBuckets limits_;
+  TimePoint limits_updated_at_;
   RetryBudget retry_budget_;
   UsageLedger usage_;
   std::map<std::string, FairQueue> queues_;   ///< By service.
--- a/src/include/pollenledge/process/forward_upstreams.h
+++ b/src/include/pollenledge/process/forward_upstreams.h
@@ -15,8 +15,8 @@
 /// One upstream with everything that this node knows of it.
 struct ForwardUpstream {
   ForwardUpstreamInfo info;
-  bool listed = true;  ///< The platform's list names it.
-  int in_flight = 0;   ///< Requests of this node on it.
+  bool listed = true;                      ///< The platform's list names it.
+  int in_flight = 0;                       ///< Requests of this node on it.
   std::int64_t waiting_prompt_tokens = 0;  ///< Sent, no event received yet.
   std::optional<ReportedLoad> report;
   TimePoint reported_at;
--- /dev/null
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pollenledge/process/limit_shares.h"
+#include "pollenledge/process/membership.h"
+#include "pollenledge/time.h"
+
+namespace pollenledge {
+
+/// How limits are shared among the nodes.
+struct LimitBucketOptions {
+  /// Nodes that are assumed until more were heard of, so that a node that
+  /// starts alone takes no more than its part.
+  int least_nodes = 8;
+
+  friend bool operator==(const LimitBucketOptions&,
+                         const LimitBucketOptions&) = default;
+};
+
+/// Enforces each customer's limit over all nodes.
+///
+/// A limit is one token bucket for the whole system. Heartbeats carry how much
+/// each node used since its start, so every node can follow the bucket's
+/// level. Beside it each node fills a bucket of its own at its part of the
+/// rate; the parts add up to one: half of it equal, half by use. A request is
+/// admitted if the node's own bucket has room, or, while all nodes are heard,
+/// if the common level is well above it. What a node borrows that way its own
+/// bucket owes, until the common level says that others used less.
+///
+/// A node that is silent is taken to use an equal part of the rate, and
+/// nothing is borrowed meanwhile, so the limit holds while a partition lasts.
+/// A node that has just started begins with a part of the burst only: its
+/// predecessor may have used the rest.
+///
+/// Not thread-safe. Memory grows with customers and nodes.
+class LimitBuckets {
+ public:
+  explicit LimitBuckets(LimitBucketOptions options) : options_(options) {}
+
+  /// Sets the limits in force. A customer that is not named has none.
+  void Configure(const std::vector<CustomerLimit>& limits, TimePoint now);
+
+  /// Takes in what the other nodes say. Call it each heartbeat period.
+  void Update(const std::vector<Member>& others, TimePoint now);
+
+  /// Takes `units` for the customer. Returns nothing if there was room, else
+  /// about how long until there will be.
+  std::optional<Duration> Take(const std::string& customer, double units,
+                               TimePoint now);
+  /// Gives back what was taken for a request that did not run.
+  void Return(const std::string& customer, double units);
+
+  /// What this node used since its start, for its heartbeats.
+  std::vector<CustomerUse> Uses() const;
+
+  /// Units of the whole system's bucket, as this node follows it.
+  double CommonLevel(const std::string& customer) const;
+
+ private:
+  struct Bucket {
+    CustomerLimit limit;
+    double used = 0;       ///< By this node, since its start.
+    double own_level = 0;  ///< Of this node's bucket; may be owed.
+    double own_part = 0;   ///< Of the rate and the burst.
+    double common_level = 0;
+    double own_rate = 0;  ///< Units a second that this node used of late.
+    double used_at_update = 0;
+    std::map<std::string, double> peer_rates;  ///< By node, of late.
+  };
+  struct Peer {
+    std::uint64_t incarnation = 0;
+    std::map<std::string, double> uses;  ///< By customer, as last heard.
+  };
+
+  void Refill(TimePoint now);
+  void TakeIn(const Member& member, double elapsed_s);
+  void SetPart(Bucket* bucket, int nodes) const;
+
+  LimitBucketOptions options_;
+  std::map<std::string, Bucket> buckets_;
+  std::map<std::string, Peer> peers_;
+  std::optional<TimePoint> refilled_at_;
+  std::optional<TimePoint> updated_at_;
+  bool all_heard_ = false;
+  int nodes_ = 1;
+};
+
+}  // namespace pollenledge
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -20,6 +20,14 @@
                          const CustomerDemand&) = default;
 };
 
+/// What one node used of a customer's limit since its start; only grows.
+struct CustomerUse {
+  std::string customer;
+  double units = 0;
+
+  friend bool operator==(const CustomerUse&, const CustomerUse&) = default;
+};
+
 /// What one entry says of itself, spread from peer to peer.
 struct MemberRecord {
   NodeId id;
@@ -33,6 +41,9 @@
   std::uint32_t active_requests = 0;
   std::vector<CustomerDemand> demands;  ///< The largest, `kMaxDemands` at most.
 
+  /// Of limits that are kept by use instead of by demand.
+  std::vector<CustomerUse> uses;
+
   static constexpr std::size_t kMaxDemands = 8;
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
--- a/src/include/pollenledge/process/node_settings.h
+++ b/src/include/pollenledge/process/node_settings.h
@@ -22,10 +22,11 @@
   std::string store_address;
   std::string cloud_address;  ///< Empty if there are no duties.
   Duration grace{0};
+  Duration tables_bound{0};   ///< Changed tables are in force within this.
+  Duration leaving_bound{0};  ///< A leaving upstream gets no work after this.
   Duration key_freshness{0};  ///< 0: keys need no proof.
   double retry_ratio = 0;
   double retry_slack = 0;
-  Duration limit_window{0};
   Duration usage_window{0};
   Duration usage_delay{0};
   Duration duty_lease{0};
--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -55,28 +55,30 @@
 };
 
 /// Keeps a node's list of upstreams up to date with the store, by a watch and
-/// by a linearizable listing each `kListPeriod`. Not thread-safe.
+/// by a linearizable listing each period. Not thread-safe.
 class UpstreamSync {
  public:
-  static constexpr Duration kListPeriod = std::chrono::milliseconds(3000);
   static constexpr Duration kWatchWait = std::chrono::seconds(20);
 
   using Submit = std::function<void(ForwardEvent)>;
 
   UpstreamSync(boost::asio::io_context& loop, AsyncStore* store,
-               std::string prefix, UpstreamDirectory::Decode decode,
-               Submit submit);
+               std::string prefix, Duration list_period,
+               UpstreamDirectory::Decode decode, Submit submit);
 
   void Start();
 
  private:
   void List();
   void Watch();
+  /// Leaves the present watch to itself; the next listing begins another.
+  void DropWatch();
   void OnWatched(const Result<StoreChanges>& changes);
   void Publish();
 
   AsyncStore* store_;
   std::string prefix_;
+  Duration list_period_;
   UpstreamDirectory directory_;
   Submit submit_;
   boost::asio::steady_timer list_timer_;
@@ -85,6 +87,7 @@
   std::vector<ForwardUpstreamInfo> published_;
   std::int64_t watch_from_ = 0;
   bool watching_ = false;
+  std::uint64_t watch_number_ = 0;  ///< Answers to earlier watches are ignored.
 };
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/version/forwarding_tables.h
+++ b/src/include/pollenledge/version/forwarding_tables.h
@@ -39,14 +39,14 @@
   std::string prefix;  ///< Begins and ends with a slash.
   RouteKind kind = RouteKind::kIdempotent;
   std::vector<WeightedService> services;
-  Duration timeout{0};         ///< A request has its final answer by then.
-  Duration target{0};          ///< Latency target; streams: the first event.
+  Duration timeout{0};           ///< A request has its final answer by then.
+  Duration target{0};            ///< Latency target; streams: the first event.
   Duration event_gap_target{0};  ///< Longest pause between events in target.
-  int priority = 5;            ///< 0 is the most urgent.
-  int max_attempts = 1;        ///< Upstreams that one request may be sent to.
-  bool is_public = false;      ///< No API key is needed.
+  int priority = 5;              ///< 0 is the most urgent.
+  int max_attempts = 1;          ///< Upstreams that one request may be sent to.
+  bool is_public = false;        ///< No API key is needed.
   bool prefix_affinity = false;  ///< Requests name the parts of their prompt.
-  bool resumable = false;  ///< Another upstream may go on with a stream.
+  bool resumable = false;        ///< Another upstream may go on with a stream.
 
   friend bool operator==(const ForwardingRoute&,
                          const ForwardingRoute&) = default;
@@ -60,11 +60,11 @@
 
 /// How the engines of a model service work.
 struct EngineTraits {
-  int slots = 1;                 ///< Requests run at once by one engine.
-  std::int64_t kv_tokens = 0;    ///< Memory for tokens of one engine.
+  int slots = 1;               ///< Requests run at once by one engine.
+  std::int64_t kv_tokens = 0;  ///< Memory for tokens of one engine.
   int tokens_per_event = 1;
-  bool moves_streams = false;    ///< Running streams can be copied elsewhere.
-  Duration copy_retention{0};    ///< How long an unused copy is kept.
+  bool moves_streams = false;  ///< Running streams can be copied elsewhere.
+  Duration copy_retention{0};  ///< How long an unused copy is kept.
 
   friend bool operator==(const EngineTraits&, const EngineTraits&) = default;
 };
@@ -107,9 +107,9 @@
 struct KeyedCustomer {
   std::string name;
   std::vector<std::string> api_keys;
-  std::optional<int> priority;    ///< Goes before the route's.
-  double limit_per_s = 0;         ///< 0: no limit.
-  double burst = 0;               ///< In the unit of `limit_per_s`.
+  std::optional<int> priority;       ///< Goes before the route's.
+  double limit_per_s = 0;            ///< 0: no limit.
+  double burst = 0;                  ///< In the unit of `limit_per_s`.
   bool limit_counts_tokens = false;  ///< Else requests.
   double default_cost = 1;  ///< Of a request that does not say its tokens.
 
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -127,7 +127,7 @@
 
 void CallerConnection::RejectMalformed() {
   HttpHead head;
-  head.status = reader_.head_too_large() ? 431
+  head.status = reader_.head_too_large()   ? 431
                 : reader_.body_too_large() ? 413
                                            : 400;
   keep_alive_ = false;
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -85,10 +85,9 @@
   connect_timer_.async_wait([this, self](const SystemError& error) {
     if (!error && !open_) Close();  // The connect ends with an error.
   });
-  socket_.async_connect(Value(endpoint),
-                        [this, self](const SystemError& error) {
-                          OnConnected(error);
-                        });
+  socket_.async_connect(
+      Value(endpoint),
+      [this, self](const SystemError& error) { OnConnected(error); });
 }
 
 void ClientConnection::OnConnected(const SystemError& error) {
@@ -108,12 +107,12 @@
 void ClientConnection::Write() {
   sent_ = true;
   auto self = shared_from_this();
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(request_),
-      [this, self](const SystemError& error, std::size_t) {
-        // An error shows in the read as well, after what the peer had said.
-        if (!error) written_ = true;
-      });
+  boost::asio::async_write(socket_, boost::asio::buffer(request_),
+                           [this, self](const SystemError& error, std::size_t) {
+                             // An error shows in the read as well, after what
+                             // the peer had said.
+                             if (!error) written_ = true;
+                           });
 }
 
 void ClientConnection::Read() {
--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -28,8 +28,8 @@
 };
 
 std::string RenderRequest(const HttpCall& call) {
-  std::string text = call.method + ' ' + call.path + " HTTP/1.1\r\nHost: " +
-                     call.address + "\r\n";
+  std::string text = call.method + ' ' + call.path +
+                     " HTTP/1.1\r\nHost: " + call.address + "\r\n";
   for (const auto& [name, value] : call.headers) {
     text += name + ": " + value + "\r\n";
   }
@@ -49,9 +49,9 @@
     if (error || open->connection == nullptr) return;
     const bool sent = open->connection->sent();
     open->connection->Abort();
-    open->Finish(Error{
-        sent ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
-        "no answer within the timeout"});
+    open->Finish(
+        Error{sent ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
+              "no answer within the timeout"});
   });
   ExchangeHandlers handlers;
   handlers.on_head = [open](const HttpHead& head) {
--- a/src/libpollenledge/connection/http_reader.cc
+++ b/src/libpollenledge/connection/http_reader.cc
@@ -162,9 +162,15 @@
 bool IsHopByHop(std::string_view name, std::string_view connection_value) {
   // RFC 9110, section 7.6.1, with what older senders use.
   static constexpr std::array<std::string_view, 10> kNames = {
-      "Connection", "Keep-Alive",        "Proxy-Connection",
-      "TE",         "Transfer-Encoding", "Upgrade",
-      "Trailer",    "Content-Length",    "Expect",
+      "Connection",
+      "Keep-Alive",
+      "Proxy-Connection",
+      "TE",
+      "Transfer-Encoding",
+      "Upgrade",
+      "Trailer",
+      "Content-Length",
+      "Expect",
       "Proxy-Authorization"};
   for (const std::string_view known : kNames) {
     if (SameHeader(name, known)) return true;
@@ -284,8 +290,7 @@
 }
 
 bool HttpReader::has_head() const {
-  return impl_->With(
-      [](const auto& parser) { return parser.head_complete; });
+  return impl_->With([](const auto& parser) { return parser.head_complete; });
 }
 
 const HttpHead& HttpReader::head() const {
@@ -294,9 +299,8 @@
 }
 
 std::string HttpReader::TakeBody() {
-  return impl_->With([](auto& parser) {
-    return std::exchange(parser.body, std::string());
-  });
+  return impl_->With(
+      [](auto& parser) { return std::exchange(parser.body, std::string()); });
 }
 
 bool HttpReader::complete() const {
@@ -325,8 +329,6 @@
   return complete() ? impl_->buffer.size() : 0;
 }
 
-bool HttpReader::idle() const {
-  return !has_head() && impl_->buffer.empty();
-}
+bool HttpReader::idle() const { return !has_head() && impl_->buffer.empty(); }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -18,6 +18,9 @@
 
 struct CustomerDemand { customer @0 :Text; tokensPerSecond @1 :Float64; }
 
+# Units used since the node's start, which only grow.
+struct CustomerUse { customer @0 :Text; units @1 :Float64; }
+
 struct MemberRecord {
   id @0 :NodeId;
   heartbeat @1 :UInt64;
@@ -29,6 +32,7 @@
   tablesVersion @7 :UInt64;
   activeRequests @8 :UInt32;
   demands @9 :List(CustomerDemand);
+  uses @10 :List(CustomerUse);
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(f9108101b70544c9);
 CAPNP_DECLARE_SCHEMA(d8077e672d73fc06);
 CAPNP_DECLARE_SCHEMA(b01cde9d90c79d39);
+CAPNP_DECLARE_SCHEMA(8b2f1f9ea8159938);
 CAPNP_DECLARE_SCHEMA(8962e57ec3622dad);
 CAPNP_DECLARE_SCHEMA(cc43680172605054);
 enum class UpstreamState_cc43680172605054: uint16_t {
@@ -169,6 +170,21 @@
   };
 };
 
+struct CustomerUse {
+  CustomerUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8b2f1f9ea8159938, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MemberRecord {
   MemberRecord() = delete;
 
@@ -177,7 +193,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8962e57ec3622dad, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(8962e57ec3622dad, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1188,6 +1204,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class CustomerUse::Reader {
+public:
+  typedef CustomerUse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline double getUnits() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CustomerUse::Builder {
+public:
+  typedef CustomerUse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline double getUnits();
+  inline void setUnits(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CustomerUse::Pipeline {
+public:
+  typedef CustomerUse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class MemberRecord::Reader {
 public:
   typedef MemberRecord Reads;
@@ -1230,6 +1332,9 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline bool hasUses() const;
+  inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1308,6 +1413,13 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline bool hasUses();
+  inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder getUses();
+  inline void setUses( ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder initUses(unsigned int size);
+  inline void adoptUses(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>> disownUses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4396,6 +4508,54 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CustomerUse::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CustomerUse::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CustomerUse::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CustomerUse::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CustomerUse::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CustomerUse::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CustomerUse::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CustomerUse::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double CustomerUse::Reader::getUnits() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double CustomerUse::Builder::getUnits() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CustomerUse::Builder::setUnits(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MemberRecord::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4641,6 +4801,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool MemberRecord::Reader::hasUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader MemberRecord::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setUses( ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>> MemberRecord::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -103,6 +103,9 @@
     record.demands.push_back(
         {demand.getCustomer(), demand.getTokensPerSecond()});
   }
+  for (const auto use : reader.getUses()) {
+    record.uses.push_back({use.getCustomer(), use.getUnits()});
+  }
   return record;
 }
 
@@ -122,6 +125,11 @@
     demands[i].setCustomer(record.demands[i].customer);
     demands[i].setTokensPerSecond(record.demands[i].tokens_per_s);
   }
+  auto uses = builder.initUses(static_cast<unsigned>(record.uses.size()));
+  for (unsigned i = 0; i < uses.size(); ++i) {
+    uses[i].setCustomer(record.uses[i].customer);
+    uses[i].setUnits(record.uses[i].units);
+  }
 }
 
 HandOverMessage FromWire(wire::HandedOverRequest::Reader reader) {
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -16,9 +16,11 @@
 }  // namespace
 
 ConfigSync::ConfigSync(boost::asio::io_context& loop, AsyncStore* store,
-                       std::string key, Decode decode, Submit submit)
+                       std::string key, Duration read_period, Decode decode,
+                       Submit submit)
     : store_(store),
       key_(std::move(key)),
+      read_period_(read_period),
       decode_(std::move(decode)),
       submit_(std::move(submit)),
       read_timer_(loop),
@@ -30,7 +32,7 @@
   const TimePoint started = BootNow();
   store_->Read(key_, [this, started](Result<StoreItem> item) {
     OnRead(started, item);
-    read_timer_.expires_after(Ok(item) ? kReadPeriod : kReadRetry);
+    read_timer_.expires_after(Ok(item) ? read_period_ : kReadRetry);
     read_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) Read();
     });
@@ -39,6 +41,7 @@
 
 void ConfigSync::OnRead(TimePoint started, const Result<StoreItem>& item) {
   if (!Ok(item)) {
+    DropWatch();
     if (!std::exchange(store_lost_, true)) {
       Log(LogLevel::kWarn, "dependency_lost",
           {{"dependency", "store"}, {"error", ErrorOf(item).message}});
@@ -61,8 +64,17 @@
 
 void ConfigSync::Watch() {
   watching_ = true;
+  const std::uint64_t number = ++watch_number_;
   store_->Watch(key_, watch_from_, kWatchWait,
-                [this](Result<StoreChanges> changes) { OnWatched(changes); });
+                [this, number](const Result<StoreChanges>& changes) {
+                  if (number == watch_number_) OnWatched(changes);
+                });
+}
+
+void ConfigSync::DropWatch() {
+  // Its connection may have gone silent with whatever made the read fail.
+  ++watch_number_;
+  watching_ = false;
 }
 
 void ConfigSync::OnWatched(const Result<StoreChanges>& changes) {
--- a/src/libpollenledge/process/duty_lease.cc
+++ b/src/libpollenledge/process/duty_lease.cc
@@ -52,10 +52,10 @@
 
 void DutyLease::After(Duration pause, std::function<void()> next) {
   timer_.expires_after(pause);
-  timer_.async_wait([this, next = std::move(next)](
-                        const boost::system::error_code& error) {
-    if (!error && !stopped_) next();
-  });
+  timer_.async_wait(
+      [this, next = std::move(next)](const boost::system::error_code& error) {
+        if (!error && !stopped_) next();
+      });
 }
 
 void DutyLease::Look() {
@@ -73,35 +73,35 @@
 
 void DutyLease::Compete() {
   const TimePoint sent_at = BootNow();
-  store_->GrantLease(
-      kTimeToLive, [this, sent_at](const Result<StoreLease>& lease) {
-        if (stopped_) return;
-        if (!Ok(lease)) {
-          After(kRetry, [this] { Look(); });
-          return;
-        }
-        Claim(Value(lease), sent_at);
-      });
+  store_->GrantLease(kTimeToLive,
+                     [this, sent_at](const Result<StoreLease>& lease) {
+                       if (stopped_) return;
+                       if (!Ok(lease)) {
+                         After(kRetry, [this] { Look(); });
+                         return;
+                       }
+                       Claim(Value(lease), sent_at);
+                     });
 }
 
 void DutyLease::Claim(const StoreLease& lease, TimePoint sent_at) {
   StoreTransaction claim;
   claim.writes.push_back({key_, identity_, 0, lease.id});
-  store_->Commit(claim, [this, lease, sent_at](
-                            const Result<KvTxnReply>& reply) {
-    if (stopped_) {
-      store_->EndLease(lease.id);
-      return;
-    }
-    if (Ok(reply) && Value(reply).succeeded) {
-      OnHeld(Value(reply).revision, lease, sent_at);
-      return;
-    }
-    // An answer that was lost is not settled by reading back: the lease that
-    // nobody renews ends by itself.
-    store_->EndLease(lease.id);
-    After(kRetry, [this] { Look(); });
-  });
+  store_->Commit(claim,
+                 [this, lease, sent_at](const Result<KvTxnReply>& reply) {
+                   if (stopped_) {
+                     store_->EndLease(lease.id);
+                     return;
+                   }
+                   if (Ok(reply) && Value(reply).succeeded) {
+                     OnHeld(Value(reply).revision, lease, sent_at);
+                     return;
+                   }
+                   // An answer that was lost is not settled by reading back:
+                   // the lease that nobody renews ends by itself.
+                   store_->EndLease(lease.id);
+                   After(kRetry, [this] { Look(); });
+                 });
 }
 
 void DutyLease::Watch(std::int64_t from) {
--- a/src/libpollenledge/process/fleet_keeper.cc
+++ b/src/libpollenledge/process/fleet_keeper.cc
@@ -35,8 +35,7 @@
   if (!lease_->held()) {
     services_.clear();  // Another holder's orders are not known here.
   } else if (lease_->MayAct(BootNow()) && node_->index() != nullptr) {
-    for (const ForwardingService& service :
-         node_->index()->tables().services) {
+    for (const ForwardingService& service : node_->index()->tables().services) {
       if (service.scaling.has_value()) Plan(service);
     }
   }
--- a/src/libpollenledge/process/fleet_planner.cc
+++ b/src/libpollenledge/process/fleet_planner.cc
@@ -60,9 +60,8 @@
   if (reclaimable_offered) {
     AddOrders(service, PlanReclaimable(bounds, now), true, now, &orders);
   }
-  AddOrders(service,
-            PlanOnDemand(bounds, late_share, reclaimable_offered, now), false,
-            now, &orders);
+  AddOrders(service, PlanOnDemand(bounds, late_share, reclaimable_offered, now),
+            false, now, &orders);
   return orders;
 }
 
--- a/src/libpollenledge/process/forward_metrics.cc
+++ b/src/libpollenledge/process/forward_metrics.cc
@@ -22,8 +22,8 @@
   gauges_[name] = value;
 }
 
-void ForwardMetrics::Observe(const std::string& name,
-                             const std::string& labels, Duration duration) {
+void ForwardMetrics::Observe(const std::string& name, const std::string& labels,
+                             Duration duration) {
   histograms_[{name, labels}].Add(duration);
 }
 
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -97,8 +97,7 @@
       upstreams_(options_.random_seed + 1),
       membership_(options_.self, options_.seeds, options_.random_seed + 2,
                   kHeartbeat),
-      limits_({.window = options_.limit_window,
-               .least_nodes = kExpectedNodes}),
+      limits_({.least_nodes = kExpectedNodes}),
       retry_budget_(RetryBudgetOptions{
           .retries_per_attempt = options_.retries_per_request,
           .max_saved = options_.retry_slack / kExpectedNodes,
@@ -233,19 +232,18 @@
   request->last_event_at = now();
   request->first_event_seen = false;
   upstreams_.OnSent(upstream, request->spec.prompt_tokens);
-  LogRequest(LogLevel::kInfo, "sent", *request,
-             {{"upstream", request->upstream},
-              {"load", std::to_string(upstream->EstimatedLoad(now()))},
-              {"report_age_ms",
-               upstream->report.has_value()
-                   ? Milliseconds(now() - upstream->reported_at)
-                   : "none"}});
+  LogRequest(
+      LogLevel::kInfo, "sent", *request,
+      {{"upstream", request->upstream},
+       {"load", std::to_string(upstream->EstimatedLoad(now()))},
+       {"report_age_ms", upstream->report.has_value()
+                             ? Milliseconds(now() - upstream->reported_at)
+                             : "none"}});
   Emit(forward_action::SendAttempt{
       .id = request->id,
       .upstream = upstream->info.id,
       .address = upstream->info.address,
-      .customer =
-          request->customer == nullptr ? "" : request->customer->name,
+      .customer = request->customer == nullptr ? "" : request->customer->name,
       .priority = request->priority,
       .deadline = request->deadline,
       .kind = request->route->kind,
@@ -345,8 +343,8 @@
       upstreams_.OnReport(known, *ended.load, now());
     }
   }
-  const bool ran = ended.end == ForwardEnd::kCompleted ||
-                   ended.end == ForwardEnd::kFailed;
+  const bool ran =
+      ended.end == ForwardEnd::kCompleted || ended.end == ForwardEnd::kFailed;
   if (ran && request->route->kind != RouteKind::kStreaming) {
     CountUsage(request, now_.wall - (now() - request->sent_at));
   }
@@ -400,8 +398,7 @@
   ForwardUpstream* upstream = ChooseUpstream(*request);
   if (upstream == nullptr) return false;
   // What reached no upstream costs the upstreams nothing.
-  if (end != ForwardEnd::kNotSent &&
-      !retry_budget_.TryTake(request->service)) {
+  if (end != ForwardEnd::kNotSent && !retry_budget_.TryTake(request->service)) {
     return false;
   }
   Send(request, upstream);
@@ -431,8 +428,7 @@
 
 void ForwardNode::Refuse(Request* request, NotRun not_run) {
   if (not_run.http_status == 429 || not_run.http_status == 503) {
-    not_run.retry_after =
-        SpreadRetryAfter(not_run.retry_after, *request);
+    not_run.retry_after = SpreadRetryAfter(not_run.retry_after, *request);
   }
   LogRequest(LogLevel::kInfo, "refused", *request,
              {{"status", std::to_string(not_run.http_status)},
@@ -526,8 +522,8 @@
       {{"version", std::to_string(tables->tables().version)},
        {"source", source}}});
   index_ = tables;
-  limits_.Configure(LimitsOf(index_->tables()));
-  DealLimits();
+  limits_.Configure(LimitsOf(index_->tables()), now());
+  UpdateLimits();
 }
 
 void ForwardNode::On(const forward_event::UpstreamsListed& listed) {
@@ -566,17 +562,17 @@
   self.tables_version = index_ == nullptr ? 0 : index_->tables().version;
   self.active_requests = static_cast<std::uint32_t>(requests_.size());
   self.leaving = draining_;
-  self.demands = limits_.Usage(now());
+  self.uses = limits_.Uses();
   membership_.UpdateSelf(self);
   for (HeartbeatMessage& message : membership_.OnTick(now())) {
     Emit(forward_action::SendHeartbeat{std::move(message)});
   }
-  if (now() - limits_dealt_at_ >= kHeartbeat.period) DealLimits();
+  if (now() - limits_updated_at_ >= kHeartbeat.period) UpdateLimits();
 }
 
-void ForwardNode::DealLimits() {
-  limits_dealt_at_ = now();
-  limits_.Deal(membership_.Others(now()), now());
+void ForwardNode::UpdateLimits() {
+  limits_updated_at_ = now();
+  limits_.Update(membership_.Others(now()), now());
   const int nodes =
       std::max(kExpectedNodes, membership_.ShareholderCount(now()));
   retry_budget_.SetMaxSaved(options_.retry_slack / nodes);
@@ -612,8 +608,7 @@
   if (upstream != nullptr) upstreams_.OnSilent(upstream, now());
   const bool may_try_again =
       MayTryAgain(*request) && request->runs + 1 < request->route->max_attempts;
-  ForwardUpstream* other =
-      may_try_again ? ChooseUpstream(*request) : nullptr;
+  ForwardUpstream* other = may_try_again ? ChooseUpstream(*request) : nullptr;
   if (other == nullptr || !KeyIsFresh() ||
       !retry_budget_.TryTake(request->service)) {
     // Waiting on costs nothing more; the timeout ends it.
@@ -632,9 +627,8 @@
   }
   const bool between_events = request.first_event_seen;
   const double patience_s =
-      between_events
-          ? kSilenceGaps * ToSeconds(request.route->event_gap_target)
-          : kSilenceTargets * ToSeconds(request.route->target);
+      between_events ? kSilenceGaps * ToSeconds(request.route->event_gap_target)
+                     : kSilenceTargets * ToSeconds(request.route->target);
   return request.last_event_at +
          std::max<Duration>(FromSeconds(patience_s), kLeastSilence);
 }
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -84,23 +84,21 @@
       node_(options_.node),
       upstream_pool_(loop),
       timer_(loop),
-      heartbeats_(loop, options_.peer_address,
-                  [this](std::vector<MemberRecord> records) {
-                    Submit(forward_event::HeartbeatReceived{
-                        std::move(records)});
-                  }),
+      heartbeats_(
+          loop, options_.peer_address,
+          [this](std::vector<MemberRecord> records) {
+            Submit(forward_event::HeartbeatReceived{std::move(records)});
+          }),
       readiness_server_(
           loop, options_.readiness_address,
           {[this](const auto& caller, const HttpHead&, const std::string&) {
              OnReadinessRequest(caller);
            },
            [](const auto&) {}, [] { return CallerLimits(); }}),
-      admin_server_(
-          loop, options_.admin_address,
-          {[this](const auto& caller, const HttpHead&, const std::string&) {
-             OnAdminRequest(caller);
-           },
-           [](const auto&) {}, [] { return CallerLimits(); }}),
+      admin_server_(loop, options_.admin_address,
+                    {[this](const auto& caller, const HttpHead&,
+                            const std::string&) { OnAdminRequest(caller); },
+                     [](const auto&) {}, [] { return CallerLimits(); }}),
       caller_server_(
           loop, options_.caller_address,
           {[this](const auto& caller, HttpHead head, std::string body) {
@@ -208,8 +206,8 @@
   }
   const Duration left = send.deadline - now;
   const std::vector<HttpField> fields = codec_.encode_attempt(
-      exchange->request, {send.upstream, send.customer, send.priority, left,
-                          send.last_event_id});
+      exchange->request,
+      {send.upstream, send.customer, send.priority, left, send.last_event_id});
   exchange->attempt = upstream_pool_.Take(
       send.address, send.reuse_connection ? kFreshForRepeatable : kFreshForOnce,
       now);
@@ -231,7 +229,8 @@
   Exchange* exchange = Find(id);
   if (exchange == nullptr) return false;
   AnswerFacts facts = codec_.decode_answer(head);
-  if (facts.trace_id.has_value() && *facts.trace_id != exchange->spec.trace_id) {
+  if (facts.trace_id.has_value() &&
+      *facts.trace_id != exchange->spec.trace_id) {
     metrics_.Count("foreign_answers_total");
     Log(LogLevel::kWarn, "foreign_answer",
         {{"request", exchange->spec.trace_id}, {"answer_to", *facts.trace_id}});
@@ -319,8 +318,8 @@
   Exchange* exchange = Find(deliver.id);
   if (exchange == nullptr) return;
   metrics_.Count("answers_total", StatusLabel(exchange->answer.status));
-  metrics_.Observe("answer_seconds", exchange->is_stream ? "kind=\"stream\""
-                                                         : "kind=\"plain\"",
+  metrics_.Observe("answer_seconds",
+                   exchange->is_stream ? "kind=\"stream\"" : "kind=\"plain\"",
                    BootNow() - exchange->arrived_at);
   if (exchange->passing_events) {
     BeginAnswer(exchange);  // A stream without events.
--- a/src/libpollenledge/process/forward_upstreams.cc
+++ b/src/libpollenledge/process/forward_upstreams.cc
@@ -34,8 +34,8 @@
 constexpr double kLocalLoadBound = 0.7;
 
 double ErrorRate(const ForwardUpstream& upstream, TimePoint now) {
-  const double halvings = ToSeconds(now - upstream.error_rate_at) /
-                          ToSeconds(kErrorHalfLife);
+  const double halvings =
+      ToSeconds(now - upstream.error_rate_at) / ToSeconds(kErrorHalfLife);
   return upstream.error_rate * std::exp2(-std::max(0.0, halvings));
 }
 
@@ -73,8 +73,7 @@
       upstream.in_flight = in_flight;
     }
     // Leaving is final for one incarnation.
-    const bool stays_leaving =
-        !is_new && !restarted && upstream.info.leaving;
+    const bool stays_leaving = !is_new && !restarted && upstream.info.leaving;
     upstream.info = info;
     upstream.info.leaving = info.leaving || stays_leaving;
     upstream.listed = true;
--- /dev/null
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -0,0 +1,177 @@
+#include "pollenledge/process/limit_buckets.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenledge {
+namespace {
+
+/// A node whose last heartbeat is older than this counts as silent: a few
+/// heartbeat periods, so that one lost datagram changes nothing.
+constexpr Duration kSilent = std::chrono::milliseconds(900);
+/// Part of a limit that goes to the nodes in equal parts; the rest by use.
+constexpr double kEqualPart = 0.5;
+/// Part of the common level that one request may borrow, so that several nodes
+/// that borrow at once stay near it.
+constexpr double kBorrowPart = 0.5;
+/// Part of the burst that a system that has just started begins with.
+constexpr double kStartPart = 0.5;
+/// Weight of the newest use in the rates that parts are set by.
+constexpr double kRateGain = 0.1;
+constexpr Duration kLongestWait = std::chrono::seconds(5);
+
+}  // namespace
+
+void LimitBuckets::Configure(const std::vector<CustomerLimit>& limits,
+                             TimePoint now) {
+  Refill(now);
+  std::map<std::string, Bucket> kept;
+  for (const CustomerLimit& limit : limits) {
+    if (limit.units_per_s <= 0) continue;
+    Bucket& bucket = kept[limit.customer];
+    const auto known = buckets_.find(limit.customer);
+    if (known != buckets_.end()) {
+      bucket = std::move(known->second);
+    } else {
+      bucket.common_level = kStartPart * limit.burst;
+      bucket.own_part = 1.0 / options_.least_nodes;
+      bucket.own_level = bucket.common_level * bucket.own_part;
+    }
+    bucket.limit = limit;
+    bucket.common_level = std::min(bucket.common_level, limit.burst);
+    bucket.own_level =
+        std::min(bucket.own_level, limit.burst * bucket.own_part);
+  }
+  buckets_ = std::move(kept);
+}
+
+void LimitBuckets::Refill(TimePoint now) {
+  const double elapsed_s =
+      refilled_at_.has_value() ? ToSeconds(now - *refilled_at_) : 0;
+  refilled_at_ = now;
+  for (auto& [name, bucket] : buckets_) {
+    const double units = bucket.limit.units_per_s * elapsed_s;
+    bucket.common_level =
+        std::min(bucket.limit.burst, bucket.common_level + units);
+    bucket.own_level = std::min(bucket.limit.burst * bucket.own_part,
+                                bucket.own_level + units * bucket.own_part);
+  }
+}
+
+void LimitBuckets::Update(const std::vector<Member>& others, TimePoint now) {
+  Refill(now);
+  const double elapsed_s =
+      updated_at_.has_value() ? ToSeconds(now - *updated_at_) : 0;
+  updated_at_ = now;
+  nodes_ = 1;
+  all_heard_ = true;
+  for (const Member& member : others) {
+    if (member.status != MemberStatus::kLeft) {
+      ++nodes_;
+      all_heard_ = all_heard_ && member.silence <= kSilent;
+    }
+    TakeIn(member, elapsed_s);
+  }
+  for (auto& [name, bucket] : buckets_) {
+    if (elapsed_s > 0) {
+      const double rate = (bucket.used - bucket.used_at_update) / elapsed_s;
+      bucket.own_rate += kRateGain * (rate - bucket.own_rate);
+    }
+    bucket.used_at_update = bucket.used;
+    SetPart(&bucket, std::max(nodes_, options_.least_nodes));
+    // What others left unused settles what this node owes.
+    if (all_heard_) {
+      bucket.own_level =
+          std::max(bucket.own_level, bucket.common_level * bucket.own_part);
+    }
+  }
+}
+
+void LimitBuckets::TakeIn(const Member& member, double elapsed_s) {
+  const MemberRecord& record = member.record;
+  const auto [it, is_new] = peers_.try_emplace(record.id.name);
+  Peer& peer = it->second;
+  // A restarted node counts from nothing.
+  if (peer.incarnation != record.id.incarnation) peer.uses.clear();
+  peer.incarnation = record.id.incarnation;
+  std::map<std::string, double> deltas;
+  for (const CustomerUse& use : record.uses) {
+    double& known = peer.uses[use.customer];
+    // What a node used before it was first heard of is not known to be recent.
+    if (!is_new) deltas[use.customer] = std::max(0.0, use.units - known);
+    known = use.units;
+  }
+  const bool silent =
+      member.status != MemberStatus::kLeft && member.silence > kSilent;
+  for (auto& [name, bucket] : buckets_) {
+    double units = deltas.count(name) > 0 ? deltas.at(name) : 0;
+    if (silent) {
+      units = bucket.limit.units_per_s * elapsed_s /
+              std::max(nodes_, options_.least_nodes);
+    }
+    bucket.common_level -= units;
+    if (elapsed_s > 0) {
+      double& rate = bucket.peer_rates[record.id.name];
+      rate += kRateGain * (units / elapsed_s - rate);
+    }
+  }
+}
+
+void LimitBuckets::SetPart(Bucket* bucket, int nodes) const {
+  double total = bucket->own_rate;
+  for (const auto& [name, rate] : bucket->peer_rates) total += rate;
+  const double equal = 1.0 / nodes;
+  const double by_use = total <= 0 ? equal : bucket->own_rate / total;
+  bucket->own_part = all_heard_
+                         ? kEqualPart * equal + (1 - kEqualPart) * by_use
+                         : equal;
+}
+
+std::optional<Duration> LimitBuckets::Take(const std::string& customer,
+                                           double units, TimePoint now) {
+  const auto found = buckets_.find(customer);
+  if (found == buckets_.end()) return std::nullopt;
+  Refill(now);
+  Bucket& bucket = found->second;
+  // A request larger than the whole bucket goes when the bucket is full, and
+  // is owed.
+  const double own_size = bucket.limit.burst * bucket.own_part;
+  const bool own_room = bucket.own_level >= std::min(units, own_size);
+  const bool may_borrow =
+      all_heard_ && bucket.common_level * kBorrowPart >=
+                        std::min(units, bucket.limit.burst * kBorrowPart);
+  if (!own_room && !may_borrow) {
+    const double missing = std::min(units, own_size) - bucket.own_level;
+    const double rate =
+        std::max(1.0, bucket.limit.units_per_s * bucket.own_part);
+    return std::min<Duration>(FromSeconds(missing / rate), kLongestWait);
+  }
+  bucket.own_level -= units;
+  bucket.common_level -= units;
+  bucket.used += units;
+  return std::nullopt;
+}
+
+void LimitBuckets::Return(const std::string& customer, double units) {
+  const auto found = buckets_.find(customer);
+  if (found == buckets_.end()) return;
+  // The count of use only grows, so the others hear of it as used; the burst
+  // makes it good.
+  found->second.own_level += units;
+  found->second.common_level += units;
+}
+
+std::vector<CustomerUse> LimitBuckets::Uses() const {
+  std::vector<CustomerUse> uses;
+  for (const auto& [name, bucket] : buckets_) {
+    if (bucket.used > 0) uses.push_back({name, bucket.used});
+  }
+  return uses;
+}
+
+double LimitBuckets::CommonLevel(const std::string& customer) const {
+  const auto found = buckets_.find(customer);
+  return found == buckets_.end() ? 0 : found->second.common_level;
+}
+
+}  // namespace pollenledge
--- a/src/libpollenledge/process/limit_shares.cc
+++ b/src/libpollenledge/process/limit_shares.cc
@@ -76,8 +76,7 @@
     }
     const int heard = static_cast<int>(demands.size());
     reserved = std::max(reserved, minimum_parts - heard);
-    SetRate(&bucket,
-            ShareOfLimit(limit.units_per_s, demands, reserved), now);
+    SetRate(&bucket, ShareOfLimit(limit.units_per_s, demands, reserved), now);
   }
   buckets_ = std::move(kept);
 }
--- a/src/libpollenledge/process/log.cc
+++ b/src/libpollenledge/process/log.cc
@@ -7,7 +7,6 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
-
 #include <poll.h>
 #include <unistd.h>
 
@@ -47,9 +46,10 @@
 
   void Flush() {
     if (dropped_ > 0 && buffer_.size() < kMaxBuffered / 2) {
-      buffer_ += "{\"level\":\"WARN\",\"event\":\"log_lines_dropped\","
-                 "\"count\":\"" +
-                 std::to_string(dropped_) + "\"}\n";
+      buffer_ +=
+          "{\"level\":\"WARN\",\"event\":\"log_lines_dropped\","
+          "\"count\":\"" +
+          std::to_string(dropped_) + "\"}\n";
       dropped_ = 0;
     }
     std::size_t written = 0;
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -33,14 +33,18 @@
 
 Membership::Membership(MemberRecord self, std::vector<std::string> seeds,
                        std::uint64_t seed, HeartbeatOptions options)
-    : options_(options), self_(std::move(self)), seeds_(std::move(seeds)), random_(seed) {
+    : options_(options),
+      self_(std::move(self)),
+      seeds_(std::move(seeds)),
+      random_(seed) {
   seeds_.erase(std::remove(seeds_.begin(), seeds_.end(), self_.peer_address),
                seeds_.end());
 }
 
 std::vector<HeartbeatMessage> Membership::OnTick(TimePoint now) {
   std::vector<HeartbeatMessage> messages;
-  if (sent_at_ != TimePoint() && now - sent_at_ < options_.period) return messages;
+  if (sent_at_ != TimePoint() && now - sent_at_ < options_.period)
+    return messages;
   sent_at_ = now;
   ++self_.heartbeat;
   for (auto it = others_.begin(); it != others_.end();) {
@@ -80,8 +84,8 @@
   std::vector<Member> members;
   members.reserve(others_.size());
   for (const auto& [name, known] : others_) {
-    members.push_back({known.record, StatusOf(known, now),
-                       now - known.advanced_at});
+    members.push_back(
+        {known.record, StatusOf(known, now), now - known.advanced_at});
   }
   return members;
 }
@@ -143,7 +147,8 @@
 
 std::vector<MemberRecord> Membership::PickRecords() {
   std::vector<MemberRecord> records = {self_};
-  const std::size_t wanted = std::min(options_.records_per_message, others_.size() + 1);
+  const std::size_t wanted =
+      std::min(options_.records_per_message, others_.size() + 1);
   auto next = others_.upper_bound(cursor_);
   while (records.size() < wanted) {
     if (next == others_.end()) next = others_.begin();
--- a/src/libpollenledge/process/node_settings.cc
+++ b/src/libpollenledge/process/node_settings.cc
@@ -30,10 +30,10 @@
 std::vector<std::string> PeerAddresses(FieldReader* reader,
                                        const std::string& own) {
   std::vector<std::string> peers =
-      reader->TextList("peer_hosts", "Other nodes to begin with; a port after "
-                                     "the address is ignored.");
-  const std::string port =
-      own.substr(std::min(own.size(), own.rfind(':')));
+      reader->TextList("peer_hosts",
+                       "Other nodes to begin with; a port after "
+                       "the address is ignored.");
+  const std::string port = own.substr(std::min(own.size(), own.rfind(':')));
   for (std::string& peer : peers) peer = peer.substr(0, peer.find(':')) + port;
   return peers;
 }
@@ -59,6 +59,12 @@
       "cloud_address", "", "The cloud API; empty if there are no duties.");
   settings.grace = Milliseconds(&reader, "grace_ms", 8000,
                                 "From the stop signal to the process's end.");
+  settings.tables_bound =
+      Milliseconds(&reader, "tables_bound_ms", 2000,
+                   "Changed tables are in force within this time.");
+  settings.leaving_bound =
+      Milliseconds(&reader, "leaving_bound_ms", 2000,
+                   "A leaving upstream gets no new work after this time.");
   settings.key_freshness = Milliseconds(
       &reader, "key_freshness_ms", 0,
       "Keyed requests run only if the tables were read this recently; 0: "
@@ -68,14 +74,11 @@
                     "Retries for each request of a service, over all nodes.");
   settings.retry_slack = reader.Number("retry_slack", 10, 0, 1e6,
                                        "Retries besides, over all nodes.");
-  settings.limit_window =
-      Milliseconds(&reader, "limit_window_ms", 8000,
-                   "Customers' limits hold in each window of this length.");
   settings.usage_window = Milliseconds(&reader, "usage_window_ms", 5000,
                                        "Length of a usage window.");
-  settings.usage_delay = Milliseconds(
-      &reader, "usage_delay_ms", 10'000,
-      "From a usage window's end until its report is due.");
+  settings.usage_delay =
+      Milliseconds(&reader, "usage_delay_ms", 10'000,
+                   "From a usage window's end until its report is due.");
   settings.duty_lease =
       Milliseconds(&reader, "duty_lease_ms", 3000,
                    "Two holders of a duty do not act within this time.");
--- a/src/libpollenledge/process/poison_test.cc
+++ b/src/libpollenledge/process/poison_test.cc
@@ -169,8 +169,9 @@
     budget.OnFirstAttempt("p");
     if (budget.TryTake("p")) ++retries;
   }
-  EXPECT_LE(retries, static_cast<int>(RetryBudgetOptions().max_saved +
-                                      100 * RetryBudgetOptions().retries_per_attempt));
+  EXPECT_LE(retries,
+            static_cast<int>(RetryBudgetOptions().max_saved +
+                             100 * RetryBudgetOptions().retries_per_attempt));
 }
 
 }  // namespace
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -94,10 +94,11 @@
 }
 
 UpstreamSync::UpstreamSync(boost::asio::io_context& loop, AsyncStore* store,
-                           std::string prefix,
+                           std::string prefix, Duration list_period,
                            UpstreamDirectory::Decode decode, Submit submit)
     : store_(store),
       prefix_(std::move(prefix)),
+      list_period_(list_period),
       directory_(std::move(decode)),
       submit_(std::move(submit)),
       list_timer_(loop),
@@ -118,8 +119,9 @@
       }
     } else {
       directory_.OnStoreTrouble(now);
+      DropWatch();
     }
-    list_timer_.expires_after(Ok(listing) ? kListPeriod : kRetry);
+    list_timer_.expires_after(Ok(listing) ? list_period_ : kRetry);
     list_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) List();
     });
@@ -128,8 +130,17 @@
 
 void UpstreamSync::Watch() {
   watching_ = true;
+  const std::uint64_t number = ++watch_number_;
   store_->Watch(prefix_, watch_from_, kWatchWait,
-                [this](Result<StoreChanges> changes) { OnWatched(changes); });
+                [this, number](const Result<StoreChanges>& changes) {
+                  if (number == watch_number_) OnWatched(changes);
+                });
+}
+
+void UpstreamSync::DropWatch() {
+  // Its connection may have gone silent with whatever made the listing fail.
+  ++watch_number_;
+  watching_ = false;
 }
 
 void UpstreamSync::OnWatched(const Result<StoreChanges>& changes) {
@@ -156,8 +167,8 @@
 void UpstreamSync::Publish() {
   std::vector<ForwardUpstreamInfo> upstreams = directory_.Upstreams(BootNow());
   if (const std::optional<TimePoint> due = directory_.NextDue()) {
-    due_timer_.expires_after(std::max<Duration>(
-        *due - BootNow(), std::chrono::milliseconds(1)));
+    due_timer_.expires_after(
+        std::max<Duration>(*due - BootNow(), std::chrono::milliseconds(1)));
     due_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) Publish();
     });
--- a/src/libpollenledge/process/usage_reporter.cc
+++ b/src/libpollenledge/process/usage_reporter.cc
@@ -154,8 +154,7 @@
                                 const StoreListing& listing) {
   const bool complete =
       static_cast<int>(listing.entries.size()) >= hooks_.live_nodes();
-  const bool patient =
-      hooks_.now() < ledger_->EndOf(window) + kPatience;
+  const bool patient = hooks_.now() < ledger_->EndOf(window) + kPatience;
   if (!complete && patient) return;
   UsageCounts sum;
   std::vector<std::string> parts;
--- a/src/platform/platform_cloud.cc
+++ b/src/platform/platform_cloud.cc
@@ -41,22 +41,22 @@
   call.headers = {{"Content-Type", "application/json"},
                   {"Duty-Owner", stamp.owner},
                   {"Fencing-Token", std::to_string(stamp.fence)}};
-  client_.Call(call, [callback = std::move(callback)](
-                         const Result<HttpAnswer>& answer) {
-    if (!Ok(answer)) {
-      callback(ErrorOf(answer));
-      return;
-    }
-    const int status = Value(answer).status;
-    if (status == kOk) {
-      callback(Status());
-      return;
-    }
-    callback(Error{
-        status == kNoneAvailable ? ErrorCode::kConflict
-                                 : ErrorCode::kUnavailable,
-        "the cloud API answered with status " + std::to_string(status)});
-  });
+  client_.Call(
+      call, [callback = std::move(callback)](const Result<HttpAnswer>& answer) {
+        if (!Ok(answer)) {
+          callback(ErrorOf(answer));
+          return;
+        }
+        const int status = Value(answer).status;
+        if (status == kOk) {
+          callback(Status());
+          return;
+        }
+        callback(Error{
+            status == kNoneAvailable ? ErrorCode::kConflict
+                                     : ErrorCode::kUnavailable,
+            "the cloud API answered with status " + std::to_string(status)});
+      });
 }
 
 }  // namespace pollenledge
--- a/src/platform/platform_decode.cc
+++ b/src/platform/platform_decode.cc
@@ -28,8 +28,8 @@
   }
   std::vector<WeightedService> services;
   for (const Json& part : route.at("backends")) {
-    services.push_back({part.at("service").get<std::string>(),
-                        part.value("weight", 1.0)});
+    services.push_back(
+        {part.at("service").get<std::string>(), part.value("weight", 1.0)});
   }
   return services;
 }
@@ -58,8 +58,7 @@
 EngineTraits ToEngine(const Json& json) {
   EngineTraits engine;
   engine.slots = json.value("batch_slots", 1);
-  engine.kv_tokens =
-      static_cast<std::int64_t>(json.value("kv_capacity", 0.0));
+  engine.kv_tokens = static_cast<std::int64_t>(json.value("kv_capacity", 0.0));
   engine.tokens_per_event = json.value("stride", 1);
   engine.moves_streams = json.value("moves", false);
   engine.copy_retention = FromSeconds(json.value("handle_s", 0.0));
@@ -97,8 +96,7 @@
 KeyedCustomer ToCustomer(const Json& json) {
   KeyedCustomer customer;
   customer.name = json.at("name").get<std::string>();
-  customer.api_keys =
-      json.value("api_keys", std::vector<std::string>());
+  customer.api_keys = json.value("api_keys", std::vector<std::string>());
   if (json.contains("priority") && json.at("priority").is_number()) {
     customer.priority = json.at("priority").get<int>();
   }
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -25,8 +25,8 @@
 
 /// Request headers that only the system sets; a caller's are dropped.
 constexpr std::array<const char*, 11> kOwnHeaders = {
-    kTimeLeft,  kApiKey, kCustomer, kTarget,   kPriority,  kLastEvent,
-    "Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Kv-Fetch"};
+    kTimeLeft, kApiKey,  kCustomer, kTarget,     kPriority, kLastEvent,
+    "Hold",    "Pin-Ms", "Kv-From", "Kv-Backup", "Kv-Fetch"};
 
 /// Headers that reach the upstream even if the caller's `Connection` names
 /// them: the upstream's work depends on them.
@@ -35,9 +35,9 @@
 
 template <typename Names>
 bool IsAmong(std::string_view name, const Names& names) {
-  return std::any_of(
-      names.begin(), names.end(),
-      [name](const char* known) { return SameHeader(known, name); });
+  return std::any_of(names.begin(), names.end(), [name](const char* known) {
+    return SameHeader(known, name);
+  });
 }
 
 template <typename Number>
@@ -143,7 +143,8 @@
       std::max<std::int64_t>(1, attempt.time_left.count() / 1000);
   fields.push_back({kTimeLeft, std::to_string(left_ms)});
   fields.push_back({kTarget, attempt.upstream.name});
-  fields.push_back({kPriority, std::to_string(std::clamp(attempt.priority, 0, 9))});
+  fields.push_back(
+      {kPriority, std::to_string(std::clamp(attempt.priority, 0, 9))});
   if (!attempt.customer.empty()) {
     fields.push_back({kCustomer, attempt.customer});
   }
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -42,12 +42,15 @@
   options.node.key_freshness = settings.key_freshness;
   options.node.retries_per_request = settings.retry_ratio;
   options.node.retry_slack = settings.retry_slack;
-  options.node.limit_window = settings.limit_window;
   options.node.usage_window = settings.usage_window;
   options.node.random_seed = incarnation;
   return options;
 }
 
+/// How often to read what must be known within `bound` also when a watch has
+/// gone silent: often enough that one answer's time is left.
+Duration PollPeriod(Duration bound) { return bound * 3 / 4; }
+
 /// Everything that one process holds.
 class PlatformNode {
  public:
@@ -60,20 +63,19 @@
                  PlatformHeaders()),
         store_(loop_, settings.store_address,
                [this](const char* call, const char* outcome) {
-                 service_.metrics().Count(
-                     "store_calls_total", std::string("call=\"") + call +
-                                              "\",outcome=\"" + outcome +
-                                              "\"");
+                 service_.metrics().Count("store_calls_total",
+                                          std::string("call=\"") + call +
+                                              "\",outcome=\"" + outcome + "\"");
                }),
         cloud_(loop_, settings.cloud_address),
-        config_(loop_, &store_, kOperatorConfigKey, DecodeTables,
-                [this](ForwardEvent event) {
-                  service_.Submit(std::move(event));
-                }),
-        upstreams_(loop_, &store_, kUpstreamPrefix, DecodeUpstream,
-                   [this](ForwardEvent event) {
-                     service_.Submit(std::move(event));
-                   }),
+        config_(
+            loop_, &store_, kOperatorConfigKey,
+            PollPeriod(settings.tables_bound), DecodeTables,
+            [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
+        upstreams_(
+            loop_, &store_, kUpstreamPrefix, PollPeriod(settings.leaving_bound),
+            DecodeUpstream,
+            [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         duties_(loop_, &store_, kDutyKey, settings.node, incarnation,
                 settings.duty_lease),
         usage_(loop_, &store_, &cloud_, &duties_, &service_.node().usage(),
--- a/src/platform/platform_store.cc
+++ b/src/platform/platform_store.cc
@@ -71,9 +71,9 @@
   try {
     return convert(Json::parse(answer.body));
   } catch (const std::exception& problem) {
-    return Error{ErrorCode::kUnknownOutcome,
-                 std::string("the store's answer cannot be read: ") +
-                     problem.what()};
+    return Error{
+        ErrorCode::kUnknownOutcome,
+        std::string("the store's answer cannot be read: ") + problem.what()};
   }
 }
 
@@ -92,9 +92,9 @@
 Result<StoreLease> ToLease(const Result<HttpAnswer>& answer, std::int64_t id) {
   if (auto error = CheckAnswer<StoreLease>(answer)) return *error;
   return ConvertBody<StoreLease>(Value(answer), [id](const Json& json) {
-    return StoreLease{json.value("lease", id),
-                      std::chrono::milliseconds(
-                          json.at("ttl_ms").get<std::int64_t>())};
+    return StoreLease{
+        json.value("lease", id),
+        std::chrono::milliseconds(json.at("ttl_ms").get<std::int64_t>())};
   });
 }
 
@@ -144,22 +144,21 @@
 }
 
 void PlatformStore::Read(const std::string& key, Callback<StoreItem> callback) {
-  Call("read", MakeGet("/-/kv-key?key=" + Escape(key)),
-       [callback = std::move(callback)](Result<HttpAnswer> answer) {
-         if (Ok(answer) && Value(answer).status == kLeaseOrKeyMissing) {
-           callback(StoreItem{});
-           return;
-         }
-         if (auto error = CheckAnswer<StoreItem>(answer)) {
-           callback(*error);
-           return;
-         }
-         callback(
-             ConvertBody<StoreItem>(Value(answer), [](const Json& json) {
-               return StoreItem{ToEntry(json),
-                                json.value("as_of", std::int64_t{0})};
-             }));
-       });
+  Call(
+      "read", MakeGet("/-/kv-key?key=" + Escape(key)),
+      [callback = std::move(callback)](Result<HttpAnswer> answer) {
+        if (Ok(answer) && Value(answer).status == kLeaseOrKeyMissing) {
+          callback(StoreItem{});
+          return;
+        }
+        if (auto error = CheckAnswer<StoreItem>(answer)) {
+          callback(*error);
+          return;
+        }
+        callback(ConvertBody<StoreItem>(Value(answer), [](const Json& json) {
+          return StoreItem{ToEntry(json), json.value("as_of", std::int64_t{0})};
+        }));
+      });
 }
 
 void PlatformStore::List(const std::string& prefix,
@@ -209,28 +208,27 @@
 void PlatformStore::Watch(const std::string& prefix,
                           std::int64_t after_revision, Duration wait,
                           Callback<StoreChanges> callback) {
-  HttpCall call = MakeGet(
-      "/-/kv-watch?prefix=" + Escape(prefix) +
-      "&after=" + std::to_string(after_revision) + "&wait_ms=" +
-      std::to_string(wait.count() / 1000));
+  HttpCall call = MakeGet("/-/kv-watch?prefix=" + Escape(prefix) +
+                          "&after=" + std::to_string(after_revision) +
+                          "&wait_ms=" + std::to_string(wait.count() / 1000));
   call.timeout = wait + kWatchMargin;
-  Call("watch", std::move(call),
-       [callback = std::move(callback)](Result<HttpAnswer> answer) {
-         if (auto error = CheckAnswer<StoreChanges>(answer)) {
-           callback(*error);
-           return;
-         }
-         callback(ConvertBody<StoreChanges>(
-             Value(answer), [](const Json& json) {
-               StoreChanges result;
-               for (const Json& item : json.at("events")) {
-                 result.changes.push_back(
-                     {ToEntry(item), item.value("deleted", false)});
-               }
-               result.store_revision = json.at("as_of").get<std::int64_t>();
-               return result;
-             }));
-       });
+  Call(
+      "watch", std::move(call),
+      [callback = std::move(callback)](Result<HttpAnswer> answer) {
+        if (auto error = CheckAnswer<StoreChanges>(answer)) {
+          callback(*error);
+          return;
+        }
+        callback(ConvertBody<StoreChanges>(Value(answer), [](const Json& json) {
+          StoreChanges result;
+          for (const Json& item : json.at("events")) {
+            result.changes.push_back(
+                {ToEntry(item), item.value("deleted", false)});
+          }
+          result.store_revision = json.at("as_of").get<std::int64_t>();
+          return result;
+        }));
+      });
 }
 
 void PlatformStore::Commit(const StoreTransaction& transaction,
@@ -249,25 +247,23 @@
   const Json body = {{"expected_rev", std::move(expected)},
                      {"put", std::move(put)},
                      {"remove", transaction.removals}};
-  Call("commit", MakePost("/-/kv-txn", body),
-       [callback = std::move(callback)](Result<HttpAnswer> answer) {
-         if (Ok(answer) && Value(answer).status == kConditionFailed) {
-           callback(ConvertBody<KvTxnReply>(
-               Value(answer), [](const Json& json) {
-                 return KvTxnReply{false, 0, ToEntries(json.at("entries"))};
-               }));
-           return;
-         }
-         if (auto error = CheckAnswer<KvTxnReply>(answer)) {
-           callback(*error);
-           return;
-         }
-         callback(
-             ConvertBody<KvTxnReply>(Value(answer), [](const Json& json) {
-               return KvTxnReply{
-                   true, json.at("revision").get<std::int64_t>(), {}};
-             }));
-       });
+  Call(
+      "commit", MakePost("/-/kv-txn", body),
+      [callback = std::move(callback)](Result<HttpAnswer> answer) {
+        if (Ok(answer) && Value(answer).status == kConditionFailed) {
+          callback(ConvertBody<KvTxnReply>(Value(answer), [](const Json& json) {
+            return KvTxnReply{false, 0, ToEntries(json.at("entries"))};
+          }));
+          return;
+        }
+        if (auto error = CheckAnswer<KvTxnReply>(answer)) {
+          callback(*error);
+          return;
+        }
+        callback(ConvertBody<KvTxnReply>(Value(answer), [](const Json& json) {
+          return KvTxnReply{true, json.at("revision").get<std::int64_t>(), {}};
+        }));
+      });
 }
 
 void PlatformStore::GrantLease(Duration time_to_live,
--- a/src/pollen_node/main.cc
+++ b/src/pollen_node/main.cc
@@ -20,7 +20,8 @@
   return path == nullptr ? "" : path;
 }
 
-int Run(const po::variables_map& given, const po::options_description& options) {
+int Run(const po::variables_map& given,
+        const po::options_description& options) {
   if (given.count("help") > 0) {
     std::cout << kDescription << "\n\n"
               << options
