--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -21,8 +21,8 @@
 /// What a server is told about its callers, and what it asks.
 struct CallerHandlers {
   /// A whole request was read. The answer is due on the connection.
-  std::function<void(const std::shared_ptr<CallerConnection>&, HttpHead head,
-                     std::string body)>
+  std::function<void(const std::shared_ptr<CallerConnection>&,
+                     const HttpHead& head, const std::string& body)>
       on_request;
   /// The caller closed the connection before its answer was complete.
   std::function<void(const std::shared_ptr<CallerConnection>&)> on_left;
@@ -77,7 +77,7 @@
   void Close();
   std::string RenderHead(const HttpHead& head) const;
 
-  static constexpr std::size_t kReadBytes = 8 * 1024;
+  static constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
@@ -116,7 +116,6 @@
  private:
   void Accept();
 
-  boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::shared_ptr<const CallerHandlers> handlers_;
   std::vector<std::weak_ptr<CallerConnection>> connections_;
--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -30,7 +30,7 @@
   /// The answer's head was read. False makes the connection pass over this
   /// answer and wait for the next one.
   std::function<bool(const HttpHead&)> on_head;
-  std::function<void(std::string)> on_body;
+  std::function<void(const std::string&)> on_body;
   std::function<void(ExchangeEnd)> on_end;
 };
 
@@ -71,7 +71,7 @@
   void FinishExchange(ExchangeEnd end);
   void Close();
 
-  static constexpr std::size_t kReadBytes = 8 * 1024;
+  static constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 
   std::string address_;
   boost::asio::ip::tcp::socket socket_;
@@ -103,6 +103,9 @@
                                          Duration freshness, TimePoint now);
   /// Takes back a connection after its exchange; drops it if it is of no use.
   void Return(std::shared_ptr<ClientConnection> connection);
+  /// Closes all idle connections to `address`: one of them failed, and what
+  /// made it fail may have silenced the others.
+  void CloseIdleTo(const std::string& address);
   /// Closes what has been idle for too long.
   void CloseIdle(TimePoint now);
 
--- a/src/include/pollenledge/connection/heartbeat_link.h
+++ b/src/include/pollenledge/connection/heartbeat_link.h
@@ -28,7 +28,7 @@
  private:
   void Receive();
 
-  static constexpr std::size_t kMaxDatagram = 64 * 1024;
+  static constexpr std::size_t kMaxDatagram = std::size_t{64} * 1024;
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
--- a/src/include/pollenledge/process/fleet_planner.h
+++ b/src/include/pollenledge/process/fleet_planner.h
@@ -27,9 +27,10 @@
 ///
 /// The fleet that stood when the system first ran is the reference for the
 /// size that the service needs. It is replaced by reclaimable upstreams, in
-/// the same failure domains; on-demand ones leave as those are ready, and come
-/// back when reclaimable ones are not to be had and too few are left, or
-/// answers are late. Deterministic. Not thread-safe.
+/// the same failure domains, and as many more as the largest of these has, so
+/// that the loss of one leaves enough; on-demand ones leave as those are ready,
+/// and come back when reclaimable ones are not to be had and too few are left,
+/// or answers are late. Deterministic. Not thread-safe.
 class FleetPlanner {
  public:
   /// Part of the reference that must be ready while answers are in time.
@@ -75,6 +76,7 @@
   DomainCounts PlanOnDemand(const ScalingBounds& bounds, double late_share,
                             bool reclaimable_offered, TimePoint now);
   int ReferenceTotal() const;
+  int LargestDomain() const;
   int ReadyIn(const std::string& domain, bool reclaimable) const;
   std::vector<std::string> DomainsByPrice(const ScalingBounds& bounds) const;
   void AddOrders(const ForwardingService& service, const DomainCounts& wanted,
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -68,8 +68,8 @@
     std::optional<EventSplitter> events;
   };
 
-  void OnRequest(const std::shared_ptr<CallerConnection>& caller, HttpHead head,
-                 std::string body);
+  void OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                 const HttpHead& head, const std::string& body);
   void OnCallerLeft(const std::shared_ptr<CallerConnection>& caller);
   void OnAdminRequest(const std::shared_ptr<CallerConnection>& caller);
   void OnReadinessRequest(const std::shared_ptr<CallerConnection>& caller);
@@ -83,7 +83,7 @@
   void Do(const forward_action::LogDecision& decision);
 
   bool OnAnswerHead(ForwardId id, const HttpHead& head);
-  void OnAnswerBody(ForwardId id, std::string part);
+  void OnAnswerBody(ForwardId id, const std::string& part);
   void OnAttemptEnd(ForwardId id, ExchangeEnd end);
   ForwardEnd Classify(const Exchange& exchange, ExchangeEnd end) const;
   void BeginAnswer(Exchange* exchange);
--- a/src/include/pollenledge/version/forwarding_tables.h
+++ b/src/include/pollenledge/version/forwarding_tables.h
@@ -95,8 +95,8 @@
 
 /// What callers may send, and how long they may take.
 struct CallerLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
   Duration header_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
 
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -19,9 +19,9 @@
 
 /// An answer that a caller does not read is kept up to this size; what callers
 /// send and are sent is far below it.
-constexpr std::size_t kMaxUnsent = 8 * 1024 * 1024;
+constexpr std::size_t kMaxUnsent = std::size_t{8} * 1024 * 1024;
 /// Bytes of further requests that are read while an answer is awaited.
-constexpr std::size_t kMaxReadAhead = 64 * 1024;
+constexpr std::size_t kMaxReadAhead = std::size_t{64} * 1024;
 constexpr int kListenBacklog = 1024;
 /// Connections are looked through for closed ones when as many were accepted.
 constexpr std::size_t kSweepEvery = 256;
@@ -290,8 +290,7 @@
 
 CallerServer::CallerServer(boost::asio::io_context& loop,
                            const std::string& address, CallerHandlers handlers)
-    : loop_(loop),
-      acceptor_(loop),
+    : acceptor_(loop),
       handlers_(std::make_shared<const CallerHandlers>(std::move(handlers))) {
   const Result<tcp::endpoint> endpoint = ParseTcpEndpoint(address);
   if (!Ok(endpoint)) throw std::runtime_error(ErrorOf(endpoint).message);
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -16,8 +16,8 @@
 
 /// Bounds of an upstream's answer; the platform's largest value is a megabyte,
 /// a third more when encoded.
-constexpr std::size_t kMaxAnswerHead = 32 * 1024;
-constexpr std::size_t kMaxAnswerBody = 64 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerHead = std::size_t{32} * 1024;
+constexpr std::size_t kMaxAnswerBody = std::size_t{64} * 1024 * 1024;
 /// Idle connections are used for this long if the peer does not say: peers
 /// commonly close after five seconds.
 constexpr Duration kDefaultIdleLife = std::chrono::seconds(4);
@@ -181,10 +181,10 @@
 }
 
 void ClientConnection::PassOnBody() {
-  std::string body = reader_.TakeBody();
+  const std::string body = reader_.TakeBody();
   if (body.empty() || skipping_) return;
   const std::shared_ptr<ExchangeHandlers> handlers = handlers_;
-  handlers->on_body(std::move(body));
+  handlers->on_body(body);
 }
 
 void ClientConnection::FinishExchange(ExchangeEnd end) {
@@ -235,6 +235,15 @@
   idle_[connection->address()].push_back(std::move(connection));
 }
 
+void ClientConnectionPool::CloseIdleTo(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  for (const auto& connection : found->second) {
+    if (connection->reusable()) connection->Abort();
+  }
+  idle_.erase(found);
+}
+
 void ClientConnectionPool::CloseIdle(TimePoint now) {
   for (auto it = idle_.begin(); it != idle_.end();) {
     auto& connections = it->second;
--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -45,8 +45,9 @@
   auto open = std::make_shared<OpenCall>(loop_, std::move(callback));
   open->connection = pool_.Take(call.address, call.timeout, BootNow());
   open->timer.expires_after(call.timeout);
-  open->timer.async_wait([open](const boost::system::error_code& error) {
+  open->timer.async_wait([this, open](const boost::system::error_code& error) {
     if (error || open->connection == nullptr) return;
+    pool_.CloseIdleTo(open->connection->address());
     const bool sent = open->connection->sent();
     open->connection->Abort();
     open->Finish(
@@ -61,8 +62,13 @@
     }
     return true;
   };
-  handlers.on_body = [open](std::string part) { open->answer.body += part; };
+  handlers.on_body = [open](const std::string& part) {
+    open->answer.body += part;
+  };
   handlers.on_end = [this, open](ExchangeEnd end) {
+    if (end != ExchangeEnd::kComplete && open->connection != nullptr) {
+      pool_.CloseIdleTo(open->connection->address());
+    }
     if (open->connection != nullptr) pool_.Return(open->connection);
     switch (end) {
       case ExchangeEnd::kComplete:
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -30,7 +30,7 @@
 
 void ConfigSync::Read() {
   const TimePoint started = BootNow();
-  store_->Read(key_, [this, started](Result<StoreItem> item) {
+  store_->Read(key_, [this, started](const Result<StoreItem>& item) {
     OnRead(started, item);
     read_timer_.expires_after(Ok(item) ? read_period_ : kReadRetry);
     read_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/src/libpollenledge/process/fleet_planner.cc
+++ b/src/libpollenledge/process/fleet_planner.cc
@@ -68,7 +68,8 @@
 DomainCounts FleetPlanner::PlanReclaimable(const ScalingBounds& bounds,
                                            TimePoint now) {
   DomainCounts wanted;
-  int missing = 0;
+  // As many more as the loss of the largest failure domain takes away.
+  int missing = LargestDomain();
   for (const auto& [domain, price] : bounds.domain_prices) {
     const auto found = reference_.find(domain);
     const int reference = found == reference_.end() ? 0 : found->second;
@@ -79,25 +80,41 @@
       missing += std::max(0, wanted[domain] - ReadyIn(domain, true));
     }
   }
-  for (const std::string& domain : DomainsByPrice(bounds)) {
-    if (now < places_[{domain, true}].blocked_until) continue;
-    const int room = bounds.max - ReadyIn(domain, false) - wanted[domain];
-    const int more = std::clamp(room, 0, missing);
-    wanted[domain] += more;
-    missing -= more;
+  // Spread one by one, so that no domain holds most of them.
+  for (bool placed = true; placed && missing > 0;) {
+    placed = false;
+    for (const std::string& domain : DomainsByPrice(bounds)) {
+      if (missing == 0 || now < places_[{domain, true}].blocked_until) continue;
+      if (wanted[domain] + ReadyIn(domain, false) >= bounds.max) continue;
+      ++wanted[domain];
+      --missing;
+      placed = true;
+    }
   }
   return wanted;
 }
 
+int FleetPlanner::LargestDomain() const {
+  int largest = 0;
+  for (const auto& [domain, count] : reference_) {
+    largest = std::max(largest, count);
+  }
+  return largest;
+}
+
 DomainCounts FleetPlanner::PlanOnDemand(const ScalingBounds& bounds,
                                         double late_share,
                                         bool reclaimable_offered,
                                         TimePoint now) {
   int reclaimable = 0;
+  int largest_reclaimable = 0;
+  bool blocked = false;
   DomainCounts present;
   for (const auto& [place, state] : places_) {
     if (place.second) {
       reclaimable += state.ready;
+      largest_reclaimable = std::max(largest_reclaimable, state.ready);
+      blocked = blocked || now < state.blocked_until;
     } else {
       present[place.first] =
           state.ordered.has_value() ? *state.ordered : state.ready;
@@ -105,8 +122,12 @@
   }
   const bool late = late_share > kLateShare;
   const double part = late || !reclaimable_offered ? 1.0 : kLeastPart;
-  const int needed =
-      static_cast<int>(std::ceil(part * ReferenceTotal())) - reclaimable;
+  // What cannot be replaced must not be all that there is: while reclaimable
+  // upstreams are not to be had, the next domain to be reclaimed is counted
+  // as gone.
+  const int at_risk = blocked ? largest_reclaimable : 0;
+  const int needed = static_cast<int>(std::ceil(part * ReferenceTotal())) -
+                     (reclaimable - at_risk);
   int have = 0;
   for (const auto& [domain, count] : present) have += count;
   std::vector<std::string> domains = DomainsByPrice(bounds);
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -101,9 +101,8 @@
                      [](const auto&) {}, [] { return CallerLimits(); }}),
       caller_server_(
           loop, options_.caller_address,
-          {[this](const auto& caller, HttpHead head, std::string body) {
-             OnRequest(caller, std::move(head), std::move(body));
-           },
+          {[this](const auto& caller, const HttpHead& head,
+                  const std::string& body) { OnRequest(caller, head, body); },
            [this](const auto& caller) { OnCallerLeft(caller); },
            [this] {
              return node_.index() == nullptr ? CallerLimits()
@@ -135,14 +134,14 @@
 // Callers.
 
 void ForwardService::OnRequest(const std::shared_ptr<CallerConnection>& caller,
-                               HttpHead head, std::string body) {
+                               const HttpHead& head, const std::string& body) {
   const ForwardId id = next_id_++;
   caller->request_id = id;
   Result<ForwardSpec> spec = codec_.decode_request(head);
   Exchange& exchange = exchanges_[id];
   exchange.caller = caller;
-  exchange.request = std::move(head);
-  exchange.body = std::move(body);
+  exchange.request = head;
+  exchange.body = body;
   exchange.arrived_at = BootNow();
   if (!Ok(spec)) {
     AnswerOwn(id, kStatusClientErrors, Duration::zero(), ErrorOf(spec).message);
@@ -216,8 +215,8 @@
   handlers.on_head = [this, id](const HttpHead& head) {
     return OnAnswerHead(id, head);
   };
-  handlers.on_body = [this, id](std::string part) {
-    OnAnswerBody(id, std::move(part));
+  handlers.on_body = [this, id](const std::string& part) {
+    OnAnswerBody(id, part);
   };
   handlers.on_end = [this, id](ExchangeEnd end) { OnAttemptEnd(id, end); };
   exchange->attempt->Start(
@@ -245,7 +244,7 @@
   return true;
 }
 
-void ForwardService::OnAnswerBody(ForwardId id, std::string part) {
+void ForwardService::OnAnswerBody(ForwardId id, const std::string& part) {
   Exchange* exchange = Find(id);
   if (exchange == nullptr) return;
   if (!exchange->passing_events) {
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -122,9 +122,8 @@
   for (const auto& [name, rate] : bucket->peer_rates) total += rate;
   const double equal = 1.0 / nodes;
   const double by_use = total <= 0 ? equal : bucket->own_rate / total;
-  bucket->own_part = all_heard_
-                         ? kEqualPart * equal + (1 - kEqualPart) * by_use
-                         : equal;
+  bucket->own_part =
+      all_heard_ ? kEqualPart * equal + (1 - kEqualPart) * by_use : equal;
 }
 
 std::optional<Duration> LimitBuckets::Take(const std::string& customer,
