--- /dev/null
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -0,0 +1,197 @@
+#include "pollenledge/process/limit_buckets.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace pollenledge {
+namespace {
+
+constexpr double kRate = 36'000;
+constexpr double kBurst = 36'000;
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr Duration kBeat = std::chrono::milliseconds(250);
+constexpr Duration kWindow = std::chrono::seconds(8);
+
+TimePoint At(Duration since) {
+  return TimePoint(std::chrono::seconds(100)) + since;
+}
+
+/// Several nodes that share one customer's limit, and a central bucket that
+/// sees the same requests.
+class LimitWorld {
+ public:
+  explicit LimitWorld(int nodes) : central_level_(kBurst) {
+    for (int i = 0; i < nodes; ++i) {
+      Start(i);
+      connected_.push_back(true);
+      uses_.emplace_back();
+    }
+  }
+
+  void Start(int node) {
+    auto limits = std::make_unique<LimitBuckets>(LimitBucketOptions{});
+    limits->Configure({{"c", kRate, kBurst}}, At(now_));
+    const auto index = static_cast<std::size_t>(node);
+    if (index < limits_.size()) {
+      limits_[index] = std::move(limits);
+      ++incarnations_[index];
+    } else {
+      limits_.push_back(std::move(limits));
+      incarnations_.push_back(1);
+    }
+  }
+  void Connect(int node, bool connected) {
+    connected_[static_cast<std::size_t>(node)] = connected;
+  }
+
+  /// Sends `rate` units a second for `time`, unevenly over the nodes.
+  void Run(double rate, Duration time, std::mt19937_64* random) {
+    constexpr double kMeanCost = 3000;
+    std::exponential_distribution<double> cost(1 / kMeanCost);
+    const double chance = rate / kMeanCost * ToSeconds(kStep);
+    std::bernoulli_distribution arrives(chance);
+    for (Duration end = now_ + time; now_ < end; now_ += kStep) {
+      if (now_.count() % kBeat.count() == 0) Beat();
+      central_level_ =
+          std::min(kBurst, central_level_ + kRate * ToSeconds(kStep));
+      if (arrives(*random)) Offer(cost(*random), random);
+      Expire();
+    }
+  }
+
+  double admitted() const { return admitted_; }
+  double central() const { return central_; }
+  double worst_window() const { return worst_window_; }
+
+ private:
+  void Offer(double units, std::mt19937_64* random) {
+    // Two nodes get half of all requests.
+    const std::size_t any = (*random)() % limits_.size();
+    const std::size_t node = (*random)() % 2 == 0 ? any : any % 2;
+    if (!limits_[node]->Take("c", units, At(now_)).has_value()) {
+      admitted_ += units;
+      window_.push_back({now_, units});
+      window_sum_ += units;
+      worst_window_ = std::max(worst_window_, window_sum_);
+    }
+    if (central_level_ >= std::min(units, kBurst)) {
+      central_level_ -= units;
+      central_ += units;
+    }
+  }
+
+  void Expire() {
+    while (!window_.empty() && window_.front().first <= now_ - kWindow) {
+      window_sum_ -= window_.front().second;
+      window_.pop_front();
+    }
+  }
+
+  void Beat() {
+    for (std::size_t i = 0; i < limits_.size(); ++i) {
+      if (!connected_[i]) continue;
+      uses_[i] = {limits_[i]->Uses(), now_};
+    }
+    for (std::size_t i = 0; i < limits_.size(); ++i) {
+      std::vector<Member> others;
+      for (std::size_t j = 0; j < limits_.size(); ++j) {
+        if (i == j) continue;
+        Member member;
+        member.record.id = {"n" + std::to_string(j), incarnations_[j]};
+        member.record.uses = uses_[j].first;
+        member.silence =
+            connected_[i] ? now_ - uses_[j].second : now_ - cut_at(i);
+        others.push_back(std::move(member));
+      }
+      limits_[i]->Update(others, At(now_));
+    }
+  }
+
+  Duration cut_at(std::size_t node) const { return uses_[node].second; }
+
+  std::vector<std::unique_ptr<LimitBuckets>> limits_;
+  std::vector<std::uint64_t> incarnations_;
+  std::vector<bool> connected_;
+  std::vector<std::pair<std::vector<CustomerUse>, Duration>> uses_;
+  Duration now_{0};
+  double central_level_;
+  double admitted_ = 0;
+  double central_ = 0;
+  std::deque<std::pair<Duration, double>> window_;
+  double window_sum_ = 0;
+  double worst_window_ = 0;
+};
+
+/// What the users allow in eight seconds: a tenth over the limit, and a slack.
+double AllowedInWindow() {
+  constexpr double kOverrun = 1.1;
+  constexpr double kSlack = 140'000;
+  return (kRate * ToSeconds(kWindow) + kBurst) * kOverrun + kSlack;
+}
+
+class LimitBucketsSeeds : public ::testing::TestWithParam<int> {
+ protected:
+  std::mt19937_64 random_{static_cast<std::uint64_t>(GetParam())};
+};
+
+TEST_P(LimitBucketsSeeds, OrdinaryTrafficIsServedAsByACentralBucket) {
+  LimitWorld world(7);
+  world.Run(kRate * 0.55, std::chrono::seconds(10), &random_);
+  const double before = world.admitted();
+  const double central_before = world.central();
+  world.Run(kRate * 0.55, std::chrono::seconds(60), &random_);
+  EXPECT_GT(world.admitted() - before,
+            0.95 * (world.central() - central_before));
+}
+
+TEST_P(LimitBucketsSeeds, AFloodKeepsTheLimitAndDoesNotOutlastItself) {
+  LimitWorld world(7);
+  world.Run(kRate * 0.55, std::chrono::seconds(10), &random_);
+  const double before_flood = world.admitted();
+  const double central_before_flood = world.central();
+  world.Run(kRate * 4, std::chrono::seconds(6), &random_);
+  EXPECT_LT(world.worst_window(), AllowedInWindow());
+  // The customer's ordinary requests are served again at once, but for what
+  // was borrowed in the flood.
+  const double before = world.admitted();
+  const double central_before = world.central();
+  world.Run(kRate * 0.55, std::chrono::seconds(8), &random_);
+  EXPECT_GT(world.admitted() - before,
+            0.5 * (world.central() - central_before));
+  EXPECT_GT(world.admitted() - before_flood,
+            0.95 * (world.central() - central_before_flood));
+}
+
+TEST_P(LimitBucketsSeeds, CutNodesKeepTheLimit) {
+  LimitWorld world(7);
+  world.Run(kRate * 0.55, std::chrono::seconds(10), &random_);
+  for (int node = 0; node < 3; ++node) world.Connect(node, false);
+  world.Run(kRate * 4, std::chrono::seconds(12), &random_);
+  EXPECT_LT(world.worst_window(), AllowedInWindow());
+}
+
+TEST_P(LimitBucketsSeeds, RestartsKeepTheLimit) {
+  LimitWorld world(7);
+  world.Run(kRate * 4, std::chrono::seconds(12), &random_);
+  for (int node = 0; node < 7; ++node) world.Start(node);
+  world.Run(kRate * 4, std::chrono::seconds(12), &random_);
+  EXPECT_LT(world.worst_window(), AllowedInWindow());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LimitBucketsSeeds, ::testing::Range(1, 9));
+
+TEST(LimitBucketsTest, ALowerLimitHoldsAtOnce) {
+  LimitBuckets limits(LimitBucketOptions{});
+  limits.Configure({{"c", kRate, kBurst}}, At(Duration(0)));
+  limits.Update({}, At(std::chrono::seconds(5)));
+  limits.Configure({{"c", 100, 100}}, At(std::chrono::seconds(5)));
+  EXPECT_LE(limits.CommonLevel("c"), 100);
+  EXPECT_FALSE(limits.Take("c", 50, At(std::chrono::seconds(5))).has_value());
+  EXPECT_TRUE(limits.Take("c", 5000, At(std::chrono::seconds(5))).has_value());
+}
+
+}  // namespace
+}  // namespace pollenledge
--- a/src/libpollenledge/process/log.cc
+++ b/src/libpollenledge/process/log.cc
@@ -122,7 +122,7 @@
 
 namespace {
 
-void StartLoggingTo(log4cplus::SharedAppenderPtr appender,
+void StartLoggingTo(const log4cplus::SharedAppenderPtr& appender,
                     const std::string& level, const NodeId& node,
                     const std::string& domain) {
   ProcessIdentity() = {node, domain};
--- /dev/null
+++ b/src/platform/platform_test.cc
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include "platform/platform_decode.h"
+#include "platform/platform_headers.h"
+
+namespace pollenledge {
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","prefix":"/a/","type":"streaming",
+   "timeout_ms":15000,"slo_ms":1500,"priority":2,"attempts":2,"public":false,
+   "backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "affinity":true,"resumable":true,"itl_target_ms":300},
+  {"name":"r2","host":"h.example","prefix":"/a/b/","type":"new-kind",
+   "timeout_ms":800,"service":"s2"}],
+  "services":[{"name":"s1","health_path":"/healthz","max_conns":620,
+   "engine":{"batch_slots":128,"kv_capacity":948574,"stride":5,"moves":true},
+   "scaling":{"min":1,"max":6,"boot_s":4.0,"spot_price":0.18,
+              "zone_prices":{"z1":1.0,"z2":0.8}}},{"name":"s2"}],
+  "limits":{"max_header_bytes":16384,"idle_timeout_ms":15000},
+  "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,
+              "unit":"token_count","uncached_tokens":200,
+              "rate_per_s":100,"burst":50}]})";
+
+TEST(PlatformDecode, AConfigurationBecomesTables) {
+  const Result<ForwardingTables> tables = DecodeTables(kConfig);
+  ASSERT_TRUE(Ok(tables)) << ErrorOf(tables).message;
+  const ForwardingIndex index(Value(tables));
+  const ForwardingRoute* route = index.FindRoute("h.example:80", "/a/x");
+  ASSERT_NE(route, nullptr);
+  EXPECT_EQ(route->kind, RouteKind::kStreaming);
+  EXPECT_EQ(route->services.size(), 2U);
+  EXPECT_EQ(route->target, std::chrono::milliseconds(1500));
+  // The longest prefix; a kind that is not known is not repeated.
+  EXPECT_EQ(index.FindRoute("h.example", "/a/b/c")->kind,
+            RouteKind::kNonIdempotent);
+  EXPECT_EQ(index.FindRoute("other", "/a/x"), nullptr);
+  const KeyedCustomer* customer = index.FindCustomer("k2");
+  ASSERT_NE(customer, nullptr);
+  EXPECT_TRUE(customer->limit_counts_tokens);
+  EXPECT_EQ(index.FindCustomer("k3"), nullptr);
+  const ForwardingService* service = index.tables().FindService("s1");
+  EXPECT_EQ(service->engine->slots, 128);
+  EXPECT_EQ(service->scaling->domain_prices.at("z2"), 0.8);
+}
+
+TEST(PlatformDecode, WhatCannotBeReadIsAnErrorThatNamesIt) {
+  EXPECT_FALSE(Ok(DecodeTables("{")));
+  EXPECT_FALSE(Ok(DecodeTables(R"({"version":"x","routes":[]})")));
+  const auto decode = [](const std::string& value) {
+    return DecodeUpstream({"servers/i-1", value, 3});
+  };
+  const Result<ForwardUpstreamInfo> good = decode(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining",
+          "batch_slots":8,"leaves_ms":2000,"preemptible":true,"born":77})");
+  ASSERT_TRUE(Ok(good)) << ErrorOf(good).message;
+  EXPECT_EQ(Value(good).id, (UpstreamId{"i-1", 77}));
+  EXPECT_TRUE(Value(good).leaving);
+  EXPECT_EQ(Value(good).leaves_in, std::chrono::seconds(2));
+  for (const char* bad :
+       {"", "\xff\xfe", "[]", R"({"service":"s"})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"odd"})",
+        R"({"service":3,"address":"10.0.0.1:80","zone":"z","state":"ready"})",
+        R"({"service":"s","address":"host","zone":"z","state":"ready"})"}) {
+    EXPECT_FALSE(Ok(decode(bad))) << bad;
+  }
+}
+
+HttpHead Request(std::vector<HttpField> fields) {
+  return {.method = "POST", .target = "/a/x?y", .fields = std::move(fields)};
+}
+
+TEST(PlatformHeadersTest, ARequestIsDecodedOnce) {
+  const ForwardingCodec codec = PlatformHeaders();
+  const Result<ForwardSpec> spec = codec.decode_request(
+      Request({{"Host", "h"},
+               {"attempt-id", "9c41"},
+               {"Deadline-Ms", "1500"},
+               {"Token-Usage", "1460,80"},
+               {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+               {"Last-Event-Id", "12"}}));
+  ASSERT_TRUE(Ok(spec));
+  EXPECT_EQ(Value(spec).trace_id, "9c41");
+  EXPECT_EQ(Value(spec).path, "/a/x");
+  EXPECT_EQ(Value(spec).prompt_tokens, 1460);
+  EXPECT_EQ(Value(spec).prompt_parts.at(1), (PromptPart{0x91bd3f06, 410}));
+  EXPECT_EQ(Value(spec).last_event_id, 12);
+  EXPECT_FALSE(
+      Ok(codec.decode_request(Request({{"Deadline-Ms", "soon"}}))));
+  EXPECT_FALSE(Ok(codec.decode_request(Request({{"Token-Usage", "1"}}))));
+}
+
+TEST(PlatformHeadersTest, TheSystemsOwnHeadersAreNotTheCallersToSet) {
+  const ForwardingCodec codec = PlatformHeaders();
+  const HttpHead request = Request({{"Host", "h"},
+                                    {"Attempt-Id", "9c41"},
+                                    {"Api-Key", "secret"},
+                                    {"tenant", "forged"},
+                                    {"Hold", "1"},
+                                    {"Kv-From", "x"},
+                                    {"X-Own", "kept"},
+                                    {"X-Hop", "dropped"},
+                                    {"Connection", "x-hop, attempt-id"}});
+  AttemptFields attempt;
+  attempt.upstream.name = "i-1";
+  attempt.customer = "t";
+  attempt.time_left = std::chrono::milliseconds(700);
+  HttpHead sent;
+  sent.fields = codec.encode_attempt(request, attempt);
+  EXPECT_EQ(*sent.Find("Tenant"), "t");
+  EXPECT_EQ(*sent.Find("Attempt-Id"), "9c41");
+  EXPECT_EQ(*sent.Find("Deadline-Ms"), "700");
+  EXPECT_EQ(*sent.Find("Target-Instance"), "i-1");
+  EXPECT_EQ(*sent.Find("X-Own"), "kept");
+  for (const char* name : {"Api-Key", "Hold", "Kv-From", "X-Hop"}) {
+    EXPECT_EQ(sent.Find(name), nullptr) << name;
+  }
+}
+
+TEST(PlatformHeadersTest, AnAnswerSaysWhetherTheRequestRan) {
+  const ForwardingCodec codec = PlatformHeaders();
+  HttpHead answer;
+  answer.status = 200;
+  answer.fields = {{"Attempt-Id", "9c41"},
+                   {"Server-Signature", "x"},
+                   {"Server-Load", "3,1,8"}};
+  const AnswerFacts ran = codec.decode_answer(answer);
+  EXPECT_TRUE(ran.is_signed);
+  EXPECT_FALSE(ran.not_run);
+  EXPECT_EQ(ran.load, (ReportedLoad{3, 1, 8}));
+  answer.status = 421;
+  EXPECT_TRUE(codec.decode_answer(answer).not_run);
+  answer.status = 503;
+  EXPECT_FALSE(codec.decode_answer(answer).not_run);
+  answer.fields.push_back({"Not-Executed", "1"});
+  EXPECT_TRUE(codec.decode_answer(answer).not_run);
+}
+
+}  // namespace
+}  // namespace pollenledge
