--- a/src/include/pollenledge/process/duty_lease.h
+++ b/src/include/pollenledge/process/duty_lease.h
@@ -25,9 +25,10 @@
 
   explicit DutyTenure(Duration quiet_time) : quiet_time_(quiet_time) {}
 
-  /// The lease was obtained by a call that was sent at `sent_at`.
+  /// The lease was obtained by a call that was sent at `sent_at`. `is_first`:
+  /// nobody held it before, so there is nothing to wait for.
   void Begin(std::int64_t fence, TimePoint sent_at, Duration time_to_live,
-             TimePoint now);
+             bool is_first, TimePoint now);
   /// The lease was renewed by a call that was sent at `sent_at`.
   void Renew(TimePoint sent_at, Duration time_to_live);
   void End() { fence_.reset(); }
@@ -40,7 +41,7 @@
  private:
   Duration quiet_time_;
   std::optional<std::int64_t> fence_;
-  TimePoint began_at_;
+  TimePoint acts_from_;
   TimePoint ends_at_;
 };
 
@@ -66,10 +67,14 @@
  private:
   void Look();
   void Compete();
-  void Claim(const StoreLease& lease, TimePoint sent_at);
+  /// Writes the key, and a record that it was ever held; with `as_first` under
+  /// the condition that there is no such record yet.
+  void Claim(const StoreLease& lease, TimePoint sent_at, bool as_first);
   void Watch(std::int64_t from);
   void Renew();
-  void OnHeld(std::int64_t fence, const StoreLease& lease, TimePoint sent_at);
+  void OnHeld(std::int64_t fence, const StoreLease& lease, TimePoint sent_at,
+              bool as_first);
+  std::string RecordKey() const { return key_ + "-held"; }
   void OnLost(const char* reason);
   void After(Duration pause, std::function<void()> next);
 
--- a/src/include/pollenledge/process/fleet_keeper.h
+++ b/src/include/pollenledge/process/fleet_keeper.h
@@ -33,6 +33,8 @@
   struct Service {
     bool busy = false;  ///< The reference is being read or written.
     std::optional<FleetPlanner> planner;
+    DomainCounts seen;  ///< Upstreams before the reference was set.
+    TimePoint seen_at;
   };
 
   void Tick();
--- a/src/include/pollenledge/process/fleet_planner.h
+++ b/src/include/pollenledge/process/fleet_planner.h
@@ -30,15 +30,22 @@
 /// the same failure domains, and as many more as the largest of these has, so
 /// that the loss of one leaves enough; on-demand ones leave as those are ready,
 /// and come back when reclaimable ones are not to be had and too few are left,
-/// or answers are late. Deterministic. Not thread-safe.
+/// or answers are late. While answers stay late the reference is
+/// scaled up step by step, and down again when they have long been in time.
+/// Deterministic. Not thread-safe.
 class FleetPlanner {
  public:
   /// Part of the reference that must be ready while answers are in time.
-  static constexpr double kLeastPart = 0.7;
+  static constexpr double kLeastPart = 0.75;
   /// Share of late answers at which the whole reference must be ready.
   static constexpr double kLateShare = 0.1;
+  /// One step of scaling the reference up or down, its greatest scale, and how
+  /// long answers must have been in time before a step down.
+  static constexpr double kScaleStep = 1.25;
+  static constexpr double kGreatestScale = 3;
+  static constexpr Duration kScaleDownAfter = std::chrono::seconds(15);
   /// Upstreams are let go only after they were dispensable for this long.
-  static constexpr Duration kLetGoDelay = std::chrono::milliseconds(1500);
+  static constexpr Duration kLetGoDelay = std::chrono::milliseconds(1000);
   /// After a refusal the same order waits this long.
   static constexpr Duration kBlockedTime = std::chrono::seconds(6);
   /// An order whose upstreams have not come is sent again this long after
@@ -70,6 +77,8 @@
     TimePoint blocked_until;
   };
 
+  void SetScale(const ScalingBounds& bounds, double late_share, TimePoint now);
+  int Reference(const std::string& domain) const;
   void CountReady(const ForwardingService& service,
                   const std::vector<ForwardUpstreamInfo>& upstreams);
   DomainCounts PlanReclaimable(const ScalingBounds& bounds, TimePoint now);
@@ -84,6 +93,8 @@
                  std::vector<UpstreamOrder>* orders);
 
   DomainCounts reference_;
+  double scale_ = 1;
+  TimePoint scaled_at_;
   std::map<Place, PlaceState> places_;
   std::optional<TimePoint> dispensable_since_;
 };
--- a/src/include/pollenledge/process/forward_upstreams.h
+++ b/src/include/pollenledge/process/forward_upstreams.h
@@ -22,6 +22,8 @@
   TimePoint reported_at;
   int sent_since_report = 0;
   TimePoint avoid_until;  ///< No work before this.
+  double limit = 0;       ///< Requests of this node that it may have at once.
+  TimePoint limit_cut_at;
   int refusals = 0;       ///< In a row: no connection, or not run.
   double error_rate = 0;  ///< Recent part of the answers that were failures.
   TimePoint error_rate_at;
@@ -29,6 +31,8 @@
   /// Requests in progress at the upstream, those of other nodes included as
   /// far as they are known.
   double EstimatedLoad(TimePoint now) const;
+  /// True if this node may send it one more request.
+  bool HasRoom(TimePoint now) const;
 };
 
 /// What the choice of an upstream depends on.
@@ -49,6 +53,12 @@
 /// talking. Other requests go to the least loaded of their failure domain, and
 /// elsewhere only when it is loaded.
 ///
+/// How many requests a node may have at one upstream follows from whether its
+/// answers begin in time: one more for each round of answers in time, a part
+/// less when one is late (additive increase, multiplicative decrease). So the
+/// work that would wait in an overloaded upstream waits here, where it is
+/// ordered by rank and can be refused.
+///
 /// Not thread-safe. Memory grows with the upstreams.
 class ForwardUpstreams {
  public:
@@ -59,12 +69,15 @@
   std::vector<std::string> SetList(
       const std::vector<ForwardUpstreamInfo>& list);
 
-  /// Returns null if no upstream may be given the request now.
+  /// Returns null if no upstream may be given the request now, or none has
+  /// room.
   ForwardUpstream* Choose(const UpstreamQuery& query, TimePoint now);
   ForwardUpstream* Find(const std::string& name);
 
   void OnSent(ForwardUpstream* upstream, std::int64_t prompt_tokens);
   void OnFirstEvent(ForwardUpstream* upstream, std::int64_t prompt_tokens);
+  /// An answer began, in time for its latency target or late.
+  void OnAnswerBegun(ForwardUpstream* upstream, bool in_time, TimePoint now);
   void OnEnded(ForwardUpstream* upstream, ForwardEnd end, TimePoint now);
   /// No answer came for longer than answers take.
   void OnSilent(ForwardUpstream* upstream, TimePoint now);
--- a/src/libpollenledge/process/duty_lease.cc
+++ b/src/libpollenledge/process/duty_lease.cc
@@ -16,9 +16,9 @@
 }  // namespace
 
 void DutyTenure::Begin(std::int64_t fence, TimePoint sent_at,
-                       Duration time_to_live, TimePoint now) {
+                       Duration time_to_live, bool is_first, TimePoint now) {
   fence_ = fence;
-  began_at_ = now;
+  acts_from_ = is_first ? now : now + quiet_time_;
   ends_at_ = sent_at + time_to_live;
 }
 
@@ -27,7 +27,7 @@
 }
 
 bool DutyTenure::MayAct(TimePoint now) const {
-  return fence_.has_value() && now >= began_at_ + quiet_time_ &&
+  return fence_.has_value() && now >= acts_from_ &&
          now + kSafetyMargin < ends_at_;
 }
 
@@ -80,21 +80,30 @@
                          After(kRetry, [this] { Look(); });
                          return;
                        }
-                       Claim(Value(lease), sent_at);
+                       Claim(Value(lease), sent_at, true);
                      });
 }
 
-void DutyLease::Claim(const StoreLease& lease, TimePoint sent_at) {
+void DutyLease::Claim(const StoreLease& lease, TimePoint sent_at,
+                      bool as_first) {
+  constexpr std::int64_t kAnyRevision = -1;
   StoreTransaction claim;
   claim.writes.push_back({key_, identity_, 0, lease.id});
+  claim.writes.push_back(
+      {RecordKey(), identity_, as_first ? 0 : kAnyRevision, 0});
   store_->Commit(claim,
-                 [this, lease, sent_at](const Result<KvTxnReply>& reply) {
+                 [this, lease, sent_at,
+                  as_first](const Result<KvTxnReply>& reply) {
                    if (stopped_) {
                      store_->EndLease(lease.id);
                      return;
                    }
                    if (Ok(reply) && Value(reply).succeeded) {
-                     OnHeld(Value(reply).revision, lease, sent_at);
+                     OnHeld(Value(reply).revision, lease, sent_at, as_first);
+                     return;
+                   }
+                   if (Ok(reply) && as_first) {
+                     Claim(lease, sent_at, false);
                      return;
                    }
                    // An answer that was lost is not settled by reading back:
@@ -117,9 +126,9 @@
 }
 
 void DutyLease::OnHeld(std::int64_t fence, const StoreLease& lease,
-                       TimePoint sent_at) {
+                       TimePoint sent_at, bool as_first) {
   lease_ = lease;
-  tenure_.Begin(fence, sent_at, lease.time_to_live, BootNow());
+  tenure_.Begin(fence, sent_at, lease.time_to_live, as_first, BootNow());
   Log(LogLevel::kInfo, "duties_taken", {{"fence", std::to_string(fence)}});
   After(kRenewPeriod, [this] { Renew(); });
 }
--- a/src/libpollenledge/process/fleet_keeper.cc
+++ b/src/libpollenledge/process/fleet_keeper.cc
@@ -11,6 +11,11 @@
 
 using Json = nlohmann::json;
 
+/// Upstreams register one after the other when a system starts; their number
+/// is taken as the reference once none has come for two of the platform's
+/// longest heartbeat periods.
+constexpr Duration kStableTime = std::chrono::milliseconds(2500);
+
 OrderOutcome OutcomeOf(const Status& status) {
   if (Ok(status)) return OrderOutcome::kAccepted;
   return ErrorOf(status).code == ErrorCode::kConflict ? OrderOutcome::kNoneThere
@@ -86,8 +91,13 @@
       ++counts[upstream.domain];
     }
   }
-  if (counts.empty()) return;
-  services_[service].busy = true;
+  Service& state = services_[service];
+  if (counts != state.seen) {
+    state.seen = counts;
+    state.seen_at = BootNow();
+  }
+  if (counts.empty() || BootNow() - state.seen_at < kStableTime) return;
+  state.busy = true;
   StoreTransaction transaction;
   transaction.writes.push_back({prefix_ + service, Json(counts).dump(), 0, 0});
   store_->Commit(transaction, [this, service](const Result<KvTxnReply>&) {
--- a/src/libpollenledge/process/fleet_planner.cc
+++ b/src/libpollenledge/process/fleet_planner.cc
@@ -24,10 +24,31 @@
   }
 }
 
+void FleetPlanner::SetScale(const ScalingBounds& bounds, double late_share,
+                            TimePoint now) {
+  // A step up shows its effect after the boot time.
+  constexpr Duration kSettle = std::chrono::seconds(1);
+  const bool late = late_share > kLateShare;
+  if (late && now - scaled_at_ >= bounds.boot + kSettle) {
+    scale_ = std::min(kGreatestScale, scale_ * kScaleStep);
+    scaled_at_ = now;
+  } else if (!late && scale_ > 1 && now - scaled_at_ >= kScaleDownAfter) {
+    scale_ = std::max(1.0, scale_ / kScaleStep);
+    scaled_at_ = now;
+  }
+}
+
+int FleetPlanner::Reference(const std::string& domain) const {
+  const auto found = reference_.find(domain);
+  if (found == reference_.end()) return 0;
+  return static_cast<int>(std::ceil(found->second * scale_));
+}
+
 int FleetPlanner::ReferenceTotal() const {
-  return std::accumulate(
-      reference_.begin(), reference_.end(), 0,
-      [](int sum, const auto& entry) { return sum + entry.second; });
+  return std::accumulate(reference_.begin(), reference_.end(), 0,
+                         [this](int sum, const auto& entry) {
+                           return sum + Reference(entry.first);
+                         });
 }
 
 int FleetPlanner::ReadyIn(const std::string& domain, bool reclaimable) const {
@@ -55,6 +76,7 @@
   std::vector<UpstreamOrder> orders;
   if (!service.scaling.has_value() || ReferenceTotal() == 0) return orders;
   const ScalingBounds& bounds = *service.scaling;
+  SetScale(bounds, late_share, now);
   CountReady(service, upstreams);
   const bool reclaimable_offered = bounds.reclaimable_price < 1;
   if (reclaimable_offered) {
@@ -71,10 +93,8 @@
   // As many more as the loss of the largest failure domain takes away.
   int missing = LargestDomain();
   for (const auto& [domain, price] : bounds.domain_prices) {
-    const auto found = reference_.find(domain);
-    const int reference = found == reference_.end() ? 0 : found->second;
     const int room = bounds.max - ReadyIn(domain, false);
-    wanted[domain] = std::clamp(reference, 0, std::max(0, room));
+    wanted[domain] = std::clamp(Reference(domain), 0, std::max(0, room));
     // What is not to be had here is ordered elsewhere.
     if (now < places_[{domain, true}].blocked_until) {
       missing += std::max(0, wanted[domain] - ReadyIn(domain, true));
@@ -97,7 +117,7 @@
 int FleetPlanner::LargestDomain() const {
   int largest = 0;
   for (const auto& [domain, count] : reference_) {
-    largest = std::max(largest, count);
+    largest = std::max(largest, Reference(domain));
   }
   return largest;
 }
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -33,9 +33,6 @@
 constexpr double kSilenceGaps = 4.0;
 /// A queued request waits at most this part of its latency target for a slot.
 constexpr double kQueueTargetPart = 0.8;
-/// Requests that an upstream may have beyond its slots before new ones wait
-/// here: it admits the next one without a round trip.
-constexpr double kSlotsBeyond = 1.1;
 /// Parts of the service that standard and background work keep in a flood of
 /// more urgent work.
 constexpr double kStandardFloor = 0.15;
@@ -217,10 +214,7 @@
   UpstreamQuery query{request.service, options_.self.domain, std::nullopt,
                       request.tried};
   if (request.route->prefix_affinity) query.affinity = AffinityOf(request.spec);
-  ForwardUpstream* upstream = upstreams_.Choose(query, now());
-  if (upstream == nullptr) return nullptr;
-  const double room = kSlotsBeyond * upstream->info.slots;
-  return upstream->EstimatedLoad(now()) < room ? upstream : nullptr;
+  return upstreams_.Choose(query, now());
 }
 
 void ForwardNode::Send(Request* request, ForwardUpstream* upstream) {
@@ -270,6 +264,12 @@
     GiveUp(request, ForwardEnd::kNotSent, "no-upstream");
     return;
   }
+  // What would wait too long is told so at once.
+  if (it->second.EstimateWait(queued.customer, queued.rank, queued.cost, 0) >
+      wait) {
+    GiveUp(request, ForwardEnd::kNotSent, "queue-too-long");
+    return;
+  }
   request->queued = true;
   LogRequest(LogLevel::kInfo, "queued", *request,
              {{"ahead", std::to_string(it->second.size())}});
@@ -324,6 +324,8 @@
   share += kLateGain * ((late ? 1.0 : 0.0) - share);
   if (ForwardUpstream* upstream = upstreams_.Find(request->upstream)) {
     upstreams_.OnFirstEvent(upstream, request->spec.prompt_tokens);
+    upstreams_.OnAnswerBegun(
+        upstream, now() - request->sent_at <= request->route->target, now());
   }
 }
 
@@ -347,6 +349,10 @@
       ended.end == ForwardEnd::kCompleted || ended.end == ForwardEnd::kFailed;
   if (ran && request->route->kind != RouteKind::kStreaming) {
     CountUsage(request, now_.wall - (now() - request->sent_at));
+    if (ForwardUpstream* known = upstreams_.Find(upstream)) {
+      upstreams_.OnAnswerBegun(
+          known, now() - request->sent_at <= request->route->target, now());
+    }
   }
   SettleAttempt(request, ended.end);
   LogRequest(LogLevel::kInfo, "attempt_ended", *request,
--- a/src/libpollenledge/process/forward_upstreams.cc
+++ b/src/libpollenledge/process/forward_upstreams.cc
@@ -33,6 +33,19 @@
 /// request goes to another one.
 constexpr double kLocalLoadBound = 0.7;
 
+/// Requests of one node at an upstream that is not known yet, as part of its
+/// slots: some nodes share it.
+constexpr double kFirstLimitPart = 0.25;
+/// Least limit: enough to learn that an upstream has become fast again.
+constexpr double kLeastLimit = 2;
+/// What a late answer leaves of the limit, at most once each `kCutPause`: the
+/// time in which the answers to requests sent before the cut have come.
+constexpr double kLimitCut = 0.8;
+constexpr Duration kCutPause = std::chrono::milliseconds(400);
+/// Requests that an upstream may have beyond its slots before new ones wait
+/// here: it admits the next one without a round trip.
+constexpr double kSlotsBeyond = 1.1;
+
 double ErrorRate(const ForwardUpstream& upstream, TimePoint now) {
   const double halvings =
       ToSeconds(now - upstream.error_rate_at) / ToSeconds(kErrorHalfLife);
@@ -56,6 +69,10 @@
   return std::max(in_flight, reported + sent_since_report);
 }
 
+bool ForwardUpstream::HasRoom(TimePoint now) const {
+  return in_flight < limit && EstimatedLoad(now) < kSlotsBeyond * info.slots;
+}
+
 std::vector<std::string> ForwardUpstreams::SetList(
     const std::vector<ForwardUpstreamInfo>& list) {
   std::vector<std::string> leaving;
@@ -77,6 +94,9 @@
     upstream.info = info;
     upstream.info.leaving = info.leaving || stays_leaving;
     upstream.listed = true;
+    if (upstream.limit == 0) {
+      upstream.limit = std::max(kLeastLimit, kFirstLimitPart * info.slots);
+    }
     if (was_usable && !MayBeGivenWork(upstream)) leaving.push_back(it->first);
   }
   for (auto it = upstreams_.begin(); it != upstreams_.end();) {
@@ -97,6 +117,7 @@
   for (auto& [name, upstream] : upstreams_) {
     if (upstream.info.service != query.service) continue;
     if (!MayBeGivenWork(upstream) || now < upstream.avoid_until) continue;
+    if (!upstream.HasRoom(now)) continue;
     if (std::find(query.exclude.begin(), query.exclude.end(), name) !=
         query.exclude.end()) {
       continue;
@@ -183,6 +204,22 @@
   upstream->waiting_prompt_tokens -= prompt_tokens;
 }
 
+void ForwardUpstreams::OnAnswerBegun(ForwardUpstream* upstream, bool in_time,
+                                     TimePoint now) {
+  if (!in_time) {
+    if (now - upstream->limit_cut_at < kCutPause) return;
+    upstream->limit_cut_at = now;
+    upstream->limit = std::max(
+        kLeastLimit,
+        kLimitCut * std::min(upstream->limit, upstream->in_flight + 1.0));
+    return;
+  }
+  // A limit that is not used tells nothing of what the upstream can bear.
+  if (upstream->in_flight * 2 < upstream->limit) return;
+  upstream->limit = std::min(upstream->limit + 1 / upstream->limit,
+                             static_cast<double>(upstream->info.slots) + 1);
+}
+
 void ForwardUpstreams::OnEnded(ForwardUpstream* upstream, ForwardEnd end,
                                TimePoint now) {
   --upstream->in_flight;
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -33,9 +33,10 @@
     if (known != buckets_.end()) {
       bucket = std::move(known->second);
     } else {
-      bucket.common_level = kStartPart * limit.burst;
+      // Nothing can be borrowed before the others' use is known.
+      bucket.common_level = 0;
       bucket.own_part = 1.0 / options_.least_nodes;
-      bucket.own_level = bucket.common_level * bucket.own_part;
+      bucket.own_level = kStartPart * limit.burst * bucket.own_part;
     }
     bucket.limit = limit;
     bucket.common_level = std::min(bucket.common_level, limit.burst);
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -147,8 +147,13 @@
 
 std::vector<MemberRecord> Membership::PickRecords() {
   std::vector<MemberRecord> records = {self_};
-  const std::size_t wanted =
-      std::min(options_.records_per_message, others_.size() + 1);
+  // While every peer gets every message, others are named only so that a new
+  // one becomes known.
+  constexpr std::size_t kRecordsOfMesh = 2;
+  const std::size_t per_message = others_.size() <= options_.fanout
+                                      ? kRecordsOfMesh
+                                      : options_.records_per_message;
+  const std::size_t wanted = std::min(per_message, others_.size() + 1);
   auto next = others_.upper_bound(cursor_);
   while (records.size() < wanted) {
     if (next == others_.end()) next = others_.begin();
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <map>
 #include <memory>
 
 #include "platform/platform_cloud.h"
@@ -26,6 +27,8 @@
 constexpr char kUsagePrefix[] = "pollenledge/usage/";
 constexpr char kFleetPrefix[] = "pollenledge/fleet/";
 
+constexpr Duration kReportPeriod = std::chrono::seconds(10);
+
 ForwardServiceOptions ServiceOptions(const NodeSettings& settings,
                                      std::uint64_t incarnation) {
   ForwardServiceOptions options;
@@ -63,6 +66,7 @@
                  PlatformHeaders()),
         store_(loop_, settings.store_address,
                [this](const char* call, const char* outcome) {
+                 ++store_calls_[call];
                  service_.metrics().Count("store_calls_total",
                                           std::string("call=\"") + call +
                                               "\",outcome=\"" + outcome + "\"");
@@ -90,6 +94,7 @@
 
   void Run() {
     AwaitSignal();
+    LogStoreCalls();
     config_.Start();
     upstreams_.Start();
     if (!settings_.cloud_address.empty()) {
@@ -101,6 +106,19 @@
   }
 
  private:
+  /// Writes how many calls the store was sent, by purpose, now and then.
+  void LogStoreCalls() {
+    std::vector<LogField> fields;
+    for (const auto& [call, count] : store_calls_) {
+      fields.push_back({call, std::to_string(count)});
+    }
+    Log(LogLevel::kInfo, "store_calls", fields);
+    report_timer_.expires_after(kReportPeriod);
+    report_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) LogStoreCalls();
+    });
+  }
+
   void AwaitSignal() {
     signals_.async_wait(
         [this](const boost::system::error_code& error, int signal) {
@@ -147,6 +165,8 @@
   boost::asio::io_context loop_{1};
   boost::asio::signal_set signals_;
   boost::asio::steady_timer flush_timer_{loop_};
+  boost::asio::steady_timer report_timer_{loop_};
+  std::map<std::string, std::int64_t> store_calls_;
   ForwardService service_;
   PlatformStore store_;
   PlatformCloud cloud_;
