--- /dev/null
+++ b/testsuite/platform_standins.py
@@ -0,0 +1,384 @@
+"""Stand-ins for the users' platform: its store, a runner and the cloud API,
+each a few threads in this process, and a forwarding node as a real process."""
+
+import base64
+import json
+import os
+import re
+import socket
+import struct
+import subprocess
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from urllib.parse import parse_qs, urlparse
+
+HOST = "platform.example"
+KEY = "key-of-ada"
+BUILD = Path(os.environ.get("POLLENLEDGE_BUILD", "build"))
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Store:
+    """The metadata store: items, ranges, watches, transactions, leases."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.items = {}  # key: (value, revision)
+        self.events = []
+        self.revision = 1
+        self.down = False
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def do_GET(self):
+                query = {k: v[0] for k, v in parse_qs(urlparse(self.path).query).items()}
+                self.reply(*store.get(urlparse(self.path).path, query))
+
+            def do_POST(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                self.reply(*store.post(self.path, json.loads(body or "{}")))
+
+            def do_DELETE(self):
+                self.reply(200, {})
+
+            def reply(self, status, body):
+                data = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def put(self, key, value):
+        with self.lock:
+            self.revision += 1
+            self.items[key] = (value, self.revision)
+            self.events.append(key)
+            self.lock.notify_all()
+
+    def remove(self, key):
+        with self.lock:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.events.append(key)
+            self.lock.notify_all()
+
+    def item(self, key):
+        value, revision = self.items[key]
+        data = value if isinstance(value, bytes) else value.encode()
+        return {"key": key, "value": base64.b64encode(data).decode(),
+                "revision": revision, "as_of": self.revision}
+
+    def get(self, path, query):
+        with self.lock:
+            if self.down:
+                return 503, {}
+            if path == "/-/kv-key":
+                key = query["key"]
+                return (200, self.item(key)) if key in self.items else (404, {})
+            if path == "/-/kv-range":
+                keys = sorted(k for k in self.items if k.startswith(query["prefix"]))
+                return 200, {"entries": [self.item(k) for k in keys],
+                             "has_more": False, "as_of": self.revision}
+            after = int(query["after"])
+            self.lock.wait_for(lambda: self.revision > after, int(query["wait_ms"]) / 1000)
+            changed = [self.item(k) for k in sorted(self.items)
+                       if k.startswith(query["prefix"]) and self.items[k][1] > after]
+            gone = [{"key": k, "revision": self.revision, "deleted": True}
+                    for k in set(self.events)
+                    if k.startswith(query["prefix"]) and k not in self.items]
+            return 200, {"events": changed + gone, "as_of": self.revision}
+
+    def post(self, path, body):
+        if path == "/-/kv-lease":
+            return 200, {"lease": 7, "ttl_ms": body["ttl_ms"]}
+        if path.startswith("/-/kv-keep/"):
+            return 200, {"ttl_ms": 4000}
+        with self.lock:
+            for row in body["expected_rev"]:
+                present = self.items.get(row["key"], (None, 0))[1]
+                if present != row["revision"]:
+                    return 412, {"entries": []}
+        for item in body["put"]:
+            self.put(item["key"], base64.b64decode(item["value"]).decode())
+        for key in body["remove"]:
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+
+class Cloud:
+    """Takes the duties' calls and keeps them."""
+
+    def __init__(self):
+        self.calls = []
+        cloud = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def do_POST(self):
+                body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                cloud.calls.append((self.path, int(self.headers["Fencing-Token"]), body))
+                self.send_response(200)
+                self.send_header("Content-Length", "0")
+                self.end_headers()
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+
+def read_message(connection, buffer):
+    """Reads one request; returns its head, body and the bytes after it."""
+    while b"\r\n\r\n" not in buffer:
+        data = connection.recv(65536)
+        if not data:
+            return None, b"", b""
+        buffer += data
+    head, rest = buffer.split(b"\r\n\r\n", 1)
+    length = re.search(rb"(?i)content-length: *(\d+)", head)
+    size = int(length.group(1)) if length else 0
+    while len(rest) < size:
+        rest += connection.recv(65536)
+    return head.decode(), rest[:size], rest[size:]
+
+
+def header(head, name):
+    found = re.search(rf"(?im)^{name}: *(.*?)\r?$", head)
+    return found.group(1) if found else None
+
+
+class Runner:
+    """A runner that does what the last part of a request's path says."""
+
+    def __init__(self, name):
+        self.name = name
+        self.runs = []  # (attempt id, head, body) of each request that ran
+        self.left = threading.Event()  # a caller's leaving was seen
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.shed = set()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        buffer = b""
+        try:
+            while True:
+                head, body, buffer = read_message(connection, buffer)
+                if head is None or not self.answer(connection, head, body):
+                    break
+        except OSError:
+            pass
+        connection.close()
+
+    def answer(self, connection, head, body):
+        attempt = header(head, "Attempt-Id")
+        what = head.split(" ")[1].split("?")[0].rsplit("/", 1)[-1]
+        if header(head, "Target-Instance") != self.name:
+            connection.sendall(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+            return True
+        if what == "shed" and attempt not in SHED:
+            SHED.add(attempt)
+            connection.sendall(b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            return True
+        self.runs.append((attempt, head, body))
+        RUNS.append((attempt, self.name, header(head, "Last-Event-Id")))
+        return getattr(self, "do_" + what, self.do_ok)(connection, attempt)
+
+    def whole(self, attempt, text=b"done", status="200 OK"):
+        return (f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nServer-Signature: s.{self.name}\r\n"
+                f"Content-Length: {len(text)}\r\n\r\n").encode() + text
+
+    def do_ok(self, connection, attempt):
+        connection.sendall(self.whole(attempt))
+        return True
+
+    def do_fail(self, connection, attempt):
+        failed = sum(1 for run in RUNS if run[0] == attempt) == 1
+        connection.sendall(self.whole(attempt, b"no", "500 Oops") if failed else self.whole(attempt))
+        return True
+
+    def do_cut(self, connection, attempt):
+        return False
+
+    def do_extra(self, connection, attempt):
+        """An answer to another request comes first, and one more after."""
+        connection.sendall(self.whole("feed", b"other") + self.whole(attempt) + self.whole("feed", b"x"))
+        return True
+
+    def do_unframed(self, connection, attempt):
+        connection.sendall(self.whole(attempt).replace(b"Content-Length: 4\r\n", b""))
+        return False
+
+    def do_unframedcut(self, connection, attempt):
+        connection.sendall(self.whole(attempt).replace(b"Content-Length: 4\r\n", b""))
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        return False
+
+    def do_unsigned(self, connection, attempt):
+        connection.sendall(self.whole(attempt).replace(b"Server-Signature", b"X-Other"))
+        return True
+
+    def do_wait(self, connection, attempt):
+        """Works until its caller leaves."""
+        connection.recv(1)
+        self.left.set()
+        return False
+
+    def stream(self, connection, attempt, first, last, end):
+        connection.sendall((f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for i in range(first, last + 1):
+            event = f"id: {i}\ndata: e{i}\n\n".encode()
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        if end:
+            connection.sendall(b"0\r\n\r\n")
+        else:
+            connection.sendall(b"9\r\nid: 99\nda\r\n")  # Half an event.
+        return end
+
+    def do_stream(self, connection, attempt):
+        return self.stream(connection, attempt, 1, 4, True)
+
+    def do_break(self, connection, attempt):
+        mine = [run for run in RUNS if run[0] == attempt]
+        if len(mine) == 1:
+            return self.stream(connection, attempt, 1, 2, False)
+        return self.stream(connection, attempt, int(mine[-1][2] or 0) + 1, 4, True)
+
+
+RUNS = []  # (attempt id, runner, Last-Event-Id) in order, over all runners
+SHED = set()
+
+
+def route(name, kind, **more):
+    return {"name": name, "host": HOST, "prefix": f"/{name}/", "type": kind,
+            "timeout_ms": 5000, "slo_ms": 1000, "priority": 1, "service": "work",
+            "attempts": 2, "public": False, "resumable": False,
+            "itl_target_ms": 1000, **more}
+
+
+def config(version, **more):
+    return json.dumps({
+        "version": version,
+        "routes": [route("read", "idempotent"), route("order", "non_idempotent", attempts=1),
+                   route("chat", "streaming", attempts=1),
+                   route("draft", "streaming", resumable=True)],
+        "services": [{"name": "work", "health_path": "/healthz", "max_conns": 100}],
+        "limits": {}, "tenants": [{"name": "ada", "api_keys": [KEY]}], **more})
+
+
+class Platform:
+    """The stand-ins and one node; a context manager."""
+
+    def __enter__(self):
+        self.store, self.cloud = Store(), Cloud()
+        self.runners = [Runner(f"i-{i}") for i in range(3)]
+        self.store.put("op/config", config(1))
+        self.store.put("servers/garbage", b"\xff\xfe not json")
+        for runner in self.runners:
+            self.store.put(f"servers/{runner.name}", json.dumps(
+                {"service": "work", "address": runner.address, "zone": "a", "state": "ready",
+                 "batch_slots": 8, "born": 1}))
+        ports = [free_port() for _ in range(3)]
+        self.caller, self.readiness, self.admin = (f"127.0.0.1:{port}" for port in ports)
+        self.directory = tempfile.TemporaryDirectory()
+        self.settings = Path(self.directory.name) / "node.yaml"
+        self.settings.write_text(
+            f"node: n1\ndomain: a\ncaller_address: {self.caller}\n"
+            f"readiness_address: {self.readiness}\nadmin_address: {self.admin}\n"
+            f"peer_address: 127.0.0.1:{free_port(socket.SOCK_DGRAM)}\npeer_hosts: []\n"
+            f"store_address: {self.store.address}\ncloud_address: \"{self.cloud.address}\"\n"
+            "key_freshness_ms: 5000\nretry_slack: 100\ngrace_ms: 8000\nusage_window_ms: 1000\n")
+        self.log = open(Path(self.directory.name) / "node.log", "w+")
+        self.process = subprocess.Popen(
+            [BUILD / "src/pollen_node/pollen_node", "--config", self.settings], stdout=self.log)
+        self.until(lambda: self.ready() == 200)
+        return self
+
+    def __exit__(self, *_):
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+        self.directory.cleanup()
+
+    @staticmethod
+    def until(condition, seconds=20):
+        end = time.monotonic() + seconds
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError("a condition did not come true")
+            time.sleep(0.02)
+
+    def ready(self):
+        try:
+            return self.raw(self.readiness, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")[0]
+        except OSError:
+            return 0
+
+    def connect(self, address):
+        ip, port = address.split(":")
+        return socket.create_connection((ip, int(port)), timeout=15)
+
+    def raw(self, address, data):
+        """Sends bytes and returns status, head and body of the answer."""
+        with self.connect(address) as connection:
+            connection.sendall(data)
+            return self.read_answer(connection)
+
+    @staticmethod
+    def read_answer(connection):
+        buffer = b""
+        while b"\r\n\r\n" not in buffer:
+            data = connection.recv(65536)
+            if not data:
+                return 0, "", b""
+            buffer += data
+        head, body = buffer.split(b"\r\n\r\n", 1)
+        head = head.decode()
+        length = header(head, "Content-Length")
+
+        def whole():
+            return len(body) >= int(length) if length else body.endswith(b"0\r\n\r\n")
+
+        try:
+            while not whole():
+                data = connection.recv(65536)
+                if not data:
+                    return int(head.split()[1]), head, None  # Incomplete.
+                body += data
+        except ConnectionResetError:
+            return int(head.split()[1]), head, None
+        return int(head.split()[1]), head, body
+
+    def ask(self, attempt, path, method="GET", body=b"", key=KEY, extra=""):
+        return self.raw(self.caller, (
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
+            f"Api-Key: {key}\r\nDeadline-Ms: 5000\r\n{extra}"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
--- a/testsuite/story.py
+++ b/testsuite/story.py
@@ -54,10 +54,10 @@
     )
 
 
-def run_story(tell_story):
+def run_story(tell_story, make_deployment=Deployment):
     """Runs the story and compares it with the reference beside its script."""
     story = Story()
-    with Deployment() as deployment:
+    with make_deployment() as deployment:
         tell_story(deployment, story)
     reference = Path(sys.argv[0]).resolve().parent / "out.txt"
     expected = reference.read_text() if reference.exists() else ""
