--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -28,12 +28,14 @@
 /// level. Beside it each node fills a bucket of its own at its part of the
 /// rate; the parts add up to one: half of it equal, half by use. A request is
 /// admitted if the node's own bucket has room and the common one is not
-/// overdrawn, or, while all nodes are heard, if the common level is well above
+/// overdrawn, or, while most nodes are heard, if the common level is well above
 /// the request. What a node borrows that way its own
 /// bucket owes, until the common level says that others used less.
 ///
-/// A node that is silent is taken to use an equal part of the rate, and
-/// nothing is borrowed meanwhile, so the limit holds while a partition lasts.
+/// A node that is silent is taken to use an equal part of the rate, or as much
+/// as it did before if that is more. A node that does not hear most of the
+/// others borrows nothing and keeps its part, so the limit holds while a
+/// partition lasts.
 /// A node that has just started begins with a part of the burst only: its
 /// predecessor may have used the rest.
 ///
@@ -86,7 +88,7 @@
   std::map<std::string, Peer> peers_;
   std::optional<TimePoint> refilled_at_;
   std::optional<TimePoint> updated_at_;
-  bool all_heard_ = false;
+  bool hears_most_ = false;
   int nodes_ = 1;
 };
 
--- a/src/libpollenledge/connection/http_reader_test.cc
+++ b/src/libpollenledge/connection/http_reader_test.cc
@@ -50,10 +50,10 @@
                       "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"
                       "\r\n0\r\n\r\n"));
   // Several lengths, and lengths that are no plain number.
-  EXPECT_TRUE(Rejects(start +
-                      "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"));
-  EXPECT_TRUE(Rejects(start +
-                      "Content-Length: 1\r\nContent-Length: 1\r\n\r\na"));
+  EXPECT_TRUE(
+      Rejects(start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"));
+  EXPECT_TRUE(
+      Rejects(start + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na"));
   EXPECT_TRUE(Rejects(start + "Content-Length: +1\r\n\r\na"));
   EXPECT_TRUE(Rejects(start + "Content-Length: 1, 1\r\n\r\na"));
   // Encodings that one reader takes for chunks and another does not.
@@ -86,8 +86,7 @@
   EXPECT_FALSE(reader.keep_alive());
 
   HttpReader cut(HttpReader::Role::kAnswers, kHead, kBody);
-  ASSERT_TRUE(
-      Ok(cut.Append("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab")));
+  ASSERT_TRUE(Ok(cut.Append("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab")));
   EXPECT_FALSE(Ok(cut.End()));
 }
 
--- a/src/libpollenledge/process/duty_lease.cc
+++ b/src/libpollenledge/process/duty_lease.cc
@@ -91,26 +91,25 @@
   claim.writes.push_back({key_, identity_, 0, lease.id});
   claim.writes.push_back(
       {RecordKey(), identity_, as_first ? 0 : kAnyRevision, 0});
-  store_->Commit(claim,
-                 [this, lease, sent_at,
-                  as_first](const Result<KvTxnReply>& reply) {
-                   if (stopped_) {
-                     store_->EndLease(lease.id);
-                     return;
-                   }
-                   if (Ok(reply) && Value(reply).succeeded) {
-                     OnHeld(Value(reply).revision, lease, sent_at, as_first);
-                     return;
-                   }
-                   if (Ok(reply) && as_first) {
-                     Claim(lease, sent_at, false);
-                     return;
-                   }
-                   // An answer that was lost is not settled by reading back:
-                   // the lease that nobody renews ends by itself.
-                   store_->EndLease(lease.id);
-                   After(kRetry, [this] { Look(); });
-                 });
+  store_->Commit(
+      claim, [this, lease, sent_at, as_first](const Result<KvTxnReply>& reply) {
+        if (stopped_) {
+          store_->EndLease(lease.id);
+          return;
+        }
+        if (Ok(reply) && Value(reply).succeeded) {
+          OnHeld(Value(reply).revision, lease, sent_at, as_first);
+          return;
+        }
+        if (Ok(reply) && as_first) {
+          Claim(lease, sent_at, false);
+          return;
+        }
+        // An answer that was lost is not settled by reading back:
+        // the lease that nobody renews ends by itself.
+        store_->EndLease(lease.id);
+        After(kRetry, [this] { Look(); });
+      });
 }
 
 void DutyLease::Watch(std::int64_t from) {
--- a/src/libpollenledge/process/fleet_planner.cc
+++ b/src/libpollenledge/process/fleet_planner.cc
@@ -148,8 +148,8 @@
   const int at_risk = blocked ? largest_reclaimable : 0;
   // On-demand upstreams cost too much to be ordered for a scaled reference.
   const double reference = ReferenceTotal() / scale_;
-  const int needed = static_cast<int>(std::ceil(part * reference)) -
-                     (reclaimable - at_risk);
+  const int needed =
+      static_cast<int>(std::ceil(part * reference)) - (reclaimable - at_risk);
   int have = 0;
   for (const auto& [domain, count] : present) have += count;
   std::vector<std::string> domains = DomainsByPrice(bounds);
--- a/src/libpollenledge/process/fleet_planner_test.cc
+++ b/src/libpollenledge/process/fleet_planner_test.cc
@@ -50,8 +50,8 @@
   void Carry(const UpstreamOrder& order) {
     int present = 0;
     for (auto it = upstreams_.begin(); it != upstreams_.end();) {
-      const bool same = it->domain == order.domain &&
-                        it->reclaimable == order.reclaimable;
+      const bool same =
+          it->domain == order.domain && it->reclaimable == order.reclaimable;
       if (same && ++present > order.count) {
         it = upstreams_.erase(it);
       } else {
@@ -77,10 +77,9 @@
       for (const UpstreamOrder& order : orders) {
         const bool refused = order.reclaimable && dry_;
         if (!refused) Carry(order);
-        planner_.OnOrderEnded(order,
-                              refused ? OrderOutcome::kNoneThere
-                                      : OrderOutcome::kAccepted,
-                              At(at));
+        planner_.OnOrderEnded(
+            order, refused ? OrderOutcome::kNoneThere : OrderOutcome::kAccepted,
+            At(at));
       }
       least = std::min(least, static_cast<int>(upstreams_.size()));
     }
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -321,8 +321,8 @@
   // Tried again when its failures are old.
   bool tried = false;
   for (int i = 0; i < 50; ++i) {
-    tried = tried ||
-            upstreams.Choose(query, now_ + std::chrono::seconds(9)) == bad;
+    tried =
+        tried || upstreams.Choose(query, now_ + std::chrono::seconds(9)) == bad;
   }
   EXPECT_TRUE(tried);
 }
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -70,14 +70,15 @@
       updated_at_.has_value() ? ToSeconds(now - *updated_at_) : 0;
   updated_at_ = now;
   nodes_ = 1;
-  all_heard_ = true;
+  int silent = 0;
   for (const Member& member : others) {
     if (member.status != MemberStatus::kLeft) {
       ++nodes_;
-      all_heard_ = all_heard_ && member.silence <= kSilent;
+      if (member.silence > kSilent) ++silent;
     }
     TakeIn(member, elapsed_s);
   }
+  hears_most_ = silent * 2 < nodes_;
   for (auto& [name, bucket] : buckets_) {
     if (elapsed_s > 0) {
       const double rate = (bucket.used - bucket.used_at_update) / elapsed_s;
@@ -86,7 +87,7 @@
     bucket.used_at_update = bucket.used;
     SetPart(&bucket, std::max(nodes_, options_.least_nodes));
     // What others left unused settles what this node owes.
-    if (all_heard_) {
+    if (hears_most_) {
       bucket.own_level =
           std::max(bucket.own_level, bucket.common_level * bucket.own_part);
     }
@@ -111,13 +112,14 @@
       member.status != MemberStatus::kLeft && member.silence > kSilent;
   for (auto& [name, bucket] : buckets_) {
     double units = deltas.count(name) > 0 ? deltas.at(name) : 0;
+    double& rate = bucket.peer_rates[record.id.name];
     if (silent) {
-      units = bucket.limit.units_per_s * elapsed_s /
-              std::max(nodes_, options_.least_nodes);
+      const double equal =
+          bucket.limit.units_per_s / std::max(nodes_, options_.least_nodes);
+      units = std::max(equal, rate) * elapsed_s;
     }
     bucket.common_level -= units;
-    if (elapsed_s > 0) {
-      double& rate = bucket.peer_rates[record.id.name];
+    if (elapsed_s > 0 && !silent) {
       rate += RateGain(elapsed_s) * (units / elapsed_s - rate);
     }
   }
@@ -129,7 +131,7 @@
   const double equal = 1.0 / nodes;
   const double by_use = total <= 0 ? equal : bucket->own_rate / total;
   bucket->own_part =
-      all_heard_ ? kEqualPart * equal + (1 - kEqualPart) * by_use : equal;
+      hears_most_ ? kEqualPart * equal + (1 - kEqualPart) * by_use : equal;
 }
 
 std::optional<Duration> LimitBuckets::Take(const std::string& customer,
@@ -142,12 +144,12 @@
   // is owed.
   const double own_size = bucket.limit.burst * bucket.own_part;
   // What one node borrowed, the others' own buckets must not spend as well.
-  const bool overdrawn = all_heard_ && bucket.common_level < 0;
+  const bool overdrawn = hears_most_ && bucket.common_level < 0;
   const bool own_room =
       !overdrawn && bucket.own_level >= std::min(units, own_size);
   const bool may_borrow =
-      all_heard_ && bucket.common_level * kBorrowPart >=
-                        std::min(units, bucket.limit.burst * kBorrowPart);
+      hears_most_ && bucket.common_level * kBorrowPart >=
+                         std::min(units, bucket.limit.burst * kBorrowPart);
   if (!own_room && !may_borrow) {
     const double missing = std::min(units, own_size) - bucket.own_level;
     const double rate =
--- a/src/platform/platform_test.cc
+++ b/src/platform/platform_test.cc
@@ -85,8 +85,7 @@
   EXPECT_EQ(Value(spec).prompt_tokens, 1460);
   EXPECT_EQ(Value(spec).prompt_parts.at(1), (PromptPart{0x91bd3f06, 410}));
   EXPECT_EQ(Value(spec).last_event_id, 12);
-  EXPECT_FALSE(
-      Ok(codec.decode_request(Request({{"Deadline-Ms", "soon"}}))));
+  EXPECT_FALSE(Ok(codec.decode_request(Request({{"Deadline-Ms", "soon"}}))));
   EXPECT_FALSE(Ok(codec.decode_request(Request({{"Token-Usage", "1"}}))));
 }
 
