Fleet: provisional reference at the start, reclaimable runners asked for again everywhere once one is had

Cause: the reference was taken 7 s after the duties (runners register over 5 s), so the standing fleet stayed until 2.6 s into the traffic; and each zone waited 6 s on its own refusal.

--- a/src/include/pollenledge/process/fleet_keeper.h
+++ b/src/include/pollenledge/process/fleet_keeper.h
@@ -33,8 +33,8 @@
   struct Service {
     bool busy = false;  ///< The reference is being read or written.
     std::optional<FleetPlanner> planner;
-    DomainCounts seen;  ///< Upstreams before the reference was set.
-    TimePoint seen_at;
+    bool stored = false;  ///< The reference is in the store.
+    TimePoint seen_at;    ///< When the first upstreams were seen.
   };
 
   void Tick();
@@ -44,6 +44,8 @@
   void SetReference(const std::string& service, const KvEntry& entry);
   void Send(const UpstreamOrder& order);
   std::vector<ForwardUpstreamInfo> Upstreams() const;
+  /// The service's on-demand upstreams that are ready, by failure domain.
+  DomainCounts Standing(const std::string& service) const;
 
   AsyncStore* store_;
   AsyncCloud* cloud_;
--- a/src/include/pollenledge/process/fleet_planner.h
+++ b/src/include/pollenledge/process/fleet_planner.h
@@ -38,7 +38,7 @@
   /// Part of the reference that must be ready while answers are in time.
   static constexpr double kLeastPart = 0.75;
   /// Share of late answers at which the whole reference must be ready.
-  static constexpr double kLateShare = 0.1;
+  static constexpr double kLateShare = 0.2;
   /// One step of scaling the reference up or down, its greatest scale, and how
   /// long answers must have been in time before a step down.
   static constexpr double kScaleStep = 1.25;
@@ -47,7 +47,7 @@
   /// Upstreams are let go only after they were dispensable for this long.
   static constexpr Duration kLetGoDelay = std::chrono::milliseconds(1000);
   /// After a refusal the same order waits this long.
-  static constexpr Duration kBlockedTime = std::chrono::seconds(6);
+  static constexpr Duration kBlockedTime = std::chrono::seconds(4);
   /// An order whose upstreams have not come is sent again this long after
   /// their boot time.
   static constexpr Duration kOverdue = std::chrono::seconds(4);
@@ -55,6 +55,8 @@
   explicit FleetPlanner(DomainCounts reference)
       : reference_(std::move(reference)) {}
 
+  const DomainCounts& reference() const { return reference_; }
+
   /// The orders to send now. `upstreams` are those of all services;
   /// `late_share` is the part of recent answers that were late.
   std::vector<UpstreamOrder> Plan(
@@ -65,6 +67,10 @@
   void OnOrderEnded(const UpstreamOrder& order, OrderOutcome outcome,
                     TimePoint now);
 
+  /// Raises the reference to what stands now, while a system starts and its
+  /// upstreams register one after the other.
+  void RaiseReference(const DomainCounts& standing);
+
  private:
   /// One domain and market.
   using Place = std::pair<std::string, bool>;  ///< Domain, reclaimable.
@@ -86,6 +92,7 @@
                             bool reclaimable_offered, TimePoint now);
   int ReferenceTotal() const;
   int LargestDomain() const;
+  void UnblockReclaimable();
   int ReadyIn(const std::string& domain, bool reclaimable) const;
   std::vector<std::string> DomainsByPrice(const ScalingBounds& bounds) const;
   void AddOrders(const ForwardingService& service, const DomainCounts& wanted,
--- a/src/libpollenledge/process/fleet_keeper.cc
+++ b/src/libpollenledge/process/fleet_keeper.cc
@@ -11,10 +11,10 @@
 
 using Json = nlohmann::json;
 
-/// Upstreams register one after the other when a system starts; their number
-/// is taken as the reference once none has come for two of the platform's
-/// longest heartbeat periods.
-constexpr Duration kStableTime = std::chrono::milliseconds(2500);
+/// Upstreams register one after the other when a system starts. All that run
+/// have done so after some heartbeat periods, before the first could be let
+/// go: their replacements take longer to boot.
+constexpr Duration kStableTime = std::chrono::milliseconds(4000);
 
 OrderOutcome OutcomeOf(const Status& status) {
   if (Ok(status)) return OrderOutcome::kAccepted;
@@ -50,6 +50,17 @@
   });
 }
 
+DomainCounts FleetKeeper::Standing(const std::string& service) const {
+  DomainCounts counts;
+  for (const ForwardUpstreamInfo& upstream : Upstreams()) {
+    if (upstream.service == service && !upstream.leaving &&
+        !upstream.reclaimable) {
+      ++counts[upstream.domain];
+    }
+  }
+  return counts;
+}
+
 std::vector<ForwardUpstreamInfo> FleetKeeper::Upstreams() const {
   std::vector<ForwardUpstreamInfo> upstreams;
   for (const auto& [name, upstream] : node_->upstreams().all()) {
@@ -60,10 +71,9 @@
 
 void FleetKeeper::Plan(const ForwardingService& service) {
   Service& state = services_[service.name];
-  if (!state.planner.has_value()) {
-    if (!state.busy) ReadReference(service.name);
-    return;
-  }
+  if (!state.stored && !state.busy) ReadReference(service.name);
+  if (!state.planner.has_value()) return;
+  if (!state.stored) state.planner->RaiseReference(Standing(service.name));
   const double late_share = node_->LateShare(service.name);
   const std::vector<UpstreamOrder> orders =
       state.planner->Plan(service, Upstreams(), late_share, BootNow());
@@ -85,21 +95,19 @@
 }
 
 void FleetKeeper::WriteReference(const std::string& service) {
-  DomainCounts counts;
-  for (const ForwardUpstreamInfo& upstream : Upstreams()) {
-    if (upstream.service == service && !upstream.leaving) {
-      ++counts[upstream.domain];
-    }
-  }
+  const DomainCounts counts = Standing(service);
+  if (counts.empty()) return;
   Service& state = services_[service];
-  if (counts != state.seen) {
-    state.seen = counts;
+  // The plan begins with what has registered so far.
+  if (!state.planner.has_value()) {
+    state.planner.emplace(counts);
     state.seen_at = BootNow();
   }
-  if (counts.empty() || BootNow() - state.seen_at < kStableTime) return;
+  if (BootNow() - state.seen_at < kStableTime) return;
   state.busy = true;
   StoreTransaction transaction;
-  transaction.writes.push_back({prefix_ + service, Json(counts).dump(), 0, 0});
+  const std::string text = Json(state.planner->reference()).dump();
+  transaction.writes.push_back({prefix_ + service, text, 0, 0});
   store_->Commit(transaction, [this, service](const Result<KvTxnReply>&) {
     // Read back: another holder may have been first, and answers get lost.
     services_[service].busy = false;
@@ -109,8 +117,10 @@
 void FleetKeeper::SetReference(const std::string& service,
                                const KvEntry& entry) {
   try {
-    services_[service].planner.emplace(
-        Json::parse(entry.value).get<DomainCounts>());
+    const auto reference = Json::parse(entry.value).get<DomainCounts>();
+    Service& state = services_[service];
+    state.stored = true;
+    if (!state.planner.has_value()) state.planner.emplace(reference);
   } catch (const std::exception& problem) {
     Log(LogLevel::kError, "fleet_reference_malformed",
         {{"key", entry.key}, {"error", problem.what()}});
--- a/src/libpollenledge/process/fleet_planner.cc
+++ b/src/libpollenledge/process/fleet_planner.cc
@@ -200,6 +200,19 @@
   }
 }
 
+void FleetPlanner::RaiseReference(const DomainCounts& standing) {
+  for (const auto& [domain, count] : standing) {
+    reference_[domain] = std::max(reference_[domain], count);
+  }
+}
+
+void FleetPlanner::UnblockReclaimable() {
+  // Where one is to be had again, others mostly are, too.
+  for (auto& [place, state] : places_) {
+    if (place.second) state.blocked_until = TimePoint();
+  }
+}
+
 void FleetPlanner::OnOrderEnded(const UpstreamOrder& order,
                                 OrderOutcome outcome, TimePoint now) {
   PlaceState& state = places_[{order.domain, order.reclaimable}];
@@ -208,6 +221,7 @@
     case OrderOutcome::kAccepted:
       state.ordered = order.count;
       state.ordered_at = now;
+      if (order.reclaimable) UnblockReclaimable();
       return;
     case OrderOutcome::kNoneThere:
       state.blocked_until = now + kBlockedTime;
