--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The top of the build, over CMake. `make help` lists the targets.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-PACKAGES := cmake make g++ python3 clang-format clang-tidy \
+PACKAGES := cmake make g++ python3 git clang-format clang-tidy \
   libpoco-dev libcapnp-dev libboost-dev libboost-program-options-dev \
   liblog4cplus-dev libyaml-cpp-dev nlohmann-json3-dev libgtest-dev libgmock-dev \
   libxxhash-dev libssl-dev libbenchmark-dev
@@ -46,6 +46,7 @@
 
 check-format:
 	@clang-format --dry-run --Werror $(SOURCES)
+	@python3 tools/check_names.py
 
 # Precompiled headers are the compiler's own; the linter reads plain ones.
 lint:
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -8,6 +8,8 @@
 namespace pollenledge {
 namespace {
 
+/// Between two watches.
+constexpr Duration kWatchPause = std::chrono::milliseconds(120);
 /// After an error, so that a store that refuses is not pressed.
 constexpr Duration kWatchRetry = std::chrono::milliseconds(500);
 /// A read that failed is tried again sooner than the next one is due.
@@ -93,7 +95,12 @@
     }
   }
   watch_from_ = Value(changes).store_revision;
-  Watch();
+  // Changes come in flurries; one call then brings several.
+  watch_timer_.expires_after(kWatchPause);
+  watch_timer_.async_wait(
+      [this, number = watch_number_](const boost::system::error_code& error) {
+        if (!error && number == watch_number_) Watch();
+      });
 }
 
 std::shared_ptr<const ForwardingIndex> ConfigSync::Index(const KvEntry& entry) {
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -10,6 +10,8 @@
 namespace pollenledge {
 namespace {
 
+/// Between two watches.
+constexpr Duration kWatchPause = std::chrono::milliseconds(120);
 /// After an error, so that a store that refuses is not pressed.
 constexpr Duration kRetry = std::chrono::milliseconds(400);
 
@@ -149,7 +151,12 @@
   }
   watch_from_ = Value(changes).store_revision;
   Publish();
-  Watch();
+  // Changes come in flurries; one call then brings several.
+  watch_timer_.expires_after(kWatchPause);
+  watch_timer_.async_wait(
+      [this, number = watch_number_](const boost::system::error_code& error) {
+        if (!error && number == watch_number_) Watch();
+      });
 }
 
 void UpstreamSync::Publish() {
--- /dev/null
+++ b/tools/measure_node.py
@@ -0,0 +1,106 @@
+#!/usr/bin/env python3
+"""Processor time of one plain request and of one streamed event, and memory of
+one open stream: the forwarding node (event loop) and the entry (a thread for
+each connection), each as a real process before stand-ins."""
+
+import os
+import sys
+import threading
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "testsuite"), str(ROOT / "tools")]
+os.environ.setdefault("POLLENLEDGE_BUILD", str(ROOT / "build"))
+import platform_standins  # noqa: E402
+from platform_standins import HOST, KEY, Platform, Runner  # noqa: E402
+
+REQUESTS = 2000
+EVENTS = 4000
+STREAMS = 100
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def processor_s(pid):
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def resident_kb(pid):
+    for line in Path(f"/proc/{pid}/status").read_text().split("\n"):
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    return 0
+
+
+def long_stream(self, connection, attempt):
+    return self.stream(connection, attempt, 1, EVENTS, True)
+
+
+def open_stream(self, connection, attempt):
+    """Sends one event and holds the stream open until its caller leaves."""
+    self.stream(connection, attempt, 1, 1, False)
+    connection.recv(1)
+    return False
+
+
+def measure_node():
+    Runner.do_long = long_stream
+    Runner.do_hold = open_stream
+    with Platform() as platform:
+        pid = platform.process.pid
+        with platform.connect(platform.caller) as connection:
+            before = processor_s(pid)
+            for i in range(REQUESTS):
+                connection.sendall((f"GET /read/ok HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: m{i}\r\n"
+                                    f"Api-Key: {KEY}\r\n\r\n").encode())
+                platform.read_answer(connection)
+            plain = (processor_s(pid) - before) / REQUESTS
+        before = processor_s(pid)
+        platform.ask("long", "/chat/long")
+        event = (processor_s(pid) - before) / EVENTS
+        memory = resident_kb(pid)
+        held = []
+        for i in range(STREAMS):
+            connection = platform.connect(platform.caller)
+            connection.sendall((f"GET /chat/hold HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: h{i}\r\n"
+                                f"Api-Key: {KEY}\r\n\r\n").encode())
+            connection.recv(10)
+            held.append(connection)
+        stream = (resident_kb(pid) - memory) / STREAMS
+        print(f"node: plain request {plain * 1000:.3f} ms, event {event * 1e6:.1f} us, "
+              f"open stream {stream:.0f} KB, resident {memory / 1024:.1f} MB")
+
+
+def main():
+    platform_standins.RUNS.clear()
+    measure_node()
+    measure_threads()
+
+
+def measure_threads():
+    from story import CUSTOMER, MODEL, Deployment, deploy
+    with Deployment() as deployment:
+        deploy(deployment, nodes=1, engine={"between_tokens_ms": 1})
+        node = deployment.nodes[0]
+        pid = node.entry.popen.pid
+        before = processor_s(pid)
+        for i in range(REQUESTS // 4):
+            deployment.service(node, CUSTOMER, "stations/4", {"q": 1})
+        plain = (processor_s(pid) - before) / (REQUESTS // 4)
+        before = processor_s(pid)
+        deployment.chat(node, CUSTOMER, MODEL, "hello", max_tokens=EVENTS // 4, stream=True)
+        event = (processor_s(pid) - before) / (EVENTS // 4)
+        memory = resident_kb(pid)
+        threads = [threading.Thread(target=lambda: deployment.chat(
+            node, CUSTOMER, MODEL, "hello", max_tokens=3000, stream=True), daemon=True)
+            for _ in range(STREAMS // 5)]
+        for thread in threads:
+            thread.start()
+        threading.Event().wait(1.5)
+        stream = (resident_kb(pid) - memory) / len(threads)
+        print(f"entry: plain request {plain * 1000:.3f} ms, event {event * 1e6:.1f} us, "
+              f"open stream {stream:.0f} KB, resident {memory / 1024:.1f} MB")
+
+
+if __name__ == "__main__":
+    main()
