--- a/src/bench/reference_pages.cc
+++ b/src/bench/reference_pages.cc
@@ -1,18 +1,28 @@
 // Prints the reference pages of the settings and the tables.
 
-#include <cstring>
 #include <iostream>
+#include <string>
+#include <vector>
 
+#include "pollenledge/process/node_settings.h"
 #include "pollenledge/process/settings.h"
 #include "pollenledge/version/tables.h"
 
+namespace {
+
+std::vector<pollenledge::FieldDescription> FieldsOf(const std::string& page) {
+  if (page == "tables") return pollenledge::DescribeTableFields();
+  if (page == "node") return pollenledge::DescribeNodeSettings();
+  return pollenledge::DescribeSettings();
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  const bool tables = argc > 1 && std::strcmp(argv[1], "tables") == 0;
   std::cout << "| field | type | range | default | meaning |\n"
                "| --- | --- | --- | --- | --- |\n";
   for (const pollenledge::FieldDescription& field :
-       tables ? pollenledge::DescribeTableFields()
-              : pollenledge::DescribeSettings()) {
+       FieldsOf(argc > 1 ? argv[1] : "settings")) {
     std::cout << "| `" << field.path << "` | " << field.type << " | "
               << field.range << " | " << field.default_value << " | "
               << field.description << " |\n";
--- a/src/libpollenledge/process/log.cc
+++ b/src/libpollenledge/process/log.cc
@@ -76,7 +76,7 @@
   }
 
  private:
-  static constexpr std::size_t kMaxBuffered = 256 * 1024;
+  static constexpr std::size_t kMaxBuffered = std::size_t{256} * 1024;
   static constexpr std::size_t kWriteBytes = 4096;  // PIPE_BUF of Linux.
 
   static bool IsWritable() {
--- a/src/libpollenledge/process/usage_reporter.cc
+++ b/src/libpollenledge/process/usage_reporter.cc
@@ -13,6 +13,8 @@
 using Json = nlohmann::json;
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(400);
+/// Windows whose sum stays in the store after its report, for a new holder.
+constexpr UsageWindow kSumsKept = 16;
 /// Removals that one transaction takes beside the sum.
 constexpr std::size_t kMaxRemovals = 24;
 
@@ -185,7 +187,7 @@
   transaction.writes.push_back({SumKey(window), Encode(sum), 0, 0});
   if (parts.size() > kMaxRemovals) parts.resize(kMaxRemovals);
   transaction.removals = std::move(parts);
-  transaction.removals.push_back(SumKey(window - 4 * kWindowsBack));
+  transaction.removals.push_back(SumKey(window - kSumsKept));
   store_->Commit(transaction, [this, window, sum = std::move(sum)](
                                   const Result<KvTxnReply>& reply) {
     Window& committed = windows_[window];
--- a/src/libpollenledge/version/tables_test.cc
+++ b/src/libpollenledge/version/tables_test.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "pollenledge/process/node_settings.h"
 #include "pollenledge/process/settings.h"
 
 namespace pollenledge {
@@ -168,6 +169,26 @@
   ExpectPageHolds("settings.md", DescribeSettings());
 }
 
+TEST(SettingsTest, TheReferencePageNamesEveryFieldOfANode) {
+  ExpectPageHolds("settings.md", DescribeNodeSettings());
+}
+
+TEST(SettingsTest, ANodesSettingsNameWhatIsWrong) {
+  const NodeSettingsResult result = ParseNodeSettings(
+      "node: n\ncaller_address: nowhere\nretry_ratio: -1\nnod: x\n", "n.yaml");
+  ASSERT_TRUE(std::holds_alternative<std::vector<FieldProblem>>(result));
+  const std::string text =
+      ToString(std::get<std::vector<FieldProblem>>(result));
+  for (const char* expected :
+       {"n.yaml:2: field \"caller_address\": found \"nowhere\"",
+        "n.yaml:3: field \"retry_ratio\"",
+        "n.yaml:4: field \"nod\": found an unknown field",
+        "field \"domain\": found nothing"}) {
+    EXPECT_NE(text.find(expected), std::string::npos) << expected << "\n"
+                                                      << text;
+  }
+}
+
 TEST(TablesTest, TheReferencePageNamesEveryField) {
   ExpectPageHolds("tables.md", DescribeTableFields());
 }
--- a/src/platform/platform_store.cc
+++ b/src/platform/platform_store.cc
@@ -270,7 +270,7 @@
                                Callback<StoreLease> callback) {
   Call("grant_lease",
        MakePost("/-/kv-lease", {{"ttl_ms", time_to_live.count() / 1000}}),
-       [callback = std::move(callback)](Result<HttpAnswer> answer) {
+       [callback = std::move(callback)](const Result<HttpAnswer>& answer) {
          callback(ToLease(answer, 0));
        });
 }
@@ -278,7 +278,8 @@
 void PlatformStore::KeepLease(std::int64_t lease,
                               Callback<StoreLease> callback) {
   Call("keep_lease", MakePost("/-/kv-keep/" + std::to_string(lease), nullptr),
-       [lease, callback = std::move(callback)](Result<HttpAnswer> answer) {
+       [lease,
+        callback = std::move(callback)](const Result<HttpAnswer>& answer) {
          callback(ToLease(answer, lease));
        });
 }
--- a/tools/measure_node.py
+++ b/tools/measure_node.py
@@ -15,14 +15,16 @@
 from platform_standins import HOST, KEY, Platform, Runner  # noqa: E402
 
 REQUESTS = 2000
-EVENTS = 4000
+EVENTS = 20000
 STREAMS = 100
-TICKS = os.sysconf("SC_CLK_TCK")
+ROUNDS = 5
+TOKENS = 200
 
 
 def processor_s(pid):
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
+    """Processor time of all threads that still run, in seconds."""
+    tasks = Path(f"/proc/{pid}/task").iterdir()
+    return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks) / 1e9
 
 
 def resident_kb(pid):
@@ -80,7 +82,7 @@
 def measure_threads():
     from story import CUSTOMER, MODEL, Deployment, deploy
     with Deployment() as deployment:
-        deploy(deployment, nodes=1, engine={"between_tokens_ms": 1})
+        deploy(deployment, nodes=1, engine={"between_tokens_ms": 5})
         node = deployment.nodes[0]
         pid = node.entry.popen.pid
         before = processor_s(pid)
@@ -88,15 +90,16 @@
             deployment.service(node, CUSTOMER, "stations/4", {"q": 1})
         plain = (processor_s(pid) - before) / (REQUESTS // 4)
         before = processor_s(pid)
-        deployment.chat(node, CUSTOMER, MODEL, "hello", max_tokens=EVENTS // 4, stream=True)
-        event = (processor_s(pid) - before) / (EVENTS // 4)
+        for _ in range(ROUNDS):
+            deployment.chat(node, CUSTOMER, MODEL, "hello", max_tokens=TOKENS, stream=True)
+        event = (processor_s(pid) - before) / (ROUNDS * TOKENS)
         memory = resident_kb(pid)
         threads = [threading.Thread(target=lambda: deployment.chat(
-            node, CUSTOMER, MODEL, "hello", max_tokens=3000, stream=True), daemon=True)
-            for _ in range(STREAMS // 5)]
+            node, CUSTOMER, MODEL, "hello", max_tokens=TOKENS, stream=True), daemon=True)
+            for _ in range(STREAMS)]
         for thread in threads:
             thread.start()
-        threading.Event().wait(1.5)
+        threading.Event().wait(0.7)
         stream = (resident_kb(pid) - memory) / len(threads)
         print(f"entry: plain request {plain * 1000:.3f} ms, event {event * 1e6:.1f} us, "
               f"open stream {stream:.0f} KB, resident {memory / 1024:.1f} MB")
