--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -24,6 +24,7 @@
   std::string caller_address;     ///< Where callers connect.
   std::string readiness_address;  ///< Where the balancer asks.
   std::string admin_address;      ///< Where metrics are served.
+  std::string metrics_address;    ///< Where else; empty: nowhere.
   std::string peer_address;       ///< Where other nodes send heartbeats.
   Duration grace{0};  ///< Time from the stop signal until the process is gone.
   ForwardOptions node;
@@ -71,6 +72,7 @@
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  const HttpHead& head, const std::string& body);
   void OnCallerLeft(const std::shared_ptr<CallerConnection>& caller);
+  CallerHandlers AdminHandlers();
   void OnAdminRequest(const std::shared_ptr<CallerConnection>& caller);
   void OnReadinessRequest(const std::shared_ptr<CallerConnection>& caller);
 
@@ -115,6 +117,7 @@
   HeartbeatLink heartbeats_;
   CallerServer readiness_server_;
   CallerServer admin_server_;
+  std::optional<CallerServer> metrics_server_;
   CallerServer caller_server_;
 };
 
--- a/src/include/pollenledge/process/node_settings.h
+++ b/src/include/pollenledge/process/node_settings.h
@@ -17,6 +17,7 @@
   std::string caller_address;
   std::string readiness_address;
   std::string admin_address;
+  std::string metrics_address;  ///< Empty: with the admin address only.
   std::string peer_address;
   std::vector<std::string> peers;  ///< Peer addresses to begin with.
   std::string store_address;
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -95,10 +95,7 @@
              OnReadinessRequest(caller);
            },
            [](const auto&) {}, [] { return CallerLimits(); }}),
-      admin_server_(loop, options_.admin_address,
-                    {[this](const auto& caller, const HttpHead&,
-                            const std::string&) { OnAdminRequest(caller); },
-                     [](const auto&) {}, [] { return CallerLimits(); }}),
+      admin_server_(loop, options_.admin_address, AdminHandlers()),
       caller_server_(
           loop, options_.caller_address,
           {[this](const auto& caller, const HttpHead& head,
@@ -108,9 +105,19 @@
              return node_.index() == nullptr ? CallerLimits()
                                              : node_.index()->tables().limits;
            }}) {
+  if (!options_.metrics_address.empty()) {
+    metrics_server_.emplace(loop, options_.metrics_address, AdminHandlers());
+  }
   ArmTimer();
 }
 
+CallerHandlers ForwardService::AdminHandlers() {
+  return {[this](const auto& caller, const HttpHead&, const std::string&) {
+            OnAdminRequest(caller);
+          },
+          [](const auto&) {}, [] { return CallerLimits(); }};
+}
+
 Instant ForwardService::Now() const {
   const TimePoint now = BootNow();
   return {now, calendar_.At(now)};
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -35,6 +35,7 @@
   options.caller_address = settings.caller_address;
   options.readiness_address = settings.readiness_address;
   options.admin_address = settings.admin_address;
+  options.metrics_address = settings.metrics_address;
   options.peer_address = settings.peer_address;
   options.grace = settings.grace;
   options.node.self.id = {settings.node, incarnation};
