--- a/src/libpollenledge/process/node_settings.cc
+++ b/src/libpollenledge/process/node_settings.cc
@@ -50,9 +50,9 @@
                                        "takes callers.");
   settings.admin_address =
       Address(&reader, "admin_address", "Where metrics are served.");
-  settings.metrics_address = reader.Text(
-      "metrics_address", "",
-      "Where metrics are served besides; empty: nowhere else.");
+  settings.metrics_address =
+      reader.Text("metrics_address", "",
+                  "Where metrics are served besides; empty: nowhere else.");
   settings.peer_address = Address(&reader, "peer_address",
                                   "Where other nodes send heartbeats, by UDP.");
   settings.peers = PeerAddresses(&reader, settings.peer_address);
--- a/testsuite/platform/run.py
+++ b/testsuite/platform/run.py
@@ -77,8 +77,7 @@
 
 def tell_changes(platform, story):
     connection = platform.connect(platform.caller)
-    connection.sendall((f"GET /read/wait HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: d1\r\n"
-                        f"Api-Key: {KEY}\r\n\r\n").encode())
+    connection.sendall(platform.request("d1", "/read/wait"))
     platform.until(lambda: runs("d1") == 1)
     connection.close()
     platform.until(lambda: any(r.left.is_set() for r in platform.runners))
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -377,6 +377,12 @@
             return int(head.split()[1]), head, None
         return int(head.split()[1]), head, body
 
+    @staticmethod
+    def request(attempt, path):
+        """The bytes of a plain request."""
+        return (f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
+                f"Api-Key: {KEY}\r\n\r\n").encode()
+
     def ask(self, attempt, path, method="GET", body=b"", key=KEY, extra=""):
         return self.raw(self.caller, (
             f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
--- a/tools/measure_node.py
+++ b/tools/measure_node.py
@@ -12,7 +12,7 @@
 sys.path[:0] = [str(ROOT / "testsuite"), str(ROOT / "tools")]
 os.environ.setdefault("POLLENLEDGE_BUILD", str(ROOT / "build"))
 import platform_standins  # noqa: E402
-from platform_standins import HOST, KEY, Platform, Runner  # noqa: E402
+from platform_standins import Platform, Runner  # noqa: E402
 
 REQUESTS = 2000
 EVENTS = 20000
@@ -53,8 +53,7 @@
         with platform.connect(platform.caller) as connection:
             before = processor_s(pid)
             for i in range(REQUESTS):
-                connection.sendall((f"GET /read/ok HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: m{i}\r\n"
-                                    f"Api-Key: {KEY}\r\n\r\n").encode())
+                connection.sendall(platform.request(f"m{i}", "/read/ok"))
                 platform.read_answer(connection)
             plain = (processor_s(pid) - before) / REQUESTS
         before = processor_s(pid)
@@ -64,8 +63,7 @@
         held = []
         for i in range(STREAMS):
             connection = platform.connect(platform.caller)
-            connection.sendall((f"GET /chat/hold HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: h{i}\r\n"
-                                f"Api-Key: {KEY}\r\n\r\n").encode())
+            connection.sendall(platform.request(f"h{i}", "/chat/hold"))
             connection.recv(10)
             held.append(connection)
         stream = (resident_kb(pid) - memory) / STREAMS
