--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -44,6 +44,9 @@
 /// Not thread-safe: the caller serializes all calls.
 class ForwardNode {
  public:
+  /// When a caller may come back if nothing better is known.
+  static constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
+
   explicit ForwardNode(ForwardOptions options);
 
   std::vector<ForwardAction> Handle(const ForwardEvent& event,
--- a/src/include/pollenledge/time.h
+++ b/src/include/pollenledge/time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace pollenledge {
 
@@ -31,6 +32,11 @@
   return static_cast<double>(duration.count()) / 1e6;
 }
 
+/// `duration` in whole milliseconds, as it stands in logs.
+inline std::string MillisecondsText(Duration duration) {
+  return std::to_string(duration.count() / 1000);
+}
+
 /// A duration of `milliseconds`, rounded towards zero to a microsecond.
 inline Duration FromMilliseconds(double milliseconds) {
   return Duration(static_cast<std::int64_t>(milliseconds * 1000.0));
--- a/src/include/pollenledge/version/field_reader.h
+++ b/src/include/pollenledge/version/field_reader.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace pollenledge {
@@ -45,6 +46,30 @@
   std::vector<FieldDescription> fields;
 };
 
+/// Parses a YAML document by `parse(node, log)` and returns its result, or
+/// every problem that was found.
+template <typename T, typename Parse>
+std::variant<T, std::vector<FieldProblem>> ParseDocument(
+    const std::string& text, const std::string& file, Parse parse) {
+  FieldLog log{file, {}, {}};
+  YAML::Node node;
+  try {
+    node = YAML::Load(text);
+  } catch (const YAML::Exception& error) {
+    return std::vector<FieldProblem>{
+        {file, error.mark.line + 1, "(document)", error.msg, "a YAML mapping"}};
+  }
+  T parsed = parse(node, &log);
+  if (!log.problems.empty()) return log.problems;
+  return parsed;
+}
+
+/// The problem of a file that cannot be read.
+inline std::vector<FieldProblem> UnreadableFile(const std::string& path,
+                                                const std::string& message) {
+  return {{path, 0, "(document)", message, "a file that can be read"}};
+}
+
 /// Reads the fields of one YAML mapping into typed values.
 ///
 /// Each reading function takes the field's name, its default or bounds, and a
--- /dev/null
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -0,0 +1,345 @@
+#include <algorithm>
+#include <utility>
+
+#include "pollenledge/process/forward_node.h"
+
+// How `ForwardNode` sends requests to upstreams, tries again and gives up.
+
+namespace pollenledge {
+namespace {
+
+/// A queued request waits at most this part of its latency target for a slot.
+constexpr double kQueueTargetPart = 0.8;
+/// Parts of the service that standard and background work keep in a flood of
+/// more urgent work.
+constexpr double kStandardFloor = 0.15;
+constexpr double kBackgroundFloor = 0.15;
+
+/// A first event counts as late past this part of its latency target, so that
+/// more upstreams are ordered before targets are missed.
+constexpr double kLatePart = 0.7;
+/// Weight of the newest stream in the share of late ones.
+constexpr double kLateGain = 0.05;
+
+Rank RankOfPriority(int priority) {
+  if (priority <= 0) return Rank::kUrgent;
+  return priority == 1 ? Rank::kStandard : Rank::kBackground;
+}
+
+Tables QueuePolicy() {
+  Tables tables;
+  tables.ranks[static_cast<std::size_t>(Rank::kStandard)].floor_share =
+      kStandardFloor;
+  tables.ranks[static_cast<std::size_t>(Rank::kBackground)].floor_share =
+      kBackgroundFloor;
+  return tables;
+}
+
+RequestId QueueId(ForwardId id) { return {NodeId(), id}; }
+
+/// The part of the prompt before the request's own, which many share.
+std::optional<std::uint64_t> AffinityOf(const ForwardSpec& spec) {
+  const std::size_t parts = spec.prompt_parts.size();
+  if (parts == 0) return std::nullopt;
+  return spec.prompt_parts[parts < 2 ? 0 : parts - 2].id;
+}
+
+}  // namespace
+
+// Dispatch.
+
+void ForwardNode::Dispatch(Request* request) {
+  ForwardUpstream* upstream = ChooseUpstream(*request);
+  if (upstream == nullptr) {
+    Enqueue(request);
+  } else {
+    Send(request, upstream);
+  }
+}
+
+ForwardUpstream* ForwardNode::ChooseUpstream(const Request& request) {
+  UpstreamQuery query{request.service, options_.self.domain, std::nullopt,
+                      request.tried};
+  if (request.route->prefix_affinity) query.affinity = AffinityOf(request.spec);
+  return upstreams_.Choose(query, now());
+}
+
+void ForwardNode::Send(Request* request, ForwardUpstream* upstream) {
+  if (request->attempts == 0) retry_budget_.OnFirstAttempt(request->service);
+  ++request->attempts;
+  request->upstream = upstream->info.id.name;
+  request->tried.push_back(request->upstream);
+  request->sent_at = now();
+  request->last_event_at = now();
+  request->first_event_seen = false;
+  upstreams_.OnSent(upstream, request->spec.prompt_tokens);
+  LogRequest(
+      LogLevel::kInfo, "sent", *request,
+      {{"upstream", request->upstream},
+       {"load", std::to_string(upstream->EstimatedLoad(now()))},
+       {"report_age_ms", upstream->report.has_value()
+                             ? MillisecondsText(now() - upstream->reported_at)
+                             : "none"}});
+  Emit(forward_action::SendAttempt{
+      .id = request->id,
+      .upstream = upstream->info.id,
+      .address = upstream->info.address,
+      .customer = request->customer == nullptr ? "" : request->customer->name,
+      .priority = request->priority,
+      .deadline = request->deadline,
+      .kind = request->route->kind,
+      .reuse_connection = request->route->MayRepeat(),
+      .last_event_id = request->last_event_id});
+  ScheduleCheck(request);
+}
+
+void ForwardNode::Enqueue(Request* request) {
+  const auto [it, is_new] = queues_.try_emplace(request->service);
+  if (is_new) it->second.Configure(QueuePolicy());
+  const Duration wait = std::min<Duration>(
+      FromSeconds(kQueueTargetPart * ToSeconds(request->route->target)),
+      request->deadline - now());
+  QueuedRequest queued;
+  queued.id = QueueId(request->id);
+  queued.customer = request->customer == nullptr ? "" : request->customer->name;
+  queued.rank = RankOfPriority(request->priority);
+  queued.cost = static_cast<double>(request->spec.prompt_tokens + 1);
+  queued.enqueued_at = now();
+  queued.latest_start = request->arrived_at + wait;
+  if (upstreams_.UsableCount(request->service) == 0 ||
+      queued.latest_start <= now()) {
+    GiveUp(request, ForwardEnd::kNotSent, "no-upstream");
+    return;
+  }
+  // What would wait too long is told so at once.
+  if (it->second.EstimateWait(queued.customer, queued.rank, queued.cost, 0) >
+      wait) {
+    GiveUp(request, ForwardEnd::kNotSent, "queue-too-long");
+    return;
+  }
+  request->queued = true;
+  LogRequest(LogLevel::kInfo, "queued", *request,
+             {{"ahead", std::to_string(it->second.size())}});
+  it->second.Push(queued);
+}
+
+void ForwardNode::Pump(const std::string& service) {
+  const auto found = queues_.find(service);
+  if (found == queues_.end()) return;
+  FairQueue& queue = found->second;
+  for (const QueuedRequest& expired : queue.RemoveExpired(now())) {
+    Request* request = FindRequest(expired.id.sequence);
+    if (request == nullptr) continue;
+    request->queued = false;
+    GiveUp(request, ForwardEnd::kNotSent, "no-room");
+  }
+  while (const std::optional<QueuedRequest> next = queue.Peek(now())) {
+    Request* request = FindRequest(next->id.sequence);
+    if (request == nullptr) {
+      queue.Remove(next->id);
+      continue;
+    }
+    ForwardUpstream* upstream = ChooseUpstream(*request);
+    if (upstream == nullptr) return;
+    queue.Pop(now());
+    request->queued = false;
+    if (request->customer != nullptr && !KeyIsFresh()) {
+      GiveUp(request, ForwardEnd::kNotSent, "stale-configuration");
+      continue;
+    }
+    Send(request, upstream);
+  }
+}
+
+void ForwardNode::PumpAll() {
+  for (const auto& [service, queue] : queues_) Pump(service);
+}
+
+// Progress and end of an attempt.
+
+void ForwardNode::On(const forward_event::FirstEvent& first) {
+  Request* request = FindRequest(first.id);
+  if (request == nullptr || request->first_event_seen) return;
+  request->first_event_seen = true;
+  request->answer_begun = true;
+  request->may_have_run = true;
+  request->last_event_at = now();
+  CountUsage(request, now_.wall);
+  const bool late = ToSeconds(now() - request->arrived_at) >
+                    kLatePart * ToSeconds(request->route->target);
+  double& share = late_share_[request->service];
+  share += kLateGain * ((late ? 1.0 : 0.0) - share);
+  if (ForwardUpstream* upstream = upstreams_.Find(request->upstream)) {
+    upstreams_.OnFirstEvent(upstream, request->spec.prompt_tokens);
+    upstreams_.OnAnswerBegun(
+        upstream, now() - request->sent_at <= request->route->target, now());
+  }
+}
+
+void ForwardNode::On(const forward_event::EventsPassed& passed) {
+  Request* request = FindRequest(passed.id);
+  if (request == nullptr) return;
+  request->last_event_at = now();
+  request->last_event_id = passed.last_event_id;
+}
+
+void ForwardNode::On(const forward_event::AttemptEnded& ended) {
+  Request* request = FindRequest(ended.id);
+  if (request == nullptr || request->upstream.empty()) return;
+  const std::string upstream = request->upstream;
+  if (ended.load.has_value()) {
+    if (ForwardUpstream* known = upstreams_.Find(upstream)) {
+      upstreams_.OnReport(known, *ended.load, now());
+    }
+  }
+  const bool ran =
+      ended.end == ForwardEnd::kCompleted || ended.end == ForwardEnd::kFailed;
+  if (ran && request->route->kind != RouteKind::kStreaming) {
+    CountUsage(request, now_.wall - (now() - request->sent_at));
+    if (ForwardUpstream* known = upstreams_.Find(upstream)) {
+      upstreams_.OnAnswerBegun(
+          known, now() - request->sent_at <= request->route->target, now());
+    }
+  }
+  SettleAttempt(request, ended.end);
+  LogRequest(LogLevel::kInfo, "attempt_ended", *request,
+             {{"upstream", upstream},
+              {"end", ToString(ended.end)},
+              {"status", std::to_string(ended.status)},
+              {"took_ms", MillisecondsText(now() - request->sent_at)}});
+  const std::string service = request->service;
+  if (ended.end == ForwardEnd::kCompleted) {
+    Finish(request);
+  } else if (!TryAgain(request, ended.end)) {
+    // A failure that the upstream answered with is the caller's to see.
+    if (ended.end == ForwardEnd::kFailed && !request->answer_begun) {
+      Finish(request);
+    } else {
+      GiveUp(request, ended.end, ToString(ended.end));
+    }
+  }
+  Pump(service);
+}
+
+void ForwardNode::SettleAttempt(Request* request, ForwardEnd end) {
+  ForwardUpstream* upstream = upstreams_.Find(request->upstream);
+  if (upstream != nullptr) {
+    if (!request->first_event_seen) {
+      upstreams_.OnFirstEvent(upstream, request->spec.prompt_tokens);
+    }
+    upstreams_.OnEnded(upstream, end, now());
+  }
+  request->upstream.clear();
+  if (end != ForwardEnd::kNotSent && end != ForwardEnd::kRefused) {
+    request->may_have_run = true;
+    ++request->runs;
+  }
+}
+
+bool ForwardNode::MayTryAgain(const Request& request) const {
+  const ForwardingRoute& route = *request.route;
+  if (request.may_have_run && !route.MayRepeat()) return false;
+  if (request.runs >= route.max_attempts) return false;
+  // Upstreams that did not run the request may be passed by, within reason.
+  if (request.attempts > route.max_attempts) return false;
+  return now() < request.deadline;
+}
+
+bool ForwardNode::TryAgain(Request* request, ForwardEnd end) {
+  if (!MayTryAgain(*request)) return false;
+  if (request->customer != nullptr && !KeyIsFresh()) return false;
+  ForwardUpstream* upstream = ChooseUpstream(*request);
+  if (upstream == nullptr) return false;
+  // What reached no upstream costs the upstreams nothing.
+  if (end != ForwardEnd::kNotSent && !retry_budget_.TryTake(request->service)) {
+    return false;
+  }
+  Send(request, upstream);
+  return true;
+}
+
+void ForwardNode::GiveUp(Request* request, ForwardEnd end,
+                         const std::string& reason) {
+  const bool not_run = !request->may_have_run &&
+                       (end == ForwardEnd::kNotSent ||
+                        end == ForwardEnd::kRefused || request->attempts == 0);
+  if (not_run && !request->answer_begun) {
+    Refuse(request, NotRun{503, reason, "no upstream could take the request",
+                           kDefaultRetryAfter});
+    return;
+  }
+  Fail(request, 502, reason);
+}
+
+void ForwardNode::CountUsage(Request* request, WallTime began) {
+  if (request->usage_counted || request->customer == nullptr) return;
+  request->usage_counted = true;
+  usage_.Count(request->customer->name, began);
+}
+
+// The end of a request.
+
+void ForwardNode::Refuse(Request* request, NotRun not_run) {
+  if (not_run.http_status == 429 || not_run.http_status == 503) {
+    not_run.retry_after = SpreadRetryAfter(not_run.retry_after, *request);
+  }
+  LogRequest(LogLevel::kInfo, "refused", *request,
+             {{"status", std::to_string(not_run.http_status)},
+              {"reason", not_run.type},
+              {"retry_after_ms", MillisecondsText(not_run.retry_after)},
+              {"attempts", std::to_string(request->attempts)},
+              {"tables_version",
+               request->index == nullptr
+                   ? "none"
+                   : std::to_string(request->index->tables().version)},
+              {"tables_age_ms", tables_proven_at_.has_value()
+                                    ? MillisecondsText(now() - *tables_proven_at_)
+                                    : "never"}});
+  if (request->limit_units > 0) {
+    limits_.Return(request->customer->name, request->limit_units);
+  }
+  Emit(forward_action::Refuse{request->id, std::move(not_run)});
+  Forget(request);
+}
+
+void ForwardNode::Fail(Request* request, int status,
+                       const std::string& reason) {
+  LogRequest(LogLevel::kWarn, "failed", *request,
+             {{"status", std::to_string(status)},
+              {"reason", reason},
+              {"attempts", std::to_string(request->attempts)},
+              {"answer_begun", request->answer_begun ? "yes" : "no"}});
+  Emit(forward_action::Fail{request->id, status, reason});
+  Forget(request);
+}
+
+void ForwardNode::Finish(Request* request) {
+  LogRequest(LogLevel::kInfo, "answered", *request,
+             {{"attempts", std::to_string(request->attempts)},
+              {"took_ms", MillisecondsText(now() - request->arrived_at)}});
+  Emit(forward_action::Deliver{request->id});
+  Forget(request);
+}
+
+void ForwardNode::Forget(Request* request) {
+  if (request->queued) {
+    queues_.at(request->service).Remove(QueueId(request->id));
+  }
+  requests_.erase(request->id);
+}
+
+void ForwardNode::On(const forward_event::CallerLeft& left) {
+  Request* request = FindRequest(left.id);
+  if (request == nullptr) return;
+  const std::string service = request->service;
+  if (!request->upstream.empty()) {
+    Emit(forward_action::CancelAttempt{request->id});
+    SettleAttempt(request, ForwardEnd::kMoved);
+  }
+  LogRequest(LogLevel::kInfo, "caller_left", *request,
+             {{"took_ms", MillisecondsText(now() - request->arrived_at)}});
+  Forget(request);
+  Pump(service);
+}
+
+}  // namespace pollenledge
--- a/src/libpollenledge/process/node_settings.cc
+++ b/src/libpollenledge/process/node_settings.cc
@@ -95,26 +95,12 @@
 
 NodeSettingsResult ParseNodeSettings(const std::string& text,
                                      const std::string& file) {
-  FieldLog log{file, {}, {}};
-  YAML::Node node;
-  try {
-    node = YAML::Load(text);
-  } catch (const YAML::Exception& error) {
-    return std::vector<FieldProblem>{
-        {file, error.mark.line + 1, "(document)", error.msg, "a YAML mapping"}};
-  }
-  NodeSettings settings = Parse(node, &log);
-  if (!log.problems.empty()) return log.problems;
-  return settings;
+  return ParseDocument<NodeSettings>(text, file, Parse);
 }
 
 NodeSettingsResult LoadNodeSettings(const std::string& path) {
   const Result<std::string> text = ReadFile(path);
-  if (!Ok(text)) {
-    return std::vector<FieldProblem>{{path, 0, "(document)",
-                                      ErrorOf(text).message,
-                                      "a file that can be read"}};
-  }
+  if (!Ok(text)) return UnreadableFile(path, ErrorOf(text).message);
   return ParseNodeSettings(Value(text), path);
 }
 
--- a/src/libpollenledge/process/settings.cc
+++ b/src/libpollenledge/process/settings.cc
@@ -134,26 +134,15 @@
 }  // namespace
 
 SettingsResult ParseSettings(const std::string& text, const std::string& file) {
-  FieldLog log{file, {}, {}};
-  YAML::Node node;
-  try {
-    node = YAML::Load(text);
-  } catch (const YAML::Exception& error) {
-    return std::vector<FieldProblem>{
-        {file, error.mark.line + 1, "(document)", error.msg, "a YAML mapping"}};
-  }
-  Settings settings = Parse(node, false, &log);
-  if (!log.problems.empty()) return log.problems;
-  return settings;
+  return ParseDocument<Settings>(text, file,
+                                 [](const YAML::Node& node, FieldLog* log) {
+                                   return Parse(node, false, log);
+                                 });
 }
 
 SettingsResult LoadSettings(const std::string& path) {
   const Result<std::string> text = ReadFile(path);
-  if (!Ok(text)) {
-    return std::vector<FieldProblem>{{path, 0, "(document)",
-                                      ErrorOf(text).message,
-                                      "a file that can be read"}};
-  }
+  if (!Ok(text)) return UnreadableFile(path, ErrorOf(text).message);
   return ParseSettings(Value(text), path);
 }
 
