--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -283,18 +283,19 @@
   if (not_run.http_status == 429 || not_run.http_status == 503) {
     not_run.retry_after = SpreadRetryAfter(not_run.retry_after, *request);
   }
-  LogRequest(LogLevel::kInfo, "refused", *request,
-             {{"status", std::to_string(not_run.http_status)},
-              {"reason", not_run.type},
-              {"retry_after_ms", MillisecondsText(not_run.retry_after)},
-              {"attempts", std::to_string(request->attempts)},
-              {"tables_version",
-               request->index == nullptr
-                   ? "none"
-                   : std::to_string(request->index->tables().version)},
-              {"tables_age_ms", tables_proven_at_.has_value()
-                                    ? MillisecondsText(now() - *tables_proven_at_)
-                                    : "never"}});
+  LogRequest(
+      LogLevel::kInfo, "refused", *request,
+      {{"status", std::to_string(not_run.http_status)},
+       {"reason", not_run.type},
+       {"retry_after_ms", MillisecondsText(not_run.retry_after)},
+       {"attempts", std::to_string(request->attempts)},
+       {"tables_version",
+        request->index == nullptr
+            ? "none"
+            : std::to_string(request->index->tables().version)},
+       {"tables_age_ms", tables_proven_at_.has_value()
+                             ? MillisecondsText(now() - *tables_proven_at_)
+                             : "never"}});
   if (request->limit_units > 0) {
     limits_.Return(request->customer->name, request->limit_units);
   }
