Forwarding node: code that nothing used is removed

Utilization and NextRetryAt of ForwardUpstreams, the count of waiting prompt tokens (kept up on each request and read by nothing), the event LoadReported (loads come with AttemptEnded) and the planner's count of leaving upstreams.

--- a/src/include/pollenledge/process/fleet_planner.h
+++ b/src/include/pollenledge/process/fleet_planner.h
@@ -76,7 +76,6 @@
   using Place = std::pair<std::string, bool>;  ///< Domain, reclaimable.
   struct PlaceState {
     int ready = 0;
-    int leaving = 0;
     std::optional<int> ordered;  ///< Last accepted order.
     TimePoint ordered_at;
     bool in_flight = false;
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -41,11 +41,6 @@
   int status = 0;  ///< Of the upstream's answer; 0 without one.
   std::optional<ReportedLoad> load;
 };
-/// An upstream reported its load beside an answer.
-struct LoadReported {
-  UpstreamId upstream;
-  ReportedLoad load;
-};
 /// The operators' tables were read from the store, linearizably.
 struct TablesRead {
   std::shared_ptr<const ForwardingIndex> tables;
@@ -72,9 +67,8 @@
 using ForwardEvent =
     std::variant<forward_event::Arrived, forward_event::CallerLeft,
                  forward_event::FirstEvent, forward_event::EventsPassed,
-                 forward_event::AttemptEnded, forward_event::LoadReported,
-                 forward_event::TablesRead, forward_event::TablesHeard,
-                 forward_event::UpstreamsListed,
+                 forward_event::AttemptEnded, forward_event::TablesRead,
+                 forward_event::TablesHeard, forward_event::UpstreamsListed,
                  forward_event::HeartbeatReceived, forward_event::DrainStarted,
                  forward_event::Ticked>;
 
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -103,7 +103,6 @@
   void On(const forward_event::FirstEvent& first);
   void On(const forward_event::EventsPassed& passed);
   void On(const forward_event::AttemptEnded& ended);
-  void On(const forward_event::LoadReported& reported);
   void On(const forward_event::TablesRead& read);
   void On(const forward_event::TablesHeard& heard);
   void On(const forward_event::UpstreamsListed& listed);
--- a/src/include/pollenledge/process/forward_upstreams.h
+++ b/src/include/pollenledge/process/forward_upstreams.h
@@ -15,9 +15,8 @@
 /// One upstream with everything that this node knows of it.
 struct ForwardUpstream {
   ForwardUpstreamInfo info;
-  bool listed = true;                      ///< The platform's list names it.
-  int in_flight = 0;                       ///< Requests of this node on it.
-  std::int64_t waiting_prompt_tokens = 0;  ///< Sent, no event received yet.
+  bool listed = true;  ///< The platform's list names it.
+  int in_flight = 0;   ///< Requests of this node on it.
   std::optional<ReportedLoad> report;
   TimePoint reported_at;
   int sent_since_report = 0;
@@ -74,8 +73,7 @@
   ForwardUpstream* Choose(const UpstreamQuery& query, TimePoint now);
   ForwardUpstream* Find(const std::string& name);
 
-  void OnSent(ForwardUpstream* upstream, std::int64_t prompt_tokens);
-  void OnFirstEvent(ForwardUpstream* upstream, std::int64_t prompt_tokens);
+  void OnSent(ForwardUpstream* upstream);
   /// An answer began, in time for its latency target or late.
   void OnAnswerBegun(ForwardUpstream* upstream, bool in_time, TimePoint now);
   void OnEnded(ForwardUpstream* upstream, ForwardEnd end, TimePoint now);
@@ -86,12 +84,6 @@
 
   /// Upstreams of `service` that may be given work.
   int UsableCount(const std::string& service) const;
-  /// Requests of this node and what others are known to run, against the slots
-  /// of the service's usable upstreams.
-  double Utilization(const std::string& service, TimePoint now) const;
-  /// When the first upstream that is avoided now may be used again.
-  std::optional<TimePoint> NextRetryAt(const std::string& service,
-                                       TimePoint now) const;
 
   const std::map<std::string, ForwardUpstream>& all() const {
     return upstreams_;
--- a/src/libpollenledge/process/fleet_planner.cc
+++ b/src/libpollenledge/process/fleet_planner.cc
@@ -11,7 +11,6 @@
     const std::vector<ForwardUpstreamInfo>& upstreams) {
   for (auto& [place, state] : places_) {
     state.ready = 0;
-    state.leaving = 0;
   }
   for (const auto& [domain, price] : service.scaling->domain_prices) {
     places_[{domain, true}];
@@ -20,7 +19,7 @@
   for (const ForwardUpstreamInfo& upstream : upstreams) {
     if (upstream.service != service.name) continue;
     PlaceState& state = places_[{upstream.domain, upstream.reclaimable}];
-    ++(upstream.leaving ? state.leaving : state.ready);
+    if (!upstream.leaving) ++state.ready;
   }
 }
 
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -72,7 +72,7 @@
   request->sent_at = now();
   request->last_event_at = now();
   request->first_event_seen = false;
-  upstreams_.OnSent(upstream, request->spec.prompt_tokens);
+  upstreams_.OnSent(upstream);
   LogRequest(
       LogLevel::kInfo, "sent", *request,
       {{"upstream", request->upstream},
@@ -170,7 +170,6 @@
   double& share = late_share_[request->service];
   share += kLateGain * ((late ? 1.0 : 0.0) - share);
   if (ForwardUpstream* upstream = upstreams_.Find(request->upstream)) {
-    upstreams_.OnFirstEvent(upstream, request->spec.prompt_tokens);
     upstreams_.OnAnswerBegun(
         upstream, now() - request->sent_at <= request->route->target, now());
   }
@@ -224,9 +223,6 @@
 void ForwardNode::SettleAttempt(Request* request, ForwardEnd end) {
   ForwardUpstream* upstream = upstreams_.Find(request->upstream);
   if (upstream != nullptr) {
-    if (!request->first_event_seen) {
-      upstreams_.OnFirstEvent(upstream, request->spec.prompt_tokens);
-    }
     upstreams_.OnEnded(upstream, end, now());
   }
   request->upstream.clear();
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -161,11 +161,6 @@
 
 // What the node learns.
 
-void ForwardNode::On(const forward_event::LoadReported& reported) {
-  ForwardUpstream* upstream = upstreams_.Find(reported.upstream.name);
-  if (upstream != nullptr) upstreams_.OnReport(upstream, reported.load, now());
-}
-
 void ForwardNode::On(const forward_event::TablesRead& read) {
   AdoptTables(read.tables, "read");
   // An older answer proves no less than it did; it only came late.
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -294,9 +294,9 @@
   upstreams.SetList(list);
   const UpstreamQuery query{"s", "a", 42, {}};
   ForwardUpstream* first = upstreams.Choose(query, now_);
-  upstreams.OnSent(first, 100);
+  upstreams.OnSent(first);
   EXPECT_EQ(upstreams.Choose(query, now_), first);
-  for (int i = 0; i < 10; ++i) upstreams.OnSent(first, 100);
+  for (int i = 0; i < 10; ++i) upstreams.OnSent(first);
   EXPECT_NE(upstreams.Choose(query, now_), first);
 }
 
@@ -313,7 +313,7 @@
   upstreams.SetList(list);
   ForwardUpstream* bad = upstreams.Find("e1");
   for (int i = 0; i < 5; ++i) {
-    upstreams.OnSent(bad, 0);
+    upstreams.OnSent(bad);
     upstreams.OnEnded(bad, ForwardEnd::kFailed, now_);
   }
   const UpstreamQuery query{"s", "a", std::nullopt, {}};
--- a/src/libpollenledge/process/forward_upstreams.cc
+++ b/src/libpollenledge/process/forward_upstreams.cc
@@ -192,16 +192,9 @@
   return found == upstreams_.end() ? nullptr : &found->second;
 }
 
-void ForwardUpstreams::OnSent(ForwardUpstream* upstream,
-                              std::int64_t prompt_tokens) {
+void ForwardUpstreams::OnSent(ForwardUpstream* upstream) {
   ++upstream->in_flight;
   ++upstream->sent_since_report;
-  upstream->waiting_prompt_tokens += prompt_tokens;
-}
-
-void ForwardUpstreams::OnFirstEvent(ForwardUpstream* upstream,
-                                    std::int64_t prompt_tokens) {
-  upstream->waiting_prompt_tokens -= prompt_tokens;
 }
 
 void ForwardUpstreams::OnAnswerBegun(ForwardUpstream* upstream, bool in_time,
@@ -275,29 +268,4 @@
       }));
 }
 
-double ForwardUpstreams::Utilization(const std::string& service,
-                                     TimePoint now) const {
-  double load = 0;
-  double slots = 0;
-  for (const auto& [name, upstream] : upstreams_) {
-    if (upstream.info.service != service || !MayBeGivenWork(upstream)) continue;
-    load += upstream.EstimatedLoad(now);
-    slots += upstream.info.slots;
-  }
-  return slots == 0 ? 0 : load / slots;
-}
-
-std::optional<TimePoint> ForwardUpstreams::NextRetryAt(
-    const std::string& service, TimePoint now) const {
-  std::optional<TimePoint> next;
-  for (const auto& [name, upstream] : upstreams_) {
-    if (upstream.info.service != service || !MayBeGivenWork(upstream)) continue;
-    if (upstream.avoid_until <= now) continue;
-    if (!next.has_value() || upstream.avoid_until < *next) {
-      next = upstream.avoid_until;
-    }
-  }
-  return next;
-}
-
 }  // namespace pollenledge
