StoreWatch: one watch loop for configuration and upstreams

Cause: ConfigSync and UpstreamSync each held the same long-poll loop; its late retry timer could start a second watch beside a new one. Ruled out: a base class for both syncs; they share nothing but the watch. Change: StoreWatch, told the outcome of each read by its owner; a failed watch is logged and waits for the next read.

--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -8,6 +8,7 @@
 
 #include "pollenledge/connection/async_store.h"
 #include "pollenledge/process/forward_events.h"
+#include "pollenledge/process/store_watch.h"
 
 namespace pollenledge {
 
@@ -18,8 +19,6 @@
 /// nothing. Not thread-safe.
 class ConfigSync {
  public:
-  static constexpr Duration kWatchWait = std::chrono::seconds(20);
-
   using Decode = std::function<Result<ForwardingTables>(const std::string&)>;
   using Submit = std::function<void(ForwardEvent)>;
 
@@ -31,10 +30,7 @@
  private:
   void Read();
   void OnRead(TimePoint started, const Result<StoreItem>& item);
-  void Watch();
-  void OnWatched(const Result<StoreChanges>& changes);
-  /// Leaves the present watch to itself; the next read begins another.
-  void DropWatch();
+  void OnChanges(const StoreChanges& changes);
   /// Decodes the entry unless it is the one that was decoded last. Null if it
   /// cannot be decoded.
   std::shared_ptr<const ForwardingIndex> Index(const KvEntry& entry);
@@ -45,12 +41,9 @@
   Decode decode_;
   Submit submit_;
   boost::asio::steady_timer read_timer_;
-  boost::asio::steady_timer watch_timer_;
+  StoreWatch watch_;
   std::int64_t decoded_revision_ = 0;
   std::shared_ptr<const ForwardingIndex> decoded_;
-  std::int64_t watch_from_ = 0;
-  bool watching_ = false;
-  std::uint64_t watch_number_ = 0;  ///< Answers to earlier watches are ignored.
   bool store_lost_ = false;
 };
 
--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -9,6 +9,7 @@
 
 #include "pollenledge/connection/async_store.h"
 #include "pollenledge/process/forward_events.h"
+#include "pollenledge/process/store_watch.h"
 
 namespace pollenledge {
 
@@ -58,8 +59,6 @@
 /// by a linearizable listing each period. Not thread-safe.
 class UpstreamSync {
  public:
-  static constexpr Duration kWatchWait = std::chrono::seconds(20);
-
   using Submit = std::function<void(ForwardEvent)>;
 
   UpstreamSync(boost::asio::io_context& loop, AsyncStore* store,
@@ -70,10 +69,9 @@
 
  private:
   void List();
-  void Watch();
-  /// Leaves the present watch to itself; the next listing begins another.
-  void DropWatch();
-  void OnWatched(const Result<StoreChanges>& changes);
+  void OnListed(const Result<StoreListing>& listing);
+  void OnChanges(const StoreChanges& changes);
+  void OnWatchError(const Error& error);
   void Publish();
 
   AsyncStore* store_;
@@ -82,12 +80,9 @@
   UpstreamDirectory directory_;
   Submit submit_;
   boost::asio::steady_timer list_timer_;
-  boost::asio::steady_timer watch_timer_;
   boost::asio::steady_timer due_timer_;
+  StoreWatch watch_;
   std::vector<ForwardUpstreamInfo> published_;
-  std::int64_t watch_from_ = 0;
-  bool watching_ = false;
-  std::uint64_t watch_number_ = 0;  ///< Answers to earlier watches are ignored.
 };
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -8,10 +8,6 @@
 namespace pollenledge {
 namespace {
 
-/// Between two watches.
-constexpr Duration kWatchPause = std::chrono::milliseconds(120);
-/// After an error, so that a store that refuses is not pressed.
-constexpr Duration kWatchRetry = std::chrono::milliseconds(500);
 /// A read that failed is tried again sooner than the next one is due.
 constexpr Duration kReadRetry = std::chrono::milliseconds(300);
 
@@ -26,7 +22,11 @@
       decode_(std::move(decode)),
       submit_(std::move(submit)),
       read_timer_(loop),
-      watch_timer_(loop) {}
+      // A failed watch costs nothing but delay: the reads go on.
+      watch_(
+          loop, store, key_,
+          [this](const StoreChanges& changes) { OnChanges(changes); },
+          [](const Error&) {}) {}
 
 void ConfigSync::Start() { Read(); }
 
@@ -43,7 +43,7 @@
 
 void ConfigSync::OnRead(TimePoint started, const Result<StoreItem>& item) {
   if (!Ok(item)) {
-    DropWatch();
+    watch_.OnReadFailed();
     if (!std::exchange(store_lost_, true)) {
       Log(LogLevel::kWarn, "dependency_lost",
           {{"dependency", "store"}, {"error", ErrorOf(item).message}});
@@ -58,49 +58,16 @@
   if (const auto index = Index(*found.entry)) {
     submit_(forward_event::TablesRead{index, started});
   }
-  if (!watching_) {
-    watch_from_ = found.entry->mod_revision;
-    Watch();
-  }
-}
-
-void ConfigSync::Watch() {
-  watching_ = true;
-  const std::uint64_t number = ++watch_number_;
-  store_->Watch(key_, watch_from_, kWatchWait,
-                [this, number](const Result<StoreChanges>& changes) {
-                  if (number == watch_number_) OnWatched(changes);
-                });
-}
-
-void ConfigSync::DropWatch() {
-  // Its connection may have gone silent with whatever made the read fail.
-  ++watch_number_;
-  watching_ = false;
+  watch_.OnReadSucceeded(found.entry->mod_revision);
 }
 
-void ConfigSync::OnWatched(const Result<StoreChanges>& changes) {
-  if (!Ok(changes)) {
-    // The next read says where to watch from.
-    watch_timer_.expires_after(kWatchRetry);
-    watch_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) watching_ = false;
-    });
-    return;
-  }
-  for (const StoreChange& change : Value(changes).changes) {
+void ConfigSync::OnChanges(const StoreChanges& changes) {
+  for (const StoreChange& change : changes.changes) {
     if (change.removed || change.entry.key != key_) continue;
     if (const auto index = Index(change.entry)) {
       submit_(forward_event::TablesHeard{index});
     }
   }
-  watch_from_ = Value(changes).store_revision;
-  // Changes come in flurries; one call then brings several.
-  watch_timer_.expires_after(kWatchPause);
-  watch_timer_.async_wait(
-      [this, number = watch_number_](const boost::system::error_code& error) {
-        if (!error && number == watch_number_) Watch();
-      });
 }
 
 std::shared_ptr<const ForwardingIndex> ConfigSync::Index(const KvEntry& entry) {
--- /dev/null
+++ b/src/libpollenledge/process/store_watch.cc
@@ -0,0 +1,57 @@
+#include "pollenledge/process/store_watch.h"
+
+#include <utility>
+
+#include "pollenledge/process/log.h"
+
+namespace pollenledge {
+
+StoreWatch::StoreWatch(boost::asio::io_context& loop, AsyncStore* store,
+                       std::string prefix, OnChanges on_changes,
+                       OnError on_error)
+    : store_(store),
+      prefix_(std::move(prefix)),
+      on_changes_(std::move(on_changes)),
+      on_error_(std::move(on_error)),
+      pause_(loop) {}
+
+void StoreWatch::OnReadSucceeded(std::int64_t revision) {
+  if (running_) return;
+  running_ = true;
+  from_revision_ = revision;
+  Poll();
+}
+
+void StoreWatch::OnReadFailed() {
+  ++number_;
+  running_ = false;
+  pause_.cancel();
+}
+
+void StoreWatch::Poll() {
+  const std::uint64_t number = ++number_;
+  store_->Watch(prefix_, from_revision_, kWait,
+                [this, number](const Result<StoreChanges>& changes) {
+                  if (number == number_) OnPolled(changes);
+                });
+}
+
+void StoreWatch::OnPolled(const Result<StoreChanges>& changes) {
+  if (!Ok(changes)) {
+    // The next read says where to go on from.
+    running_ = false;
+    Log(LogLevel::kInfo, "store_watch_failed",
+        {{"prefix", prefix_}, {"error", ErrorOf(changes).message}});
+    on_error_(ErrorOf(changes));
+    return;
+  }
+  from_revision_ = Value(changes).store_revision;
+  on_changes_(Value(changes));
+  pause_.expires_after(kPause);
+  pause_.async_wait(
+      [this, number = number_](const boost::system::error_code& error) {
+        if (!error && number == number_) Poll();
+      });
+}
+
+}  // namespace pollenledge
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -10,9 +10,7 @@
 namespace pollenledge {
 namespace {
 
-/// Between two watches.
-constexpr Duration kWatchPause = std::chrono::milliseconds(120);
-/// After an error, so that a store that refuses is not pressed.
+/// After a listing that failed, so that a store that refuses is not pressed.
 constexpr Duration kRetry = std::chrono::milliseconds(400);
 
 }  // namespace
@@ -93,25 +91,17 @@
       directory_(std::move(decode)),
       submit_(std::move(submit)),
       list_timer_(loop),
-      watch_timer_(loop),
-      due_timer_(loop) {}
+      due_timer_(loop),
+      watch_(
+          loop, store, prefix_,
+          [this](const StoreChanges& changes) { OnChanges(changes); },
+          [this](const Error& error) { OnWatchError(error); }) {}
 
 void UpstreamSync::Start() { List(); }
 
 void UpstreamSync::List() {
-  store_->List(prefix_, [this](Result<StoreListing> listing) {
-    const TimePoint now = BootNow();
-    if (Ok(listing)) {
-      directory_.OnListed(Value(listing), now);
-      Publish();
-      if (!watching_) {
-        watch_from_ = Value(listing).store_revision;
-        Watch();
-      }
-    } else {
-      directory_.OnStoreTrouble();
-      DropWatch();
-    }
+  store_->List(prefix_, [this](const Result<StoreListing>& listing) {
+    OnListed(listing);
     list_timer_.expires_after(Ok(listing) ? list_period_ : kRetry);
     list_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) List();
@@ -119,44 +109,27 @@
   });
 }
 
-void UpstreamSync::Watch() {
-  watching_ = true;
-  const std::uint64_t number = ++watch_number_;
-  store_->Watch(prefix_, watch_from_, kWatchWait,
-                [this, number](const Result<StoreChanges>& changes) {
-                  if (number == watch_number_) OnWatched(changes);
-                });
-}
-
-void UpstreamSync::DropWatch() {
-  // Its connection may have gone silent with whatever made the listing fail.
-  ++watch_number_;
-  watching_ = false;
-}
-
-void UpstreamSync::OnWatched(const Result<StoreChanges>& changes) {
-  if (!Ok(changes)) {
-    // History that was dropped is no trouble; the next listing makes it good.
-    if (ErrorOf(changes).code != ErrorCode::kNotFound) {
-      directory_.OnStoreTrouble();
-    }
-    watch_timer_.expires_after(kRetry);
-    watch_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) watching_ = false;
-    });
+void UpstreamSync::OnListed(const Result<StoreListing>& listing) {
+  if (!Ok(listing)) {
+    directory_.OnStoreTrouble();
+    watch_.OnReadFailed();
     return;
   }
-  for (const StoreChange& change : Value(changes).changes) {
+  directory_.OnListed(Value(listing), BootNow());
+  Publish();
+  watch_.OnReadSucceeded(Value(listing).store_revision);
+}
+
+void UpstreamSync::OnChanges(const StoreChanges& changes) {
+  for (const StoreChange& change : changes.changes) {
     directory_.OnChanged(change);
   }
-  watch_from_ = Value(changes).store_revision;
   Publish();
-  // Changes come in flurries; one call then brings several.
-  watch_timer_.expires_after(kWatchPause);
-  watch_timer_.async_wait(
-      [this, number = watch_number_](const boost::system::error_code& error) {
-        if (!error && number == watch_number_) Watch();
-      });
+}
+
+void UpstreamSync::OnWatchError(const Error& error) {
+  // History that was dropped is no trouble; the next listing makes it good.
+  if (error.code != ErrorCode::kNotFound) directory_.OnStoreTrouble();
 }
 
 void UpstreamSync::Publish() {
