Fleet: the least ready part follows late answers; upstreams that boot count

Change: part 0.55 while answers are in time, growing to 1 at a late share of 0.2, falling by 0.05 a second; what may still be booting counts against ordering more, not for letting go. PlanOnDemand split.

--- a/src/include/pollenledge/process/fleet_planner.h
+++ b/src/include/pollenledge/process/fleet_planner.h
@@ -29,16 +29,22 @@
 /// size that the service needs. It is replaced by reclaimable upstreams, in
 /// the same failure domains, and as many more as the largest of these has, so
 /// that the loss of one leaves enough; on-demand ones leave as those are ready,
-/// and come back when reclaimable ones are not to be had and too few are left,
-/// or answers are late. While answers stay late the reference is
-/// scaled up step by step, and down again when they have long been in time.
-/// Deterministic. Not thread-safe.
+/// and come back when reclaimable ones are not to be had and too few are left.
+/// How few are too few follows from the share of late answers. Those that are
+/// booting count against ordering more, but not for letting others go. While
+/// answers stay late the reference is scaled up step by step, and down again
+/// when they have long been in time. Deterministic. Not thread-safe.
 class FleetPlanner {
  public:
-  /// Part of the reference that must be ready while answers are in time.
-  static constexpr double kLeastPart = 0.75;
-  /// Share of late answers at which the whole reference must be ready.
+  /// Part of the reference that must be ready while answers are in time: about
+  /// what the load of a calm hour is of the load that a fleet is built for.
+  static constexpr double kCalmPart = 0.55;
+  /// Share of late answers at which the whole reference must be ready; between
+  /// none and this the part grows in proportion.
   static constexpr double kLateShare = 0.2;
+  /// How fast that part may fall again: a fleet that shrinks between two waves
+  /// of load has to boot again for the second.
+  static constexpr double kPartFallPerSecond = 0.05;
   /// One step of scaling the reference up or down, its greatest scale, and how
   /// long answers must have been in time before a step down.
   static constexpr double kScaleStep = 1.25;
@@ -80,6 +86,14 @@
     TimePoint ordered_at;
     bool in_flight = false;
     TimePoint blocked_until;
+
+    /// Ready, or ordered so lately that they may still be booting.
+    int Expected(Duration boot, TimePoint now) const;
+  };
+  /// Within these bounds the number of on-demand upstreams stays as it is.
+  struct OnDemandBounds {
+    int least = 0;
+    int most = 0;
   };
 
   void SetScale(const ScalingBounds& bounds, double late_share, TimePoint now);
@@ -87,8 +101,18 @@
   void CountReady(const ForwardingService& service,
                   const std::vector<ForwardUpstreamInfo>& upstreams);
   DomainCounts PlanReclaimable(const ScalingBounds& bounds, TimePoint now);
-  DomainCounts PlanOnDemand(const ScalingBounds& bounds, double late_share,
-                            bool reclaimable_offered, TimePoint now);
+  DomainCounts PlanOnDemand(const ScalingBounds& bounds, double part,
+                            TimePoint now);
+  OnDemandBounds BoundOnDemand(const ScalingBounds& bounds, double part,
+                               TimePoint now) const;
+  /// On-demand upstreams by domain, those that are booting included.
+  DomainCounts OnDemand() const;
+  void AddCheapest(const ScalingBounds& bounds, int missing,
+                   DomainCounts* wanted) const;
+  void RemoveDearest(const ScalingBounds& bounds, int surplus,
+                     DomainCounts* wanted) const;
+  /// Part of the reference that must be ready now.
+  double LeastPart(double late_share, TimePoint now);
   int ReferenceTotal() const;
   int LargestDomain() const;
   void UnblockReclaimable();
@@ -101,6 +125,8 @@
   DomainCounts reference_;
   double scale_ = 1;
   TimePoint scaled_at_;
+  double part_ = 0;
+  TimePoint part_at_;
   std::map<Place, PlaceState> places_;
   std::optional<TimePoint> dispensable_since_;
 };
--- a/src/libpollenledge/process/fleet_planner.cc
+++ b/src/libpollenledge/process/fleet_planner.cc
@@ -81,8 +81,8 @@
   if (reclaimable_offered) {
     AddOrders(service, PlanReclaimable(bounds, now), true, now, &orders);
   }
-  AddOrders(service, PlanOnDemand(bounds, late_share, reclaimable_offered, now),
-            false, now, &orders);
+  const double part = reclaimable_offered ? LeastPart(late_share, now) : 1.0;
+  AddOrders(service, PlanOnDemand(bounds, part, now), false, now, &orders);
   return orders;
 }
 
@@ -121,65 +121,96 @@
   return largest;
 }
 
-DomainCounts FleetPlanner::PlanOnDemand(const ScalingBounds& bounds,
-                                        double late_share,
-                                        bool reclaimable_offered,
-                                        TimePoint now) {
-  int reclaimable = 0;
-  int largest_reclaimable = 0;
+double FleetPlanner::LeastPart(double late_share, TimePoint now) {
+  const double asked =
+      kCalmPart + (1 - kCalmPart) * std::min(1.0, late_share / kLateShare);
+  const double fallen = part_ - kPartFallPerSecond * ToSeconds(now - part_at_);
+  part_ = std::max(asked, fallen);
+  part_at_ = now;
+  return part_;
+}
+
+int FleetPlanner::PlaceState::Expected(Duration boot, TimePoint now) const {
+  // The platform's list shows them some time after they have booted.
+  constexpr Duration kListDelay = std::chrono::seconds(1);
+  const bool may_boot =
+      ordered.has_value() && now - ordered_at <= boot + kListDelay;
+  return may_boot ? std::max(ready, *ordered) : ready;
+}
+
+FleetPlanner::OnDemandBounds FleetPlanner::BoundOnDemand(
+    const ScalingBounds& bounds, double part, TimePoint now) const {
+  int ready = 0;
+  int expected = 0;
+  int largest = 0;
   bool blocked = false;
-  DomainCounts present;
   for (const auto& [place, state] : places_) {
-    if (place.second) {
-      reclaimable += state.ready;
-      largest_reclaimable = std::max(largest_reclaimable, state.ready);
-      blocked = blocked || now < state.blocked_until;
-    } else {
-      present[place.first] =
-          state.ordered.has_value() ? *state.ordered : state.ready;
-    }
+    const bool reclaimable = place.second;
+    if (!reclaimable) continue;
+    ready += state.ready;
+    expected += state.Expected(bounds.boot, now);
+    largest = std::max(largest, state.ready);
+    blocked = blocked || now < state.blocked_until;
   }
-  const bool late = late_share > kLateShare;
-  const double part = late || !reclaimable_offered ? 1.0 : kLeastPart;
   // What cannot be replaced must not be all that there is: while reclaimable
   // upstreams are not to be had, the next domain to be reclaimed is counted
   // as gone.
-  const int at_risk = blocked ? largest_reclaimable : 0;
+  const int at_risk = blocked ? largest : 0;
   // On-demand upstreams cost too much to be ordered for a scaled reference.
   const double reference = ReferenceTotal() / scale_;
-  const int needed =
-      static_cast<int>(std::ceil(part * reference)) - (reclaimable - at_risk);
-  int have = 0;
-  for (const auto& [domain, count] : present) have += count;
-  std::vector<std::string> domains = DomainsByPrice(bounds);
-  DomainCounts wanted = present;
-  if (needed > have) {
-    int missing = needed - have;
-    for (const std::string& domain : domains) {
-      const int room = bounds.max - wanted[domain] - ReadyIn(domain, true);
-      const int more = std::clamp(room, 0, missing);
-      wanted[domain] += more;
-      missing -= more;
-    }
-    dispensable_since_.reset();
-    return wanted;
+  const int needed = static_cast<int>(std::ceil(part * reference)) + at_risk;
+  return {needed - expected, needed - ready};
+}
+
+DomainCounts FleetPlanner::OnDemand() const {
+  DomainCounts present;
+  for (const auto& [place, state] : places_) {
+    if (!place.second)
+      present[place.first] = state.ordered.value_or(state.ready);
   }
-  if (needed >= have) {
+  return present;
+}
+
+DomainCounts FleetPlanner::PlanOnDemand(const ScalingBounds& bounds,
+                                        double part, TimePoint now) {
+  const OnDemandBounds range = BoundOnDemand(bounds, part, now);
+  DomainCounts wanted = OnDemand();
+  int have = 0;
+  for (const auto& [domain, count] : wanted) have += count;
+  if (have <= range.most) {
     dispensable_since_.reset();
+    AddCheapest(bounds, range.least - have, &wanted);
     return wanted;
   }
   if (!dispensable_since_.has_value()) dispensable_since_ = now;
   if (now - *dispensable_since_ < kLetGoDelay) return wanted;
-  int surplus = have - std::max(0, needed);
+  RemoveDearest(bounds, have - std::max(0, range.most), &wanted);
+  return wanted;
+}
+
+void FleetPlanner::AddCheapest(const ScalingBounds& bounds, int missing,
+                               DomainCounts* wanted) const {
+  for (const std::string& domain : DomainsByPrice(bounds)) {
+    int& count = (*wanted)[domain];
+    const int room = bounds.max - count - ReadyIn(domain, true);
+    const int more = std::clamp(missing, 0, std::max(0, room));
+    count += more;
+    missing -= more;
+  }
+}
+
+void FleetPlanner::RemoveDearest(const ScalingBounds& bounds, int surplus,
+                                 DomainCounts* wanted) const {
+  std::vector<std::string> domains = DomainsByPrice(bounds);
   std::reverse(domains.begin(), domains.end());
   for (const std::string& domain : domains) {
+    int& count = (*wanted)[domain];
     // The fewest that a failure domain must have.
     const int least = std::max(0, bounds.min - ReadyIn(domain, true));
-    const int less = std::clamp(wanted[domain] - least, 0, surplus);
-    wanted[domain] -= less;
+    const int less = std::clamp(count - least, 0, surplus);
+    count -= less;
     surplus -= less;
   }
-  return wanted;
 }
 
 void FleetPlanner::AddOrders(const ForwardingService& service,
