Routing: the upstream with the least to read before the first token

Change: each upstream's prompts of this node that had no event yet are counted in tokens; among the upstreams within the load bound the one with the least to read is chosen, where the preferred one saves the shared part.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -88,6 +88,7 @@
     int runs = 0;                    ///< Attempts that may have run.
     std::vector<std::string> tried;  ///< Names of upstreams.
     std::string upstream;            ///< Of the present attempt; empty: none.
+    std::int64_t unread_tokens = 0;  ///< Of the present attempt's prompt.
     TimePoint sent_at;
     TimePoint last_event_at;
     bool first_event_seen = false;  ///< By the present attempt.
@@ -126,6 +127,7 @@
   void PumpAll();
 
   // The end of an attempt.
+  void NotePromptRead(Request* request);
   void SettleAttempt(Request* request, ForwardEnd end);
   bool MayTryAgain(const Request& request) const;
   /// Sends the request once more; false if that is not allowed or no upstream
--- a/src/include/pollenledge/process/forward_upstreams.h
+++ b/src/include/pollenledge/process/forward_upstreams.h
@@ -20,6 +20,8 @@
   std::optional<ReportedLoad> report;
   TimePoint reported_at;
   int sent_since_report = 0;
+  /// Prompt tokens of this node's requests on it that have had no event yet.
+  std::int64_t unread_tokens = 0;
   TimePoint avoid_until;  ///< No work before this.
   double limit = 0;       ///< Requests of this node that it may have at once.
   TimePoint limit_cut_at;
@@ -38,19 +40,26 @@
 struct UpstreamQuery {
   std::string service;
   std::string own_domain;
-  /// Requests with the same value share a long part of their prompt.
+  /// Requests with the same value share a part of their prompt.
   std::optional<std::uint64_t> affinity;
+  std::int64_t shared_tokens = 0;    ///< In that part.
+  std::int64_t own_tokens = 0;       ///< In the rest of the prompt.
   std::vector<std::string> exclude;  ///< Names of upstreams.
 };
 
 /// The upstreams of all services, and which of them gets a request.
 ///
-/// Requests that share a long part of their prompt go to the same upstream,
-/// by rendezvous hashing, unless its load is above a bound relative to the
-/// mean: consistent hashing with bounded loads (Mirrokni, Thorup and
-/// Zadimoghaddam, SODA 2018). All nodes come to the same choice without
-/// talking. Other requests go to the least loaded of their failure domain, and
-/// elsewhere only when it is loaded.
+/// Requests that share a part of their prompt prefer the same upstream, by
+/// rendezvous hashing, unless its load is above a bound relative to the mean:
+/// consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam,
+/// SODA 2018). All nodes come to the same preference without talking. Among
+/// the upstreams within the bound the one is chosen that has the least to read
+/// before the request's first token: the prompts that this node has sent it and
+/// that had no event yet, the request's own part, and, where it is not the
+/// preferred one, the shared part as well. So a flurry of long prompts spreads,
+/// and a short prompt does not queue behind a long one. Other requests go to
+/// the least loaded of their failure domain, and elsewhere only when it is
+/// loaded.
 ///
 /// How many requests a node may have at one upstream follows from whether its
 /// answers begin in time: one more for each round of answers in time, a part
@@ -73,7 +82,10 @@
   ForwardUpstream* Choose(const UpstreamQuery& query, TimePoint now);
   ForwardUpstream* Find(const std::string& name);
 
-  void OnSent(ForwardUpstream* upstream);
+  /// A request was sent whose prompt has `unread_tokens` to be read there.
+  void OnSent(ForwardUpstream* upstream, std::int64_t unread_tokens);
+  /// The first event came, or the attempt ended before it.
+  void OnPromptRead(ForwardUpstream* upstream, std::int64_t unread_tokens);
   /// An answer began, in time for its latency target or late.
   void OnAnswerBegun(ForwardUpstream* upstream, bool in_time, TimePoint now);
   void OnEnded(ForwardUpstream* upstream, ForwardEnd end, TimePoint now);
@@ -92,6 +104,10 @@
  private:
   std::vector<ForwardUpstream*> Candidates(const UpstreamQuery& query,
                                            TimePoint now);
+  /// The candidate with the least to read before the request's first token.
+  ForwardUpstream* LeastToRead(
+      const UpstreamQuery& query,
+      const std::vector<ForwardUpstream*>& candidates) const;
   void NoteOutcome(ForwardUpstream* upstream, bool failed, TimePoint now);
   void Avoid(ForwardUpstream* upstream, TimePoint now);
 
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -37,11 +37,18 @@
 
 RequestId QueueId(ForwardId id) { return {NodeId(), id}; }
 
-/// The part of the prompt before the request's own, which many share.
-std::optional<std::uint64_t> AffinityOf(const ForwardSpec& spec) {
+/// The part of the prompt before the request's own, which many share, and how
+/// many tokens come before and after its end.
+void DescribePrompt(const ForwardSpec& spec, UpstreamQuery* query) {
   const std::size_t parts = spec.prompt_parts.size();
-  if (parts == 0) return std::nullopt;
-  return spec.prompt_parts[parts < 2 ? 0 : parts - 2].id;
+  if (parts == 0) return;
+  const std::size_t last_shared = parts < 2 ? 0 : parts - 2;
+  query->affinity = spec.prompt_parts[last_shared].id;
+  for (std::size_t i = 0; i <= last_shared; ++i) {
+    query->shared_tokens += spec.prompt_parts[i].tokens;
+  }
+  query->own_tokens =
+      std::max<std::int64_t>(0, spec.prompt_tokens - query->shared_tokens);
 }
 
 }  // namespace
@@ -58,9 +65,11 @@
 }
 
 ForwardUpstream* ForwardNode::ChooseUpstream(const Request& request) {
-  UpstreamQuery query{request.service, options_.self.domain, std::nullopt,
-                      request.tried};
-  if (request.route->prefix_affinity) query.affinity = AffinityOf(request.spec);
+  UpstreamQuery query;
+  query.service = request.service;
+  query.own_domain = options_.self.domain;
+  query.exclude = request.tried;
+  if (request.route->prefix_affinity) DescribePrompt(request.spec, &query);
   return upstreams_.Choose(query, now());
 }
 
@@ -72,7 +81,8 @@
   request->sent_at = now();
   request->last_event_at = now();
   request->first_event_seen = false;
-  upstreams_.OnSent(upstream);
+  request->unread_tokens = request->spec.prompt_tokens;
+  upstreams_.OnSent(upstream, request->unread_tokens);
   LogRequest(
       LogLevel::kInfo, "sent", *request,
       {{"upstream", request->upstream},
@@ -164,6 +174,7 @@
   request->answer_begun = true;
   request->may_have_run = true;
   request->last_event_at = now();
+  NotePromptRead(request);
   CountUsage(request, now_.wall);
   const bool late = ToSeconds(now() - request->arrived_at) >
                     kLatePart * ToSeconds(request->route->target);
@@ -220,7 +231,16 @@
   Pump(service);
 }
 
+void ForwardNode::NotePromptRead(Request* request) {
+  ForwardUpstream* upstream = upstreams_.Find(request->upstream);
+  if (upstream != nullptr) {
+    upstreams_.OnPromptRead(upstream, request->unread_tokens);
+  }
+  request->unread_tokens = 0;
+}
+
 void ForwardNode::SettleAttempt(Request* request, ForwardEnd end) {
+  NotePromptRead(request);
   ForwardUpstream* upstream = upstreams_.Find(request->upstream);
   if (upstream != nullptr) {
     upstreams_.OnEnded(upstream, end, now());
--- a/src/libpollenledge/process/forward_upstreams.cc
+++ b/src/libpollenledge/process/forward_upstreams.cc
@@ -173,18 +173,35 @@
   }
   const double bound =
       kLoadBound * total / static_cast<double>(candidates.size()) + kLoadSlack;
-  ForwardUpstream* best = nullptr;
-  std::uint64_t best_weight = 0;
+  std::vector<ForwardUpstream*> within_bound;
   for (ForwardUpstream* candidate : candidates) {
-    if (candidate->EstimatedLoad(now) > bound) continue;
-    const std::uint64_t weight =
-        RendezvousWeight(candidate->info.id.name, *query.affinity);
-    if (best == nullptr || weight > best_weight) {
-      best = candidate;
-      best_weight = weight;
+    if (candidate->EstimatedLoad(now) <= bound) {
+      within_bound.push_back(candidate);
     }
   }
-  return best == nullptr ? least : best;
+  return within_bound.empty() ? least : LeastToRead(query, within_bound);
+}
+
+ForwardUpstream* ForwardUpstreams::LeastToRead(
+    const UpstreamQuery& query,
+    const std::vector<ForwardUpstream*>& candidates) const {
+  std::vector<std::pair<std::uint64_t, ForwardUpstream*>> by_preference;
+  by_preference.reserve(candidates.size());
+  for (ForwardUpstream* candidate : candidates) {
+    by_preference.emplace_back(
+        RendezvousWeight(candidate->info.id.name, *query.affinity), candidate);
+  }
+  std::sort(by_preference.rbegin(), by_preference.rend());
+  ForwardUpstream* const preferred = by_preference.front().second;
+  const auto tokens_to_read = [&](const ForwardUpstream* upstream) {
+    return upstream->unread_tokens + query.own_tokens +
+           (upstream == preferred ? 0 : query.shared_tokens);
+  };
+  ForwardUpstream* best = preferred;
+  for (const auto& [weight, candidate] : by_preference) {
+    if (tokens_to_read(candidate) < tokens_to_read(best)) best = candidate;
+  }
+  return best;
 }
 
 ForwardUpstream* ForwardUpstreams::Find(const std::string& name) {
@@ -192,9 +209,18 @@
   return found == upstreams_.end() ? nullptr : &found->second;
 }
 
-void ForwardUpstreams::OnSent(ForwardUpstream* upstream) {
+void ForwardUpstreams::OnSent(ForwardUpstream* upstream,
+                              std::int64_t unread_tokens) {
   ++upstream->in_flight;
   ++upstream->sent_since_report;
+  upstream->unread_tokens += unread_tokens;
+}
+
+void ForwardUpstreams::OnPromptRead(ForwardUpstream* upstream,
+                                    std::int64_t unread_tokens) {
+  // An upstream that restarted has forgotten its prompts.
+  upstream->unread_tokens =
+      std::max<std::int64_t>(0, upstream->unread_tokens - unread_tokens);
 }
 
 void ForwardUpstreams::OnAnswerBegun(ForwardUpstream* upstream, bool in_time,
