Proofs that the tables are in force, passed on by the collectors; fewer polls

Ruled out: timing datagrams for the age of a proof; time on the way cannot be bounded, a suspended node reads them seconds later. Change: a node's question to a collector carries its own clock, the answer says the same again with the age of the collector's proof and its tables' version: the store was read after question minus age, whatever the datagrams took. Equal versions renew the node's proof; it reads by itself only when its proof is older than 0.7 of the period. Collectors read twice as often. The pause between polls for upstreams is a sixth of the listing period (250 ms at 1.5 s) in place of 120 ms. Tests: a proof of other tables, one late on the way, one that was old, a fresh one, an older one after it; reads saved while a proof is fresh.

--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -21,13 +21,20 @@
  public:
   using Decode = std::function<Result<ForwardingTables>(const std::string&)>;
   using Submit = std::function<void(ForwardEvent)>;
+  /// True if the tables must be read now, where they are to be read each
+  /// period.
+  using NeedsRead = std::function<bool(Duration period, TimePoint now)>;
 
   ConfigSync(boost::asio::io_context& loop, AsyncStore* store, std::string key,
-             Duration read_period, Decode decode, Submit submit);
+             Duration read_period, Decode decode, NeedsRead needs_read,
+             Submit submit);
 
   void Start();
 
  private:
+  /// Reads if it is time to.
+  void Check();
+  void CheckAfter(Duration wait);
   void Read();
   void OnRead(TimePoint started, const Result<StoreItem>& item);
   void OnChanges(const StoreChanges& changes);
@@ -39,6 +46,7 @@
   std::string key_;
   Duration read_period_;
   Decode decode_;
+  NeedsRead needs_read_;
   Submit submit_;
   boost::asio::steady_timer read_timer_;
   StoreWatch watch_;
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -67,6 +67,10 @@
   bool draining() const { return draining_; }
   /// Part of the recent streams of `service` whose first event came late.
   double LateShare(const std::string& service) const;
+  /// True if the tables must be read from the store now, where they are to be
+  /// read each `period` at least. Ask each half period: peers' proofs save
+  /// reads in a large fleet, where the collectors read twice as often.
+  bool NeedsTablesRead(Duration period, TimePoint now) const;
   /// Age of the newest proof that the tables are in force.
   std::optional<Duration> TablesAge(TimePoint now) const;
 
@@ -148,6 +152,9 @@
   std::optional<TimePoint> SilenceDue(const Request& request) const;
   void ScheduleCheck(Request* request);
   void UpdateLimits();
+  void Answer(const Heartbeat& question);
+  /// Takes a peer's proof that the tables here are in force.
+  void TakeProof(const Heartbeat& answer);
   /// Tells the collectors what was used here, and asks what is left.
   void AskForLevels();
 
@@ -178,6 +185,7 @@
   std::unordered_map<ForwardId, Request> requests_;
   /// When requests have to be looked at next.
   std::multimap<TimePoint, ForwardId> due_;
+  bool is_collector_ = false;
   bool draining_ = false;
 };
 
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -86,6 +87,11 @@
   std::vector<MemberRecord> records;  ///< The sender's is the first.
   bool asks_for_levels = false;       ///< The sender wants to know `levels`.
   std::vector<LimitLevel> levels;
+  /// In a question the asking node's clock; its answer says the same again, so
+  /// that the asking node knows that the answer was given later than this.
+  TimePoint asked_at;
+  /// How old the sender's proof is that its tables are in force.
+  std::optional<Duration> proof_age;
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/src/include/pollenledge/process/store_watch.h
+++ b/src/include/pollenledge/process/store_watch.h
@@ -21,15 +21,14 @@
  public:
   /// How long one poll waits. Below the 30 s that the store allows.
   static constexpr Duration kWait = std::chrono::seconds(20);
-  /// Between two polls: changes come in flurries, and one call then brings
-  /// several.
-  static constexpr Duration kPause = std::chrono::milliseconds(120);
-
   using OnChanges = std::function<void(const StoreChanges&)>;
   using OnError = std::function<void(const Error&)>;
 
+  /// `pause` lies between two polls: changes come in flurries, and one call
+  /// then brings several.
   StoreWatch(boost::asio::io_context& loop, AsyncStore* store,
-             std::string prefix, OnChanges on_changes, OnError on_error);
+             std::string prefix, Duration pause, OnChanges on_changes,
+             OnError on_error);
 
   /// A read showed the store as of `revision`.
   void OnReadSucceeded(std::int64_t revision);
@@ -43,9 +42,10 @@
 
   AsyncStore* store_;
   std::string prefix_;
+  Duration pause_;
   OnChanges on_changes_;
   OnError on_error_;
-  boost::asio::steady_timer pause_;
+  boost::asio::steady_timer timer_;
   std::int64_t from_revision_ = 0;
   bool running_ = false;
   /// Counts the watches; answers to earlier ones are ignored.
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -44,6 +44,11 @@
   records @0 :List(MemberRecord);
   asksForLevels @1 :Bool;
   levels @2 :List(LimitLevel);
+  # In a question the sender's clock, in its answer the same figure again.
+  askedAtMicros @3 :Int64;
+  # Age of the newest proof that the first record's tables are in force; -1 if
+  # there is none.
+  proofAgeMicros @4 :Int64 = -1;
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -225,7 +225,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1595,6 +1595,10 @@
   inline bool hasLevels() const;
   inline  ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
 
+  inline  ::int64_t getAskedAtMicros() const;
+
+  inline  ::int64_t getProofAgeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1640,6 +1644,12 @@
   inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>> disownLevels();
 
+  inline  ::int64_t getAskedAtMicros();
+  inline void setAskedAtMicros( ::int64_t value);
+
+  inline  ::int64_t getProofAgeMicros();
+  inline void setProofAgeMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5198,6 +5208,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t NodeHeartbeat::Reader::getAskedAtMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t NodeHeartbeat::Builder::getAskedAtMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeHeartbeat::Builder::setAskedAtMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t NodeHeartbeat::Reader::getProofAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t NodeHeartbeat::Builder::getProofAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void NodeHeartbeat::Builder::setProofAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -138,6 +138,9 @@
     heartbeat.records.push_back(FromWire(record));
   }
   heartbeat.asks_for_levels = reader.getAsksForLevels();
+  heartbeat.asked_at =
+      TimePoint(std::chrono::microseconds(reader.getAskedAtMicros()));
+  heartbeat.proof_age = RemainingFromWire(reader.getProofAgeMicros());
   for (const auto level : reader.getLevels()) {
     heartbeat.levels.push_back(
         {level.getCustomer(), level.getUnits(), level.getCountedUse()});
@@ -152,6 +155,10 @@
     ToWire(heartbeat.records[i], records[i]);
   }
   builder.setAsksForLevels(heartbeat.asks_for_levels);
+  builder.setAskedAtMicros(std::chrono::floor<std::chrono::microseconds>(
+                               heartbeat.asked_at.time_since_epoch())
+                               .count());
+  builder.setProofAgeMicros(RemainingToWire(heartbeat.proof_age));
   auto levels =
       builder.initLevels(static_cast<unsigned>(heartbeat.levels.size()));
   for (unsigned i = 0; i < levels.size(); ++i) {
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -8,6 +8,9 @@
 namespace pollenledge {
 namespace {
 
+/// Between two polls of the watch: versions that follow each other quickly come
+/// together, and each is still in force long before its bound.
+constexpr Duration kWatchPause = std::chrono::milliseconds(120);
 /// A read that failed is tried again sooner than the next one is due.
 constexpr Duration kReadRetry = std::chrono::milliseconds(300);
 
@@ -15,29 +18,42 @@
 
 ConfigSync::ConfigSync(boost::asio::io_context& loop, AsyncStore* store,
                        std::string key, Duration read_period, Decode decode,
-                       Submit submit)
+                       NeedsRead needs_read, Submit submit)
     : store_(store),
       key_(std::move(key)),
       read_period_(read_period),
       decode_(std::move(decode)),
+      needs_read_(std::move(needs_read)),
       submit_(std::move(submit)),
       read_timer_(loop),
       // A failed watch costs nothing but delay: the reads go on.
       watch_(
-          loop, store, key_,
+          loop, store, key_, kWatchPause,
           [this](const StoreChanges& changes) { OnChanges(changes); },
           [](const Error&) {}) {}
 
 void ConfigSync::Start() { Read(); }
 
+void ConfigSync::Check() {
+  if (needs_read_(read_period_, BootNow())) {
+    Read();
+  } else {
+    CheckAfter(read_period_ / 2);
+  }
+}
+
+void ConfigSync::CheckAfter(Duration wait) {
+  read_timer_.expires_after(wait);
+  read_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Check();
+  });
+}
+
 void ConfigSync::Read() {
   const TimePoint started = BootNow();
   store_->Read(key_, [this, started](const Result<StoreItem>& item) {
     OnRead(started, item);
-    read_timer_.expires_after(Ok(item) ? read_period_ : kReadRetry);
-    read_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) Read();
-    });
+    CheckAfter(Ok(item) ? read_period_ / 2 : kReadRetry);
   });
 }
 
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -21,6 +21,10 @@
 /// Nodes that follow the use of limits for all others in a large fleet: one,
 /// and one that knows as much when it is lost.
 constexpr std::size_t kCollectors = 2;
+/// Part of the period of reads after which a peer's proof is no longer fresh
+/// enough to save a read. A proof is looked at each half period, so at most
+/// 1.2 periods pass without a read or a newer proof.
+constexpr double kProofPart = 0.7;
 /// What heartbeats say of limits is taken in this soon.
 constexpr Duration kLimitsPeriod = std::chrono::milliseconds(50);
 /// Longest pause between two ticks.
@@ -207,20 +211,51 @@
   membership_.OnHeartbeat(said.records, now());
   if (now() - limits_updated_at_ >= kLimitsPeriod) UpdateLimits();
   const MemberRecord& sender = said.records.front();
+  if (said.asks_for_levels) {
+    Answer(said);
+    return;
+  }
   if (!said.levels.empty()) limits_.TakeLevels(sender.id, said.levels, now());
-  if (!said.asks_for_levels) return;
+  TakeProof(said);
+}
+
+void ForwardNode::Answer(const Heartbeat& question) {
+  const MemberRecord& sender = question.records.front();
   Heartbeat answer;
-  answer.levels = limits_.LevelsFor(sender.id.name, now());
-  if (answer.levels.empty()) return;
   answer.records = {membership_.self()};
+  answer.records.front().tables_version =
+      index_ == nullptr ? 0 : index_->tables().version;
+  answer.levels = limits_.LevelsFor(sender.id.name, now());
+  answer.asked_at = question.asked_at;
+  answer.proof_age = TablesAge(now());
   Emit(forward_action::SendHeartbeat{{sender.peer_address, std::move(answer)}});
 }
 
+void ForwardNode::TakeProof(const Heartbeat& answer) {
+  if (!answer.proof_age.has_value() || index_ == nullptr) return;
+  // Proves nothing of other tables than those in force here.
+  const MemberRecord& sender = answer.records.front();
+  if (sender.tables_version != index_->tables().version) return;
+  // The answer was given after it was asked for, so the store was read after
+  // this, whatever time the two datagrams took.
+  const TimePoint proven_at = answer.asked_at - *answer.proof_age;
+  if (!tables_proven_at_.has_value() || proven_at > *tables_proven_at_) {
+    tables_proven_at_ = proven_at;
+  }
+}
+
+bool ForwardNode::NeedsTablesRead(Duration period, TimePoint now) const {
+  if (is_collector_) return true;
+  const std::optional<Duration> age = TablesAge(now);
+  return !age.has_value() || ToSeconds(*age) > kProofPart * ToSeconds(period);
+}
+
 void ForwardNode::AskForLevels() {
   std::vector<std::string> collectors;
   Heartbeat question;
   question.records = {membership_.self()};
   question.asks_for_levels = true;
+  question.asked_at = now();
   for (std::size_t place = 0; place < kCollectors; ++place) {
     const MemberRecord* collector = membership_.Ranked(place, now());
     if (collector == nullptr) break;
@@ -231,6 +266,7 @@
       collectors.push_back(collector->peer_address);
     }
   }
+  is_collector_ = !question.asks_for_levels;
   for (const std::string& address : collectors) {
     Emit(forward_action::SendHeartbeat{{address, question}});
   }
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -233,6 +233,54 @@
   EXPECT_NE(Find<action::SendAttempt>(), nullptr);
 }
 
+TEST_F(ForwardNodeTest, APeersProofCountsFromTheTimeOfTheQuestion) {
+  const auto answer = [this](std::uint64_t version, Duration asked_ago,
+                             Duration age) {
+    Heartbeat heartbeat;
+    heartbeat.records.resize(1);
+    heartbeat.records[0].id = {"collector", 1};
+    heartbeat.records[0].tables_version = version;
+    heartbeat.asked_at = now_ - asked_ago;
+    heartbeat.proof_age = age;
+    Tell(event::HeartbeatReceived{heartbeat});
+  };
+  Pass(kFreshness);
+  ASSERT_FALSE(node_.Ready(now_));
+  {
+    SCOPED_TRACE("a proof of other tables proves nothing");
+    answer(2, Duration(0), Duration(0));
+    EXPECT_FALSE(node_.Ready(now_));
+  }
+  {
+    SCOPED_TRACE(
+        "an answer that took long on the way is as old as its question");
+    answer(1, kFreshness, Duration(0));
+    EXPECT_FALSE(node_.Ready(now_));
+  }
+  {
+    SCOPED_TRACE("the peer's own proof was old");
+    answer(1, Duration(0), kFreshness);
+    EXPECT_FALSE(node_.Ready(now_));
+  }
+  {
+    SCOPED_TRACE("a fresh one counts");
+    answer(1, std::chrono::milliseconds(200), std::chrono::milliseconds(800));
+    EXPECT_TRUE(node_.Ready(now_));
+    EXPECT_EQ(node_.TablesAge(now_), std::chrono::seconds(1));
+  }
+  {
+    SCOPED_TRACE("an older one does not take its place");
+    answer(1, std::chrono::seconds(2), Duration(0));
+    EXPECT_EQ(node_.TablesAge(now_), std::chrono::seconds(1));
+  }
+}
+
+TEST_F(ForwardNodeTest, AReadIsSavedWhileAProofIsFresh) {
+  constexpr Duration kPeriod = std::chrono::milliseconds(1500);
+  EXPECT_FALSE(node_.NeedsTablesRead(kPeriod, now_ + kPeriod / 2));
+  EXPECT_TRUE(node_.NeedsTablesRead(kPeriod, now_ + kPeriod));
+}
+
 TEST_F(ForwardNodeTest, AQueuedRequestIsNotSentOnAProofThatHasAged) {
   // All slots are taken.
   for (ForwardId id = 1; id <= 15; ++id) Arrive(id, "order");
--- a/src/libpollenledge/process/store_watch.cc
+++ b/src/libpollenledge/process/store_watch.cc
@@ -7,13 +7,14 @@
 namespace pollenledge {
 
 StoreWatch::StoreWatch(boost::asio::io_context& loop, AsyncStore* store,
-                       std::string prefix, OnChanges on_changes,
+                       std::string prefix, Duration pause, OnChanges on_changes,
                        OnError on_error)
     : store_(store),
       prefix_(std::move(prefix)),
+      pause_(pause),
       on_changes_(std::move(on_changes)),
       on_error_(std::move(on_error)),
-      pause_(loop) {}
+      timer_(loop) {}
 
 void StoreWatch::OnReadSucceeded(std::int64_t revision) {
   if (running_) return;
@@ -25,7 +26,7 @@
 void StoreWatch::OnReadFailed() {
   ++number_;
   running_ = false;
-  pause_.cancel();
+  timer_.cancel();
 }
 
 void StoreWatch::Poll() {
@@ -47,8 +48,8 @@
   }
   from_revision_ = Value(changes).store_revision;
   on_changes_(Value(changes));
-  pause_.expires_after(kPause);
-  pause_.async_wait(
+  timer_.expires_after(pause_);
+  timer_.async_wait(
       [this, number = number_](const boost::system::error_code& error) {
         if (!error && number == number_) Poll();
       });
--- a/src/libpollenledge/process/store_watch_test.cc
+++ b/src/libpollenledge/process/store_watch_test.cc
@@ -48,7 +48,10 @@
   ScriptedStore store_;
   std::vector<std::int64_t> heard_;
   int errors_ = 0;
-  StoreWatch watch_{loop_, &store_, "config/",
+  StoreWatch watch_{loop_,
+                    &store_,
+                    "config/",
+                    std::chrono::milliseconds(1),
                     [this](const StoreChanges& changes) {
                       heard_.push_back(changes.store_revision);
                     },
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -10,6 +10,10 @@
 namespace pollenledge {
 namespace {
 
+/// The pause between two polls of the watch, as a part of the period of full
+/// listings: in a large fleet something changes all the time, and each poll is
+/// a call.
+constexpr int kWatchPausesInPeriod = 6;
 /// After a listing that failed, so that a store that refuses is not pressed.
 constexpr Duration kRetry = std::chrono::milliseconds(400);
 
@@ -93,7 +97,7 @@
       list_timer_(loop),
       due_timer_(loop),
       watch_(
-          loop, store, prefix_,
+          loop, store, prefix_, list_period / kWatchPausesInPeriod,
           [this](const StoreChanges& changes) { OnChanges(changes); },
           [this](const Error& error) { OnWatchError(error); }) {}
 
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -76,6 +76,9 @@
         config_(
             loop_, &store_, kOperatorConfigKey,
             PollPeriod(settings.tables_bound), DecodeTables,
+            [this](Duration period, TimePoint now) {
+              return service_.node().NeedsTablesRead(period, now);
+            },
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         upstreams_(
             loop_, &store_, kUpstreamPrefix, PollPeriod(settings.leaving_bound),
