Calm part of the fleet 0.65; log lines name the customer and limits

Change: calm part 0.65. Lines of a request name its customer; limit_reached says units, common level and limit; sent says the units taken.

--- a/src/include/pollenledge/process/fleet_planner.h
+++ b/src/include/pollenledge/process/fleet_planner.h
@@ -38,7 +38,7 @@
  public:
   /// Part of the reference that must be ready while answers are in time: about
   /// what the load of a calm hour is of the load that a fleet is built for.
-  static constexpr double kCalmPart = 0.55;
+  static constexpr double kCalmPart = 0.65;
   /// Share of late answers at which the whole reference must be ready; between
   /// none and this the part grows in proportion.
   static constexpr double kLateShare = 0.2;
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "pollenledge/process/forward_node.h"
@@ -86,6 +87,7 @@
   LogRequest(
       LogLevel::kInfo, "sent", *request,
       {{"upstream", request->upstream},
+       {"limit_units", std::to_string(std::llround(request->limit_units))},
        {"load", std::to_string(upstream->EstimatedLoad(now()))},
        {"report_age_ms", upstream->report.has_value()
                              ? MillisecondsText(now() - upstream->reported_at)
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -1,6 +1,7 @@
 #include "pollenledge/process/forward_node.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pollenledge {
@@ -149,6 +150,16 @@
   const std::optional<Duration> wait =
       limits_.Take(request->customer->name, units, now());
   if (wait.has_value()) {
+    Emit(forward_action::LogDecision{
+        LogLevel::kInfo,
+        "limit_reached",
+        {{"request", request->spec.trace_id},
+         {"customer", request->customer->name},
+         {"units", std::to_string(std::llround(units))},
+         {"common_level", std::to_string(std::llround(
+                              limits_.CommonLevel(request->customer->name)))},
+         {"limit_per_s",
+          std::to_string(std::llround(request->customer->limit_per_s))}}});
     return NotRun{429, "over-limit", "the customer's limit is used up", *wait};
   }
   request->limit_units = units;
@@ -421,7 +432,9 @@
   fields.insert(fields.begin(),
                 {{"request", request.spec.trace_id},
                  {"route", request.route == nullptr ? "" : request.route->name},
-                 {"service", request.service}});
+                 {"service", request.service},
+                 {"customer",
+                  request.customer == nullptr ? "" : request.customer->name}});
   Emit(forward_action::LogDecision{level, event, std::move(fields)});
 }
 
