Calls of a lease are not sent late; the process ends when it has drained

The lease is checked when a call begins, but a call that has to connect goes out when the connection stands, and a thawed machine works off its backlog first. Change: a call carries until when it may be sent (the lease's end less the margin; for requests the deadline or the key's proof), looked at again when the connection stands; after it nothing is sent and the end is 'not sent'. pollen_node ends by quick_exit once the log is written.

--- a/src/include/pollenledge/connection/async_cloud.h
+++ b/src/include/pollenledge/connection/async_cloud.h
@@ -14,6 +14,8 @@
 struct DutyStamp {
   std::string owner;
   std::int64_t fence = 0;  ///< Grows when the holder changes.
+  /// No call may be sent at this time or later: another node may hold it then.
+  TimePoint valid_until;
 
   friend bool operator==(const DutyStamp&, const DutyStamp&) = default;
 };
--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -44,9 +44,12 @@
   ClientConnection(boost::asio::io_context& loop, std::string address);
 
   /// Sends `request`, the bytes of one whole request by `method`, connecting
-  /// first if need be. Gives up connecting after `connect_timeout`.
+  /// first if need be. Gives up connecting after `connect_timeout`. If it is
+  /// connected only at `send_before` or later, nothing is sent: the machine may
+  /// have been suspended meanwhile.
   void Start(std::string request, std::string_view method,
-             Duration connect_timeout, ExchangeHandlers handlers);
+             Duration connect_timeout, ExchangeHandlers handlers,
+             std::optional<TimePoint> send_before = std::nullopt);
   /// Ends the exchange without a word to the handlers and closes.
   void Abort();
 
@@ -80,6 +83,7 @@
   /// Shared so that a handler that ends the exchange outlives its own call.
   std::shared_ptr<ExchangeHandlers> handlers_;
   std::string request_;
+  std::optional<TimePoint> send_before_;
   std::array<char, kReadBytes> read_buffer_{};
   bool open_ = false;
   bool busy_ = false;
--- a/src/include/pollenledge/connection/http.h
+++ b/src/include/pollenledge/connection/http.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "pollenledge/result.h"
@@ -25,6 +26,8 @@
   std::string body;
   std::map<std::string, std::string> headers;
   Duration timeout{std::chrono::seconds(2)};
+  /// The event loop's client sends nothing at this time or later.
+  std::optional<TimePoint> send_before;
 };
 
 /// Makes the call and reads at most `max_bytes` of answer. An error with
--- a/src/include/pollenledge/process/duty_lease.h
+++ b/src/include/pollenledge/process/duty_lease.h
@@ -37,6 +37,8 @@
   /// True if a call may be sent now.
   bool MayAct(TimePoint now) const;
   std::int64_t fence() const { return fence_.value_or(0); }
+  /// From this time on no call may be sent, unless the lease is renewed.
+  TimePoint valid_until() const { return ends_at_ - kSafetyMargin; }
 
  private:
   Duration quiet_time_;
@@ -62,7 +64,9 @@
 
   bool MayAct(TimePoint now) const { return !stopped_ && tenure_.MayAct(now); }
   bool held() const { return tenure_.held(); }
-  DutyStamp stamp() const { return {owner_, tenure_.fence()}; }
+  DutyStamp stamp() const {
+    return {owner_, tenure_.fence(), tenure_.valid_until()};
+  }
 
  private:
   void Look();
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -83,6 +83,9 @@
   std::string customer;  ///< Empty if the route is public.
   int priority = 5;      ///< 0 is the most urgent.
   TimePoint deadline;    ///< When the upstream may stop working on it.
+  /// No byte may go out at this time or later: the time is up, or the proof
+  /// that the customer's key holds.
+  TimePoint send_before;
   RouteKind kind = RouteKind::kIdempotent;
   /// An idle connection may be used; else a new one is opened.
   bool reuse_connection = true;
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -121,11 +121,15 @@
   std::optional<NotRun> TakeLimit(Request* request);
   std::string PickService(const ForwardingRoute& route);
   bool KeyIsFresh() const;
+  /// Until when the newest proof lets keyed requests be sent; there must be
+  /// one.
+  TimePoint KeysHoldUntil() const;
 
   // Dispatch.
   void Dispatch(Request* request);
   ForwardUpstream* ChooseUpstream(const Request& request);
   void Send(Request* request, ForwardUpstream* upstream);
+  TimePoint LatestSend(const Request& request) const;
   void Enqueue(Request* request);
   void Pump(const std::string& service);
   void PumpAll();
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -50,8 +50,10 @@
 
 void ClientConnection::Start(std::string request, std::string_view method,
                              Duration connect_timeout,
-                             ExchangeHandlers handlers) {
+                             ExchangeHandlers handlers,
+                             std::optional<TimePoint> send_before) {
   request_ = std::move(request);
+  send_before_ = send_before;
   handlers_ = std::make_shared<ExchangeHandlers>(std::move(handlers));
   busy_ = true;
   sent_ = false;
@@ -93,7 +95,8 @@
 void ClientConnection::OnConnected(const SystemError& error) {
   connect_timer_.cancel();
   if (!busy_) return;
-  if (error) {
+  const bool too_late = send_before_.has_value() && BootNow() >= *send_before_;
+  if (error || too_late) {
     FinishExchange(ExchangeEnd::kNotSent);
     return;
   }
--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -83,7 +83,7 @@
     }
   };
   open->connection->Start(RenderRequest(call), call.method, call.timeout,
-                          std::move(handlers));
+                          std::move(handlers), call.send_before);
 }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/duty_lease.cc
+++ b/src/libpollenledge/process/duty_lease.cc
@@ -27,8 +27,7 @@
 }
 
 bool DutyTenure::MayAct(TimePoint now) const {
-  return fence_.has_value() && now >= acts_from_ &&
-         now + kSafetyMargin < ends_at_;
+  return fence_.has_value() && now >= acts_from_ && now < valid_until();
 }
 
 DutyLease::DutyLease(boost::asio::io_context& loop, AsyncStore* store,
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -99,12 +99,21 @@
       .customer = request->customer == nullptr ? "" : request->customer->name,
       .priority = request->priority,
       .deadline = request->deadline,
+      .send_before = LatestSend(*request),
       .kind = request->route->kind,
       .reuse_connection = request->route->MayRepeat(),
       .last_event_id = request->last_event_id});
   ScheduleCheck(request);
 }
 
+TimePoint ForwardNode::LatestSend(const Request& request) const {
+  const bool needs_proof = request.customer != nullptr &&
+                           options_.key_freshness > Duration::zero() &&
+                           tables_proven_at_.has_value();
+  if (!needs_proof) return request.deadline;
+  return std::min(request.deadline, KeysHoldUntil());
+}
+
 void ForwardNode::Enqueue(Request* request) {
   const auto [it, is_new] = queues_.try_emplace(request->service);
   if (is_new) it->second.Configure(QueuePolicy());
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -138,8 +138,11 @@
 
 bool ForwardNode::KeyIsFresh() const {
   if (options_.key_freshness == Duration::zero()) return true;
-  return tables_proven_at_.has_value() &&
-         now() - *tables_proven_at_ + kKeyMargin < options_.key_freshness;
+  return tables_proven_at_.has_value() && now() < KeysHoldUntil();
+}
+
+TimePoint ForwardNode::KeysHoldUntil() const {
+  return *tables_proven_at_ + options_.key_freshness - kKeyMargin;
 }
 
 std::optional<NotRun> ForwardNode::TakeLimit(Request* request) {
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -228,7 +228,8 @@
   handlers.on_end = [this, id](ExchangeEnd end) { OnAttemptEnd(id, end); };
   exchange->attempt->Start(
       RenderRequest(exchange->request, fields, exchange->body),
-      exchange->request.method, kConnectTimeout, std::move(handlers));
+      exchange->request.method, kConnectTimeout, std::move(handlers),
+      send.send_before);
 }
 
 bool ForwardService::OnAnswerHead(ForwardId id, const HttpHead& head) {
--- a/src/platform/platform_cloud.cc
+++ b/src/platform/platform_cloud.cc
@@ -38,6 +38,7 @@
   call.path = path;
   call.body = body;
   call.timeout = kCallTimeout;
+  call.send_before = stamp.valid_until;
   call.headers = {{"Content-Type", "application/json"},
                   {"Duty-Owner", stamp.owner},
                   {"Fencing-Token", std::to_string(stamp.fence)}};
--- a/src/pollen_node/main.cc
+++ b/src/pollen_node/main.cc
@@ -50,8 +50,12 @@
     return pollenledge::kExitOk;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  return pollenledge::RunPlatformNode(
+  const int code = pollenledge::RunPlatformNode(
       std::get<pollenledge::NodeSettings>(settings), path);
+  // The log is written and nothing else outlives the process. Destructors of
+  // static objects would wait for the log library's threads, and the machine
+  // takes no requests until the process has ended.
+  std::quick_exit(code);
 }
 
 }  // namespace
