--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -157,6 +157,8 @@
   void ScheduleCheck(Request* request);
   void UpdateLimits();
   void Answer(const Heartbeat& question);
+  /// The tables here were in force at `proven_at`.
+  void NoteProof(TimePoint proven_at);
   /// Takes a peer's proof that the tables here are in force.
   void TakeProof(const Heartbeat& answer);
   /// Tells the collectors what was used here, and asks what is left.
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -184,10 +184,13 @@
 
 void ForwardNode::On(const forward_event::TablesRead& read) {
   AdoptTables(read.tables, "read");
+  NoteProof(read.read_started);
+}
+
+void ForwardNode::NoteProof(TimePoint proven_at) {
   // An older answer proves no less than it did; it only came late.
-  if (!tables_proven_at_.has_value() ||
-      read.read_started > *tables_proven_at_) {
-    tables_proven_at_ = read.read_started;
+  if (!tables_proven_at_.has_value() || proven_at > *tables_proven_at_) {
+    tables_proven_at_ = proven_at;
   }
 }
 
@@ -252,10 +255,7 @@
   if (sender.tables_version != index_->tables().version) return;
   // The answer was given after it was asked for, so the store was read after
   // this, whatever time the two datagrams took.
-  const TimePoint proven_at = answer.asked_at - *answer.proof_age;
-  if (!tables_proven_at_.has_value() || proven_at > *tables_proven_at_) {
-    tables_proven_at_ = proven_at;
-  }
+  NoteProof(answer.asked_at - *answer.proof_age);
 }
 
 bool ForwardNode::NeedsTablesRead(Duration period, TimePoint now) const {
