--- /dev/null
+++ b/testsuite/endless_answers/run.py
@@ -0,0 +1,60 @@
+#!/usr/bin/env python3
+"""Runners whose bytes never end: each form of it is ended by the node after
+few bytes, its caller is told, and the node's memory stays bounded."""
+
+import sys
+import threading
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from platform_standins import ENDLESS_SENT, Platform  # noqa: E402
+from story import run_story  # noqa: E402
+
+AT_ONCE = 6
+# Eight calls at once must leave room on the smallest machine, which has 160 MB.
+MAX_PEAK_MB = 80
+MAX_SENT_MB = 12  # What the sockets hold on the way included.
+FORMS = (("read", "head"), ("read", "fields"), ("read", "body"), ("read", "chunks"),
+         ("read", "extension"), ("read", "extensions"), ("read", "trailers"), ("read", "interim"),
+         ("read", "foreign"), ("chat", "event"), ("chat", "extension"), ("chat", "extensions"),
+         ("chat", "trailers"))
+
+
+def peak_mb(pid):
+    for line in Path(f"/proc/{pid}/status").read_text().split("\n"):
+        if line.startswith("VmHWM"):
+            return int(line.split()[1]) / 1024
+    return 0
+
+
+def tell_form(platform, story, route, form):
+    answers = {}
+
+    def ask(name):
+        status, _, body = platform.ask(name, f"/{route}/endless{form}", "POST", b"x")
+        answers[name] = status if body is not None else "cut"
+
+    names = [f"{route}{form}{i}" for i in range(AT_ONCE)]
+    threads = [threading.Thread(target=ask, args=(name,)) for name in names]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    platform.until(lambda: all(name in ENDLESS_SENT for name in names))
+    most = max(sent for name, sent in ENDLESS_SENT.items() if name in names) / 2**20
+    peak = peak_mb(platform.process.pid)
+    print(f"# {route} {form}: {most:.1f} MB sent, peak {peak:.0f} MB", file=sys.stderr)
+    story.tell(f"{route}, {form} without end: {sorted(set(map(str, answers.values())))}, "
+               f"ended after few bytes: {most <= MAX_SENT_MB}, "
+               f"memory bounded: {peak <= MAX_PEAK_MB}")
+
+
+def tell(platform, story):
+    for route, form in FORMS:
+        tell_form(platform, story, route, form)
+    platform.until(lambda: platform.ask("after", "/read/ok")[0] == 200)
+    story.tell("the node serves on")
+
+
+if __name__ == "__main__":
+    run_story(tell, Platform)
--- a/testsuite/platform/run.py
+++ b/testsuite/platform/run.py
@@ -121,7 +121,7 @@
 
 
 def read_log(platform):
-    return Path(platform.log.name).read_text()
+    return platform.nodes[0].read_log()
 
 
 def tell(platform, story):
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -20,12 +21,22 @@
 BUILD = Path(os.environ.get("POLLENLEDGE_BUILD", "build"))
 
 
-def free_port(kind=socket.SOCK_STREAM):
+def free_port(kind=socket.SOCK_STREAM, host="127.0.0.1"):
     with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
+class Server(ThreadingHTTPServer):
+    """Says nothing of callers that were killed."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
+
 class Store:
     """The metadata store: items, ranges, watches, transactions, leases."""
 
@@ -61,8 +72,7 @@
                 self.end_headers()
                 self.wfile.write(data)
 
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
+        self.server = Server(("127.0.0.1", 0), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         self.address = f"127.0.0.1:{self.server.server_port}"
 
@@ -143,8 +153,7 @@
                 self.send_header("Content-Length", "0")
                 self.end_headers()
 
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
+        self.server = Server(("127.0.0.1", 0), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         self.address = f"127.0.0.1:{self.server.server_port}"
 
@@ -169,23 +178,76 @@
     return found.group(1) if found else None
 
 
+def reset(connection):
+    """Closes a connection by a reset."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass  # Closed already.
+
+
 class Runner:
     """A runner that does what the last part of a request's path says."""
 
-    def __init__(self, name):
+    def __init__(self, name, store=None):
         self.name = name
+        self.store = store  # where it registers itself; none: nowhere
+        self.starts = 0
         self.runs = []  # (attempt id, head, body) of each request that ran
         self.left = threading.Event()  # a caller's leaving was seen
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.shed = set()
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
+        self.lock = threading.Lock()
+        self.connections = set()
+        self.start()
+
+    def start(self):
+        self.starts += 1
+        self.register()
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def register(self):
+        if self.store is not None:
+            self.store.put(f"servers/{self.name}", json.dumps(
+                {"service": "work", "address": self.address, "zone": "a", "state": "ready",
+                 "batch_slots": 8, "born": self.starts}))
+
+    def accept(self, listener):
         while True:
-            connection, _ = self.listener.accept()
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return  # The runner has ended.
+            with self.lock:
+                if self.listener is not listener:
+                    reset(connection)
+                    continue
+                self.connections.add(connection)
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
+    def crash(self):
+        """Ends with everything on it, without a word. False if it has ended
+        already."""
+        with self.lock:
+            if self.listener is None:
+                return False
+            self.listener.shutdown(socket.SHUT_RDWR)
+            self.listener.close()
+            self.listener = None
+            for connection in self.connections:
+                reset(connection)
+            self.connections.clear()
+        return True
+
+    def come_back(self):
+        """Starts again under the same id at the same address."""
+        ip, port = self.address.split(":")
+        with self.lock:
+            self.listener = socket.create_server((ip, int(port)))
+        self.start()
+
     def serve(self, connection):
         buffer = b""
         try:
@@ -195,6 +257,8 @@
                     break
         except OSError:
             pass
+        with self.lock:
+            self.connections.discard(connection)
         connection.close()
 
     def answer(self, connection, head, body):
@@ -241,6 +305,15 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         return False
 
+    def do_crash(self, connection, attempt):
+        """Ends the runner."""
+        if self.crash():
+            CRASHES.append((attempt, self.name, time.monotonic()))
+            back = threading.Timer(RUNNER_AWAY_SECONDS, self.come_back)
+            back.daemon = True
+            back.start()
+        return False
+
     def do_unsigned(self, connection, attempt):
         connection.sendall(self.whole(attempt).replace(b"Server-Signature", b"X-Other"))
         return True
@@ -251,6 +324,54 @@
         self.left.set()
         return False
 
+    def endless(self, connection, attempt, begin, again):
+        """Sends `begin`, then `again` until the node closes or `ENDLESS_CAP`
+        is reached. Notes how much was sent."""
+        head = f"Attempt-Id: {attempt}\r\nServer-Signature: s\r\n".encode()
+        sent = 0
+        try:
+            connection.sendall(begin.replace(b"HEAD", head))
+            while sent < ENDLESS_CAP:
+                connection.sendall(again)
+                sent += len(again)
+        except OSError:
+            pass
+        ENDLESS_SENT[attempt] = sent
+        return False
+
+    def do_endlesshead(self, connection, attempt):
+        return self.endless(connection, attempt, b"HTTP/1.1 200 OK\r\nHEAD", b"X: " + b"x" * 997)
+
+    def do_endlessfields(self, connection, attempt):
+        return self.endless(connection, attempt, b"HTTP/1.1 200 OK\r\nHEAD", b"X: x\r\n" * 200)
+
+    def do_endlessbody(self, connection, attempt):
+        return self.endless(connection, attempt, b"HTTP/1.1 200 OK\r\nHEAD\r\n", b"x" * 4096)
+
+    def do_endlesschunks(self, connection, attempt):
+        return self.endless(connection, attempt, CHUNKED, b"400\r\n" + b"x" * 1024 + b"\r\n")
+
+    def do_endlessextension(self, connection, attempt):
+        return self.endless(connection, attempt, CHUNKED + b"1;a=", b"x" * 4096)
+
+    def do_endlessextensions(self, connection, attempt):
+        """Small chunks, each with a long extension."""
+        return self.endless(connection, attempt, CHUNKED, b"1;a=" + b"x" * 4000 + b"\r\nx\r\n")
+
+    def do_endlesstrailers(self, connection, attempt):
+        return self.endless(connection, attempt, CHUNKED + b"0\r\n", b"X: x\r\n" * 200)
+
+    def do_endlessinterim(self, connection, attempt):
+        return self.endless(connection, attempt, b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 40)
+
+    def do_endlessforeign(self, connection, attempt):
+        """Answers to another request, one after the other."""
+        return self.endless(connection, attempt, b"", self.whole("feed", b"other") * 10)
+
+    def do_endlessevent(self, connection, attempt):
+        """An event that never finishes."""
+        return self.endless(connection, attempt, CHUNKED, b"400\r\ndata: " + b"x" * 1017 + b"\n\r\n")
+
     def stream(self, connection, attempt, first, last, end):
         connection.sendall((f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n"
                             "Transfer-Encoding: chunked\r\n\r\n").encode())
@@ -275,6 +396,11 @@
 
 RUNS = []  # (attempt id, runner, Last-Event-Id) in order, over all runners
 SHED = set()
+CHUNKED = b"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_CAP = 128 * 1024 * 1024  # A runner stops there, so that a test ends.
+ENDLESS_SENT = {}  # attempt id: bytes that a runner could send
+CRASHES = []  # (attempt id, runner, time) in order, over all runners
+RUNNER_AWAY_SECONDS = 1.5
 
 
 def route(name, kind, **more):
@@ -294,40 +420,88 @@
         "limits": {}, "tenants": [{"name": "ada", "api_keys": [KEY]}], **more})
 
 
-class Platform:
-    """The stand-ins and one node; a context manager."""
+class Node:
+    """One forwarding node as a real process. Nodes have a loopback address
+    each and the same port for their peers."""
 
-    def __enter__(self):
-        self.store, self.cloud = Store(), Cloud()
-        self.runners = [Runner(f"i-{i}") for i in range(3)]
-        self.store.put("op/config", config(1))
-        self.store.put("servers/garbage", b"\xff\xfe not json")
-        for runner in self.runners:
-            self.store.put(f"servers/{runner.name}", json.dumps(
-                {"service": "work", "address": runner.address, "zone": "a", "state": "ready",
-                 "batch_slots": 8, "born": 1}))
-        ports = [free_port() for _ in range(3)]
-        self.caller, self.readiness, self.admin = (f"127.0.0.1:{port}" for port in ports)
+    def __init__(self, name, host, peer_port, peers, store, cloud):
+        def address():
+            return f"{host}:{free_port(host=host)}"
+
+        self.name = name
+        self.caller, self.readiness, self.admin = address(), address(), address()
         self.directory = tempfile.TemporaryDirectory()
         self.settings = Path(self.directory.name) / "node.yaml"
         self.settings.write_text(
-            f"node: n1\ndomain: a\ncaller_address: {self.caller}\n"
+            f"node: {name}\ndomain: a\ncaller_address: {self.caller}\n"
             f"readiness_address: {self.readiness}\nadmin_address: {self.admin}\n"
-            f"peer_address: 127.0.0.1:{free_port(socket.SOCK_DGRAM)}\npeer_hosts: []\n"
-            f"store_address: {self.store.address}\ncloud_address: \"{self.cloud.address}\"\n"
+            f"peer_address: {host}:{peer_port}\npeer_hosts: {json.dumps(peers)}\n"
+            f"store_address: {store.address}\ncloud_address: \"{cloud.address}\"\n"
             "key_freshness_ms: 5000\nretry_slack: 100\ngrace_ms: 8000\nusage_window_ms: 1000\n")
         self.log = open(Path(self.directory.name) / "node.log", "w+")
+        self.start()
+
+    def start(self):
         self.process = subprocess.Popen(
             [BUILD / "src/pollen_node/pollen_node", "--config", self.settings], stdout=self.log)
-        self.until(lambda: self.ready() == 200)
-        return self
 
-    def __exit__(self, *_):
+    def kill(self):
         self.process.kill()
         self.process.wait()
+
+    def close(self):
+        self.kill()
         self.log.close()
         self.directory.cleanup()
 
+    def ready(self):
+        try:
+            return Platform.raw(self.readiness, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")[0]
+        except OSError:
+            return 0
+
+    def read_log(self):
+        return Path(self.log.name).read_text()
+
+
+class Platform:
+    """The stand-ins and some nodes; a context manager. What concerns one node
+    is the first one's."""
+
+    def __init__(self, nodes=1, runners=3):
+        self.node_count, self.runner_count = nodes, runners
+
+    def __enter__(self):
+        self.store, self.cloud = Store(), Cloud()
+        self.store.put("op/config", config(1))
+        self.store.put("servers/garbage", b"\xff\xfe not json")
+        self.runners = [Runner(f"i-{i}", self.store) for i in range(self.runner_count)]
+        hosts = [f"127.0.0.{i + 1}" for i in range(self.node_count)]
+        peer_port = free_port(socket.SOCK_DGRAM)
+        self.nodes = [Node(f"n{i + 1}", host, peer_port, hosts[:3], self.store, self.cloud)
+                      for i, host in enumerate(hosts)]
+        self.until(lambda: all(node.ready() == 200 for node in self.nodes))
+        return self
+
+    def __exit__(self, *_):
+        for node in self.nodes:
+            node.close()
+
+    @property
+    def process(self):
+        return self.nodes[0].process
+
+    @property
+    def caller(self):
+        return self.nodes[0].caller
+
+    @property
+    def log(self):
+        return self.nodes[0].log
+
+    def ready(self):
+        return self.nodes[0].ready()
+
     @staticmethod
     def until(condition, seconds=20):
         end = time.monotonic() + seconds
@@ -336,21 +510,17 @@
                 raise TimeoutError("a condition did not come true")
             time.sleep(0.02)
 
-    def ready(self):
-        try:
-            return self.raw(self.readiness, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")[0]
-        except OSError:
-            return 0
-
-    def connect(self, address):
+    @staticmethod
+    def connect(address):
         ip, port = address.split(":")
         return socket.create_connection((ip, int(port)), timeout=15)
 
-    def raw(self, address, data):
+    @classmethod
+    def raw(cls, address, data):
         """Sends bytes and returns status, head and body of the answer."""
-        with self.connect(address) as connection:
+        with cls.connect(address) as connection:
             connection.sendall(data)
-            return self.read_answer(connection)
+            return cls.read_answer(connection)
 
     @staticmethod
     def read_answer(connection):
@@ -383,8 +553,8 @@
         return (f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
                 f"Api-Key: {KEY}\r\n\r\n").encode()
 
-    def ask(self, attempt, path, method="GET", body=b"", key=KEY, extra=""):
-        return self.raw(self.caller, (
+    def ask(self, attempt, path, method="GET", body=b"", key=KEY, extra="", node=0):
+        return self.raw(self.nodes[node].caller, (
             f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
             f"Api-Key: {key}\r\nDeadline-Ms: 5000\r\n{extra}"
             f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
