Answers without end are ended after few bytes

What callers saw: upstreams that send bytes without end took 391 MB (no length), 773 MB (chunk extensions), 865 MB (trailers) of a node for six calls at once; a machine has 160 MB or more, and all that it carried was cut when the node was ended. Interim answers were read until the timeout at full speed. Cause: bounds stood on the head and on the body only, and the body's was 64 MB a call. Framing (chunk headers, trailers) and what is passed over (interim answers, answers to other requests) had none; unfinished events had none. Change: framing is bounded by twice the head's limit and 16 bytes for each byte of the body, for answers and for callers' requests; 16 answers are passed over; an answer that is held has 4 MB, all together 32 MB, an event 1 MB. The socket buffers of the test's own sender are held small, since what the kernel takes ahead is not the node's.

--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -21,7 +21,10 @@
 enum class ExchangeEnd : std::uint8_t {
   kComplete,  ///< The answer was read whole.
   kNotSent,   ///< The connection was not established; no byte was sent.
-  kBroken,    ///< Bytes of the request may have arrived, no whole answer came.
+  kBroken,    ///< The connection ended after bytes of the request may have
+              ///< arrived and before a whole answer came.
+  kInvalid,   ///< The same, but the peer sent what is no answer or is over
+              ///< its bounds.
 };
 
 /// What the owner of a client connection is told about its exchange. None is
@@ -92,6 +95,7 @@
   bool reusable_ = true;
   bool head_seen_ = false;
   bool skipping_ = false;
+  int passed_over_ = 0;  ///< Answers of this exchange.
   TimePoint idle_since_;
   std::optional<Duration> keep_alive_;
 };
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -90,6 +90,9 @@
   bool OnAnswerHead(ForwardId id, const HttpHead& head);
   void OnAnswerBody(ForwardId id, const std::string& part);
   void OnAttemptEnd(ForwardId id, ExchangeEnd end);
+  /// Ends an attempt whose answer is over its bounds.
+  void RejectAnswer(ForwardId id, const char* reason);
+  void DropHeldAnswer(Exchange* exchange);
   ForwardEnd Classify(const Exchange& exchange, ExchangeEnd end) const;
   void BeginAnswer(Exchange* exchange);
   void AnswerOwn(ForwardId id, int status, Duration retry_after,
@@ -109,6 +112,7 @@
   ForwardMetrics metrics_;
   ClientConnectionPool upstream_pool_;
   std::unordered_map<ForwardId, Exchange> exchanges_;
+  std::size_t held_answer_bytes_ = 0;  ///< Of answers that are not whole yet.
   ForwardId next_id_ = 1;
   std::deque<ForwardEvent> pending_;
   bool handling_ = false;
--- a/src/include/pollenledge/request/event_splitter.h
+++ b/src/include/pollenledge/request/event_splitter.h
@@ -39,6 +39,8 @@
   std::int64_t passed_on() const { return passed_on_; }
   /// True if bytes of an unfinished event are held.
   bool has_partial() const { return !partial_.empty(); }
+  /// Bytes of it.
+  std::size_t partial_bytes() const { return partial_.size(); }
   /// True once an event's number did not follow the one before it.
   bool gap() const { return gap_; }
 
--- a/src/include/pollenledge/request/forward_request.h
+++ b/src/include/pollenledge/request/forward_request.h
@@ -47,7 +47,8 @@
   kNotSent,    ///< No byte of the request reached the upstream.
   kRefused,    ///< The upstream said that it did not run the request.
   kFailed,     ///< The upstream ran the request and answered with a failure.
-  kBroken,     ///< Lost after the first byte was sent.
+  kBroken,     ///< The connection ended after the first byte was sent.
+  kInvalid,    ///< The upstream sent what is no answer, or one without end.
   kMoved,      ///< The upstream stopped the stream because it was moved.
 };
 
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -18,6 +18,9 @@
 /// a third more when encoded.
 constexpr std::size_t kMaxAnswerHead = std::size_t{32} * 1024;
 constexpr std::size_t kMaxAnswerBody = std::size_t{64} * 1024 * 1024;
+/// Interim answers, and answers to other requests, that are passed over before
+/// an exchange is given up.
+constexpr int kMaxPassedOver = 16;
 /// Idle connections are used for this long if the peer does not say: peers
 /// commonly close after five seconds.
 constexpr Duration kDefaultIdleLife = std::chrono::seconds(4);
@@ -60,6 +63,7 @@
   written_ = false;
   head_seen_ = false;
   skipping_ = false;
+  passed_over_ = 0;
   reader_.ExpectAnswerTo(method);
   if (open_) {
     Write();
@@ -146,7 +150,7 @@
   const Status status =
       reader_.Append(std::string_view(read_buffer_.data(), size));
   if (!Ok(status)) {
-    FinishExchange(ExchangeEnd::kBroken);
+    FinishExchange(ExchangeEnd::kInvalid);
     return;
   }
   auto self = shared_from_this();
@@ -176,8 +180,8 @@
     }
     head_seen_ = false;
     skipping_ = false;
-    if (!Ok(reader_.Next())) {
-      FinishExchange(ExchangeEnd::kBroken);
+    if (++passed_over_ > kMaxPassedOver || !Ok(reader_.Next())) {
+      FinishExchange(ExchangeEnd::kInvalid);
       return;
     }
   }
--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -80,6 +80,9 @@
       case ExchangeEnd::kBroken:
         open->Finish(Error{ErrorCode::kUnknownOutcome, "connection broken"});
         return;
+      case ExchangeEnd::kInvalid:
+        open->Finish(Error{ErrorCode::kUnknownOutcome, "no valid answer"});
+        return;
     }
   };
   open->connection->Start(RenderRequest(call), call.method, call.timeout,
--- a/src/libpollenledge/connection/http_reader.cc
+++ b/src/libpollenledge/connection/http_reader.cc
@@ -16,6 +16,9 @@
 namespace http = boost::beast::http;
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+/// Framing that a message may have for each byte of its body: chunks of one
+/// byte have less.
+constexpr std::size_t kMaxFramingPerByte = 16;
 
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
@@ -105,6 +108,7 @@
  public:
   HttpHead head;
   std::string body;
+  std::size_t body_bytes = 0;  ///< Received so far.
   bool head_complete = false;
 
  protected:
@@ -129,17 +133,22 @@
   void on_body_init_impl(const boost::optional<std::uint64_t>&,
                          ErrorCode&) override {}
   std::size_t on_body_impl(beast::string_view part, ErrorCode&) override {
-    body.append(part.data(), part.size());
-    return part.size();
+    return Append(part);
   }
   void on_chunk_header_impl(std::uint64_t, beast::string_view,
                             ErrorCode&) override {}
   std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view part,
                                  ErrorCode&) override {
+    return Append(part);
+  }
+  void on_finish_impl(ErrorCode&) override {}
+
+ private:
+  std::size_t Append(beast::string_view part) {
     body.append(part.data(), part.size());
+    body_bytes += part.size();
     return part.size();
   }
-  void on_finish_impl(ErrorCode&) override {}
 };
 
 }  // namespace
@@ -195,6 +204,7 @@
   bool skip_body = false;
   bool head_too_large = false;
   bool body_too_large = false;
+  std::size_t parsed_bytes = 0;  ///< Of the present message.
 
   template <typename Visit>
   decltype(auto) With(Visit visit) {
@@ -207,6 +217,7 @@
 
   void Restart() {
     head_checked = false;
+    parsed_bytes = 0;
     if (role == Role::kRequests) {
       request.emplace();
     } else {
@@ -256,9 +267,24 @@
         if (consumed == 0) break;
       }
       buffer.erase(0, used);
-      return {};
+      parsed_bytes += used;
+      return CheckFraming(parser);
     });
   }
+
+  /// Chunk headers with extensions, and trailers, are bounded as a head is.
+  template <typename Parser>
+  Status CheckFraming(const Parser& parser) const {
+    if (parser.is_done()) return {};
+    // What is left here is a line that has not ended.
+    const std::size_t framing =
+        parsed_bytes - parser.body_bytes + buffer.size();
+    if (framing >
+        2 * max_header_bytes + kMaxFramingPerByte * parser.body_bytes) {
+      return Malformed("chunk headers or trailers are over their limit");
+    }
+    return {};
+  }
 };
 
 HttpReader::HttpReader(Role role, std::size_t max_header_bytes,
--- a/src/libpollenledge/connection/http_reader_test.cc
+++ b/src/libpollenledge/connection/http_reader_test.cc
@@ -76,6 +76,37 @@
   EXPECT_TRUE(body.body_too_large());
 }
 
+/// Appends `begin` and then `again` until the reader refuses; the bytes taken.
+std::size_t TakenUntilRefused(const std::string& begin,
+                              const std::string& again) {
+  constexpr std::size_t kCap = std::size_t{16} * 1024 * 1024;
+  HttpReader reader(HttpReader::Role::kAnswers, kHead, kCap);
+  std::size_t taken = begin.size();
+  bool sound = Ok(reader.Append(begin));
+  while (sound && taken < kCap) {
+    sound = Ok(reader.Append(again));
+    reader.TakeBody();
+    taken += again.size();
+  }
+  return taken;
+}
+
+// Guards against chunk headers and trailers that fill the node's memory
+// (incident BUDGET).
+TEST(HttpReaderTest, FramingWithoutEndIsRefusedSoon) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  constexpr std::size_t kSoon = 4 * kHead;
+  const std::string long_text(kHead / 4, 'x');
+  EXPECT_LT(TakenUntilRefused(chunked + "1;a=", long_text), kSoon);
+  EXPECT_LT(TakenUntilRefused(chunked, "1;a=" + long_text + "\r\nx\r\n"),
+            kSoon);
+  EXPECT_LT(TakenUntilRefused(chunked + "0\r\n", "X: x\r\n"), kSoon);
+  EXPECT_LT(TakenUntilRefused(chunked + "0\r\nX: ", long_text), kSoon);
+  // Chunks of a byte each are no such thing.
+  EXPECT_GT(TakenUntilRefused(chunked, "1\r\nx\r\n"), 100 * kSoon);
+}
+
 TEST(HttpReaderTest, AnAnswerWithoutLengthEndsWithItsConnection) {
   HttpReader reader(HttpReader::Role::kAnswers, kHead, kBody);
   ASSERT_TRUE(Ok(reader.Append("HTTP/1.1 200 OK\r\n\r\nab")));
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -20,6 +20,12 @@
 constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 constexpr Duration kIdleSweep = std::chrono::seconds(2);
+/// An answer that is no stream is held until it is whole, up to this size.
+constexpr std::size_t kMaxHeldAnswer = std::size_t{4} * 1024 * 1024;
+/// The same of all answers together: a fifth of the smallest machine's memory.
+constexpr std::size_t kMaxHeldAnswers = std::size_t{32} * 1024 * 1024;
+/// Longest event of a stream.
+constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
 constexpr int kStatusOk = 200;
 constexpr int kStatusClientErrors = 400;
 constexpr int kStatusServerErrors = 500;
@@ -207,7 +213,7 @@
   const ForwardId id = send.id;
   exchange->answer = HttpHead();
   exchange->facts = AnswerFacts();
-  exchange->answer_body.clear();
+  DropHeldAnswer(exchange);
   exchange->passing_events = false;
   exchange->is_stream = send.kind == RouteKind::kStreaming;
   if (exchange->events.has_value()) {
@@ -265,11 +271,21 @@
   Exchange* exchange = Find(id);
   if (exchange == nullptr) return;
   if (!exchange->passing_events) {
+    if (exchange->answer_body.size() + part.size() > kMaxHeldAnswer ||
+        held_answer_bytes_ + part.size() > kMaxHeldAnswers) {
+      RejectAnswer(id, "answer is too long");
+      return;
+    }
+    held_answer_bytes_ += part.size();
     exchange->answer_body += part;
     return;
   }
   const bool first = exchange->events->passed_on() == 0;
   const EventBatch batch = exchange->events->Append(part);
+  if (exchange->events->partial_bytes() > kMaxEventBytes) {
+    RejectAnswer(id, "event is too long");
+    return;
+  }
   if (batch.count == 0) return;
   BeginAnswer(exchange);
   exchange->caller->Part(batch.bytes);
@@ -282,6 +298,26 @@
   Submit(forward_event::EventsPassed{id, last_id});
 }
 
+void ForwardService::RejectAnswer(ForwardId id, const char* reason) {
+  Exchange* exchange = Find(id);
+  Log(LogLevel::kWarn, "answer_rejected",
+      {{"request", exchange->spec.trace_id},
+       {"upstream", exchange->attempt->address()},
+       {"reason", reason},
+       {"held_bytes", std::to_string(held_answer_bytes_)}});
+  metrics_.Count("answers_rejected_total");
+  exchange->attempt->Abort();
+  exchange->attempt.reset();
+  DropHeldAnswer(exchange);
+  Submit(forward_event::AttemptEnded{
+      id, ForwardEnd::kInvalid, exchange->answer.status, exchange->facts.load});
+}
+
+void ForwardService::DropHeldAnswer(Exchange* exchange) {
+  held_answer_bytes_ -= exchange->answer_body.size();
+  exchange->answer_body = std::string();
+}
+
 void ForwardService::BeginAnswer(Exchange* exchange) {
   if (exchange->answer_begun) return;
   exchange->answer_begun = true;
@@ -303,19 +339,20 @@
   if (end == ExchangeEnd::kNotSent) return ForwardEnd::kNotSent;
   if (exchange.facts.not_run) return ForwardEnd::kRefused;
   if (end == ExchangeEnd::kBroken) return ForwardEnd::kBroken;
+  if (end == ExchangeEnd::kInvalid) return ForwardEnd::kInvalid;
   const int status = exchange.answer.status;
   if (exchange.passing_events) {
     const bool whole =
         !exchange.events->has_partial() && !exchange.events->gap();
-    return whole ? ForwardEnd::kCompleted : ForwardEnd::kBroken;
+    return whole ? ForwardEnd::kCompleted : ForwardEnd::kInvalid;
   }
   if (IsSuccess(status)) {
     const bool proven = exchange.facts.is_signed &&
                         exchange.facts.trace_id.has_value() &&
                         !exchange.facts.is_encoded && !exchange.answer_begun;
-    return proven ? ForwardEnd::kCompleted : ForwardEnd::kBroken;
+    return proven ? ForwardEnd::kCompleted : ForwardEnd::kInvalid;
   }
-  if (PromisesNotRun(status)) return ForwardEnd::kBroken;
+  if (PromisesNotRun(status)) return ForwardEnd::kInvalid;
   return status >= kStatusServerErrors ? ForwardEnd::kFailed
                                        : ForwardEnd::kCompleted;
 }
@@ -389,6 +426,7 @@
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   if (found->second.attempt != nullptr) found->second.attempt->Abort();
+  DropHeldAnswer(&found->second);
   found->second.caller->request_id = 0;
   exchanges_.erase(found);
 }
--- a/src/libpollenledge/process/forward_upstreams.cc
+++ b/src/libpollenledge/process/forward_upstreams.cc
@@ -270,6 +270,7 @@
       break;
     case ForwardEnd::kFailed:
     case ForwardEnd::kBroken:
+    case ForwardEnd::kInvalid:
       NoteOutcome(upstream, true, now);
       break;
   }
--- a/src/libpollenledge/request/forward_request.cc
+++ b/src/libpollenledge/request/forward_request.cc
@@ -14,6 +14,8 @@
       return "failed";
     case ForwardEnd::kBroken:
       return "broken";
+    case ForwardEnd::kInvalid:
+      return "invalid";
     case ForwardEnd::kMoved:
       return "moved";
   }
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -330,6 +330,8 @@
         is reached. Notes how much was sent."""
         head = f"Attempt-Id: {attempt}\r\nServer-Signature: s\r\n".encode()
         sent = 0
+        # What the sockets hold on the way counts as sent.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
         try:
             connection.sendall(begin.replace(b"HEAD", head))
             while sent < ENDLESS_CAP:
