An engine's line without end is given up after the longest event

What callers saw: nothing yet; found while looking for the cause of the endless answers on the project's own interface. A line without end was read into memory whole; only whole lines were held against the longest event. Evidence: UpstreamCallTest.AnEventWithoutEndIsGivenUpSoon took 256 MB, the test's cap, on the code before. Lines are now read up to the bound.

--- a/src/libpollenledge/connection/upstream_call.cc
+++ b/src/libpollenledge/connection/upstream_call.cc
@@ -64,17 +64,29 @@
   // False at the end of the stream, which cuts off an unfinished event.
   bool Next(std::string* event) {
     event->clear();
-    while (std::getline(*in_, line_)) {
+    while (ReadLine(kMaxEventBytes - event->size())) {
       *event += line_;
       *event += '\n';
       if (line_.empty() || line_ == "\r")
         return event->size() > line_.size() + 1;
-      if (event->size() > kMaxEventBytes) return false;
+      if (event->size() >= kMaxEventBytes) return false;
     }
     return false;
   }
 
  private:
+  // False at the end of the stream, and if the line is longer than `most`.
+  bool ReadLine(std::size_t most) {
+    line_.clear();
+    char next = 0;
+    while (in_->get(next)) {
+      if (next == '\n') return true;
+      if (line_.size() == most) return false;
+      line_ += next;
+    }
+    return false;
+  }
+
   std::istream* in_;
   std::string line_;
 };
