--- a/testsuite/endless_answers/run.py
+++ b/testsuite/endless_answers/run.py
@@ -8,14 +8,13 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from platform_standins import ENDLESS_CAP, ENDLESS_SENT, HOST, KEY, Platform  # noqa: E402
+from platform_standins import CALLER_HEAD, ENDLESS_CAP, ENDLESS_SENT, Platform  # noqa: E402
 from story import run_story  # noqa: E402
 
 AT_ONCE = 6
 # So many calls at once must leave room on the smallest machine, which has 160 MB.
 MAX_PEAK_MB = 80
 MAX_SENT_MB = 12  # An answer that is held, and what a socket receives ahead.
-CALLER_HEAD = f"POST /read/ok HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n".encode()
 FORMS = (("read", "head"), ("read", "fields"), ("read", "body"), ("read", "chunks"),
          ("read", "extension"), ("read", "extensions"), ("read", "trailers"), ("read", "interim"),
          ("read", "foreign"), ("chat", "event"), ("chat", "extension"), ("chat", "extensions"),
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -18,6 +18,8 @@
 
 HOST = "platform.example"
 KEY = "key-of-ada"
+# How a request of a caller begins that goes on with more fields.
+CALLER_HEAD = f"POST /read/ok HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n".encode()
 BUILD = Path(os.environ.get("POLLENLEDGE_BUILD", "build"))
 
 
