A node that starts in a cut takes its part of what all nodes share, not more

When the nodes of a failure domain start again while it is cut off, they know only each other, and divided the retry slack by those (or by 8). Cause: the number of nodes that share a bound was what a process had heard of since its start. The limits of customers were divided the same way. Ruled out: a whole fleet that starts together keeps the bound (RetriesOfAllNodes.KeepToTheirBoundWhenAllStart passed before): nodes earn repeats more slowly than they come to know each other. Change: the holder of the duties keeps the number of nodes in the store, one write when it grows; each node reads it at its start. It goes down only once the holder has run long enough to have forgotten nodes that left.

--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -62,6 +62,10 @@
 struct SuspectsRead {
   std::vector<SuspectReport> reports;
 };
+/// What the store says of the number of nodes in the fleet.
+struct FleetSizeRead {
+  int nodes = 0;
+};
 /// This process has to stop.
 struct DrainStarted {};
 /// Time passed.
@@ -75,7 +79,8 @@
                  forward_event::AttemptEnded, forward_event::TablesRead,
                  forward_event::TablesHeard, forward_event::UpstreamsListed,
                  forward_event::HeartbeatReceived, forward_event::SuspectsRead,
-                 forward_event::DrainStarted, forward_event::Ticked>;
+                 forward_event::FleetSizeRead, forward_event::DrainStarted,
+                 forward_event::Ticked>;
 
 /// What a forwarding node wants done.
 namespace forward_action {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -120,6 +120,7 @@
   void On(const forward_event::UpstreamsListed& listed);
   void On(const forward_event::HeartbeatReceived& heartbeat);
   void On(const forward_event::SuspectsRead& read);
+  void On(const forward_event::FleetSizeRead& read);
   void On(const forward_event::DrainStarted& drain);
   void On(const forward_event::Ticked& tick);
 
@@ -216,6 +217,7 @@
   ForwardUpstreams upstreams_;
   Membership membership_;
   LimitBuckets limits_;
+  int expected_nodes_;  ///< That limits are shared among at the least.
   TimePoint limits_updated_at_;
   RetryBudget retry_budget_;
   UsageLedger usage_;
--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -51,6 +51,10 @@
   /// Sets the limits in force. A customer that is not named has none.
   void Configure(const std::vector<CustomerLimit>& limits, TimePoint now);
 
+  /// Shares the limits among so many nodes at the least, whether they were
+  /// heard of or not.
+  void SetLeastNodes(int nodes) { options_.least_nodes = nodes; }
+
   /// Takes in what the other nodes say. Call it each heartbeat period.
   void Update(const std::vector<Member>& others, TimePoint now);
 
--- /dev/null
+++ b/src/libpollenledge/process/fleet_size_keeper.cc
@@ -0,0 +1,109 @@
+#include "pollenledge/process/fleet_size_keeper.h"
+
+#include <charconv>
+#include <utility>
+
+#include "pollenledge/connection/loop_clock.h"
+#include "pollenledge/process/log.h"
+#include "pollenledge/process/membership.h"
+
+namespace pollenledge {
+namespace {
+
+/// Far above any fleet; a larger number in the store is a mistake.
+constexpr int kMostNodes = 100'000;
+
+/// The number in the store; 0 if it cannot be read.
+int ParseNodes(const std::string& text) {
+  int nodes = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, nodes);
+  const bool sound = parsed.ec == std::errc() && parsed.ptr == end &&
+                     nodes > 0 && nodes <= kMostNodes;
+  if (!sound) {
+    Log(LogLevel::kError, "fleet_size_unreadable", {{"text", text}});
+    return 0;
+  }
+  return nodes;
+}
+
+}  // namespace
+
+std::optional<int> NextFleetSize(int stored, int known,
+                                 Duration holder_uptime) {
+  const bool knows_all = holder_uptime > Membership::kForgetAfter;
+  if (known > stored || (known < stored && knows_all)) return known;
+  return std::nullopt;
+}
+
+FleetSizeKeeper::FleetSizeKeeper(boost::asio::io_context& loop,
+                                 AsyncStore* store, const DutyLease* lease,
+                                 std::string key, Hooks hooks)
+    : store_(store),
+      lease_(lease),
+      key_(std::move(key)),
+      hooks_(std::move(hooks)),
+      timer_(loop) {}
+
+void FleetSizeKeeper::Start() {
+  started_at_ = BootNow();
+  Read();
+}
+
+void FleetSizeKeeper::Read() {
+  store_->Read(key_, [this](const Result<StoreItem>& item) { OnRead(item); });
+}
+
+void FleetSizeKeeper::OnRead(const Result<StoreItem>& item) {
+  if (!Ok(item)) {
+    After(kRetry, &FleetSizeKeeper::Read);
+    return;
+  }
+  const std::optional<KvEntry>& entry = Value(item).entry;
+  revision_ = entry.has_value() ? entry->mod_revision : 0;
+  stored_ = entry.has_value() ? ParseNodes(entry->value) : 0;
+  Log(LogLevel::kInfo, "fleet_size_read",
+      {{"nodes", std::to_string(stored_)},
+       {"revision", std::to_string(revision_)}});
+  hooks_.on_read(stored_);
+  After(kPeriod, &FleetSizeKeeper::Tick);
+}
+
+void FleetSizeKeeper::Tick() {
+  const TimePoint now = BootNow();
+  if (lease_->MayAct(now)) {
+    const std::optional<int> next =
+        NextFleetSize(stored_, hooks_.known_nodes(), now - started_at_);
+    if (next.has_value()) {
+      Write(*next);
+      return;
+    }
+  }
+  After(kPeriod, &FleetSizeKeeper::Tick);
+}
+
+void FleetSizeKeeper::Write(int nodes) {
+  StoreTransaction transaction;
+  transaction.writes = {{.key = key_,
+                         .value = std::to_string(nodes),
+                         .expected_revision = revision_}};
+  store_->Commit(transaction, [this, nodes](const Result<KvTxnReply>& reply) {
+    const bool written = Ok(reply) && Value(reply).succeeded;
+    Log(written ? LogLevel::kInfo : LogLevel::kWarn, "fleet_size_written",
+        {{"nodes", std::to_string(nodes)},
+         {"outcome", written     ? "done"
+                     : Ok(reply) ? "another node was first"
+                                 : ErrorOf(reply).message}});
+    // What is there now is known by reading, also after a lost answer.
+    After(written ? Duration(0) : kRetry, &FleetSizeKeeper::Read);
+  });
+}
+
+void FleetSizeKeeper::After(Duration pause, void (FleetSizeKeeper::*next)()) {
+  timer_.expires_after(pause);
+  timer_.async_wait([this, next](const boost::system::error_code& error) {
+    if (!error) (this->*next)();
+  });
+}
+
+}  // namespace pollenledge
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -66,6 +66,7 @@
       membership_(options_.self, options_.seeds, options_.random_seed + 2,
                   kHeartbeat),
       limits_({.least_nodes = kExpectedNodes}),
+      expected_nodes_(kExpectedNodes),
       retry_budget_(RetryBudgetOptions{
           .retries_per_attempt = options_.retries_per_request,
           .max_saved = options_.retry_slack / kExpectedNodes,
@@ -296,6 +297,12 @@
   }
 }
 
+void ForwardNode::On(const forward_event::FleetSizeRead& read) {
+  expected_nodes_ = std::max(kExpectedNodes, read.nodes);
+  limits_.SetLeastNodes(expected_nodes_);
+  UpdateLimits();
+}
+
 void ForwardNode::On(const forward_event::DrainStarted&) {
   if (draining_) return;
   draining_ = true;
@@ -341,7 +348,7 @@
   limits_updated_at_ = now();
   limits_.Update(membership_.Others(now()), now());
   const int nodes =
-      std::max(kExpectedNodes, membership_.ShareholderCount(now()));
+      std::max(expected_nodes_, membership_.ShareholderCount(now()));
   retry_budget_.SetMaxSaved(options_.retry_slack / nodes);
 }
 
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -14,6 +14,7 @@
 #include "pollenledge/process/config_sync.h"
 #include "pollenledge/process/duty_lease.h"
 #include "pollenledge/process/fleet_keeper.h"
+#include "pollenledge/process/fleet_size_keeper.h"
 #include "pollenledge/process/forward_service.h"
 #include "pollenledge/process/log.h"
 #include "pollenledge/process/suspect_keeper.h"
@@ -27,6 +28,7 @@
 constexpr char kDutyKey[] = "pollenledge/duties";
 constexpr char kUsagePrefix[] = "pollenledge/usage/";
 constexpr char kFleetPrefix[] = "pollenledge/fleet/";
+constexpr char kNodesKey[] = "pollenledge/nodes";
 constexpr char kSuspectsKey[] = "pollenledge/suspects";
 
 constexpr Duration kReportPeriod = std::chrono::seconds(10);
@@ -95,6 +97,14 @@
             }),
         duties_(loop_, &store_, kDutyKey, settings.node, incarnation,
                 settings.duty_lease),
+        fleet_size_(
+            loop_, &store_, &duties_, kNodesKey,
+            {[this] {
+               return service_.node().membership().ShareholderCount(BootNow());
+             },
+             [this](int nodes) {
+               service_.Submit(forward_event::FleetSizeRead{nodes});
+             }}),
         usage_(loop_, &store_, &cloud_, &duties_, &service_.node().usage(),
                kUsagePrefix, settings.node,
                {[this] { return service_.Now().wall; },
@@ -111,6 +121,7 @@
     suspects_.Start();
     config_.Start();
     upstreams_.Start();
+    fleet_size_.Start();
     if (!settings_.cloud_address.empty()) {
       duties_.Start();
       usage_.Start();
@@ -195,6 +206,7 @@
   UpstreamSync upstreams_;
   SuspectKeeper suspects_;
   DutyLease duties_;
+  FleetSizeKeeper fleet_size_;
   UsageReporter usage_;
   FleetKeeper fleet_;
 };
