A suspected request goes out on a new connection

Upstreams drop idle connections without notice, and what is sent next is reset. Under one request that would count as crashes of its own. With a new connection a break is the upstream's end. ForwardNodeTest.ASuspectedRequestGoesOutOn- ANewConnection failed before (connections of repeatable requests were reused).

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -157,6 +157,7 @@
   // Requests that end upstreams.
   /// Nothing if the request may run, as far as upstreams ended under it.
   std::optional<NotRun> CheckSuspect(const Request& request) const;
+  bool IsSuspect(const Request& request) const;
   /// True if the same request waits or runs here already.
   bool IsTried(const Request& request) const;
   void KeepApart(const Request& request, UpstreamQuery* query) const;
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -106,7 +106,7 @@
       .deadline = request->deadline,
       .send_before = LatestSend(*request),
       .kind = request->route->kind,
-      .reuse_connection = request->route->MayRepeat(),
+      .reuse_connection = request->route->MayRepeat() && !IsSuspect(*request),
       .last_event_id = request->last_event_id,
       .repeat_after = repeat_after});
   ScheduleCheck(request);
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -135,6 +135,17 @@
   EXPECT_EQ(Find<action::Refuse>()->not_run.http_status, 401);
 }
 
+// Guards against idle connections that upstreams drop without notice and that
+// look like crashes under the same request again and again.
+TEST_F(ForwardNodeTest, ASuspectedRequestGoesOutOnANewConnection) {
+  EarnRetries();
+  Arrive(1, "read");
+  EXPECT_TRUE(Find<action::SendAttempt>()->reuse_connection);
+  End(1, ForwardEnd::kBroken);
+  ASSERT_NE(Find<action::SendAttempt>(), nullptr);
+  EXPECT_FALSE(Find<action::SendAttempt>()->reuse_connection);
+}
+
 TEST_F(ForwardNodeTest, ANonIdempotentRequestIsNotSentAgainOnceItMayHaveRun) {
   EarnRetries();
   for (const ForwardEnd end : {ForwardEnd::kBroken, ForwardEnd::kFailed}) {
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -42,6 +42,10 @@
   return std::nullopt;
 }
 
+bool ForwardNode::IsSuspect(const Request& request) const {
+  return suspects_.Of(request.fingerprint, now()) != Suspicion::kNone;
+}
+
 bool ForwardNode::IsTried(const Request& request) const {
   return std::any_of(requests_.begin(), requests_.end(),
                      [&](const auto& entry) {
