Tests: a frozen process stands still before the test goes on

testsuite.at_most_once failed once beside the linter: the resend while its entry is frozen got 409 in-progress instead of 502. Ruled out: the entry's deciding code, which told the truth at that moment. freeze() now returns when each thread's state is T; the story and what it expects are unchanged.

--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -103,7 +103,15 @@
         self.popen.wait()
 
     def freeze(self):
+        """Returns when every thread stands still: the signal only asks for it."""
         self.popen.send_signal(signal.SIGSTOP)
+        while any(state != "T" for state in self.thread_states()):
+            time.sleep(0.001)
+
+    def thread_states(self):
+        """The state letter of each thread, `T` if it is stopped."""
+        tasks = Path(f"/proc/{self.popen.pid}/task").glob("*/stat")
+        return [task.read_text().rsplit(")", 1)[1].split()[0] for task in tasks]
 
     def thaw(self):
         self.popen.send_signal(signal.SIGCONT)
