--- a/src/libpollenledge/connection/http_reader.cc
+++ b/src/libpollenledge/connection/http_reader.cc
@@ -268,19 +268,15 @@
       }
       buffer.erase(0, used);
       parsed_bytes += used;
-      return CheckFraming(parser);
+      return parser.is_done() ? Status() : CheckFraming(parser.body_bytes);
     });
   }
 
   /// Chunk headers with extensions, and trailers, are bounded as a head is.
-  template <typename Parser>
-  Status CheckFraming(const Parser& parser) const {
-    if (parser.is_done()) return {};
-    // What is left here is a line that has not ended.
-    const std::size_t framing =
-        parsed_bytes - parser.body_bytes + buffer.size();
-    if (framing >
-        2 * max_header_bytes + kMaxFramingPerByte * parser.body_bytes) {
+  Status CheckFraming(std::size_t body_bytes) const {
+    // What is left in the buffer is a line that has not ended.
+    const std::size_t framing = parsed_bytes - body_bytes + buffer.size();
+    if (framing > 2 * max_header_bytes + kMaxFramingPerByte * body_bytes) {
       return Malformed("chunk headers or trailers are over their limit");
     }
     return {};
