Stopping nodes refuse what they would cut; load reports with further figures

Two faults, whose edits share files.

Callers saw a stream cut that a node took 3.065 s after its SIGTERM. Plain work that must end in time is still taken. Test: ADrainingNodeTakesNothingThatItWouldCut.

Runners of some services send four figures in their load header; exactly three were taken and the header dropped otherwise, so plain work there was routed without any report. Now further figures are tolerated, nonsense is counted and logged, and the fourth figure is used: plain requests go where they are expected to end first, by requests there, slots and how long work takes there now; the figure loses its weight in 300 ms.

--- a/src/include/pollenledge/connection/forwarding_codec.h
+++ b/src/include/pollenledge/connection/forwarding_codec.h
@@ -29,6 +29,8 @@
   bool not_run = false;     ///< The upstream did not run the request.
   bool is_encoded = false;  ///< The body is not the upstream's own bytes.
   std::optional<ReportedLoad> load;
+  /// The upstream reported its load in a form that is not understood.
+  bool load_is_unreadable = false;
 
   friend bool operator==(const AnswerFacts&, const AnswerFacts&) = default;
 };
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -29,6 +29,8 @@
   double retries_per_request = 0.2;  ///< Over all nodes, for each service.
   double retry_slack = 0;            ///< Besides, over all nodes.
   Duration usage_window = std::chrono::seconds(5);
+  /// From `DrainStarted` until what is still in progress is cut.
+  Duration drain_time = std::chrono::hours(1);
   /// Refuse all work until `SuspectsRead`.
   bool awaits_suspects = false;
   std::uint64_t random_seed = 1;
@@ -68,7 +70,7 @@
   UsageLedger& usage() { return usage_; }
   std::size_t active_requests() const { return requests_.size(); }
   std::size_t queued_requests() const;
-  bool draining() const { return draining_; }
+  bool draining() const { return drain_started_at_.has_value(); }
   /// Repeats that this node may save up for each service.
   double retry_share() const { return retry_budget_.options().max_saved; }
   /// Part of the recent streams of `service` whose first event came late.
@@ -136,6 +138,8 @@
   // Arrival.
   std::optional<NotRun> Admit(Request* request);
   std::optional<NotRun> CheckKey(Request* request);
+  /// Nothing if a node that stops can still answer the request.
+  std::optional<NotRun> CheckDrain(const Request& request) const;
   std::optional<NotRun> TakeLimit(Request* request);
   std::string PickService(const ForwardingRoute& route);
   bool KeyIsFresh(TimePoint now) const;
@@ -191,6 +195,8 @@
   std::optional<TimePoint> SilenceDue(const Request& request) const;
   void ScheduleCheck(Request* request);
   void UpdateLimits();
+  /// What upstreams said here since peers were last told.
+  std::vector<HeardLoad> LoadsToTell();
   void Answer(const Heartbeat& question);
   /// The tables here were in force at `proven_at`.
   void NoteProof(TimePoint proven_at);
@@ -220,6 +226,7 @@
   LimitBuckets limits_;
   int expected_nodes_;  ///< That limits are shared among at the least.
   TimePoint limits_updated_at_;
+  TimePoint loads_told_at_;
   RetryBudget retry_budget_;
   UsageLedger usage_;
   CrashSuspects suspects_;
@@ -232,7 +239,7 @@
   /// When requests have to be looked at next.
   std::multimap<TimePoint, ForwardId> due_;
   bool is_collector_ = false;
-  bool draining_ = false;
+  std::optional<TimePoint> drain_started_at_;
 };
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "pollenledge/process/crash_suspects.h"
+#include "pollenledge/request/forward_request.h"
 #include "pollenledge/request/request.h"
 #include "pollenledge/time.h"
 
@@ -41,6 +42,8 @@
   bool left = false;
   std::uint64_t tables_version = 0;
   std::uint32_t active_requests = 0;
+  /// Part of a processor core that the node may use, in percent; 0: not known.
+  std::uint16_t processor_percent = 0;
   std::vector<CustomerDemand> demands;  ///< The largest, `kMaxDemands` at most.
 
   /// Of limits that are kept by use instead of by demand.
@@ -83,6 +86,15 @@
   friend bool operator==(const LimitLevel&, const LimitLevel&) = default;
 };
 
+/// What an upstream said of its load.
+struct HeardLoad {
+  UpstreamId upstream;
+  ReportedLoad load;
+  Duration age{0};  ///< Since it was said.
+
+  friend bool operator==(const HeardLoad&, const HeardLoad&) = default;
+};
+
 /// What one heartbeat says.
 struct Heartbeat {
   std::vector<MemberRecord> records;  ///< The sender's is the first.
@@ -94,6 +106,8 @@
   /// How old the sender's proof is that its tables are in force.
   std::optional<Duration> proof_age;
   std::vector<SuspectReport> suspects;
+  WallTime calendar{};  ///< The sender's estimate; zero if it has none.
+  std::vector<HeardLoad> loads;
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/src/include/pollenledge/request/forward_request.h
+++ b/src/include/pollenledge/request/forward_request.h
@@ -60,6 +60,8 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// How long work takes there now, in percent of what is usual.
+  int work_percent = 100;
 
   friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
 };
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -33,6 +33,8 @@
   activeRequests @8 :UInt32;
   demands @9 :List(CustomerDemand);
   uses @10 :List(CustomerUse);
+  # Part of a processor core that the node may use, in percent; 0: not known.
+  processorPercent @11 :UInt16;
 }
 
 # What is left of a customer's limit, and what of the receiver's own use is
@@ -49,6 +51,18 @@
   ageMicros @3 :Int64;
 }
 
+# What an upstream said of its load.
+struct HeardLoad {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+  running @2 :Int32;
+  waiting @3 :Int32;
+  slots @4 :Int32;
+  # How long work takes there, in percent of what is usual.
+  workPercent @5 :Int32 = 100;
+  ageMicros @6 :Int64;
+}
+
 # A datagram between forwarding nodes. The first record is the sender's.
 struct NodeHeartbeat {
   records @0 :List(MemberRecord);
@@ -60,6 +74,9 @@
   # there is none.
   proofAgeMicros @4 :Int64 = -1;
   suspects @5 :List(SuspectReport);
+  # The sender's estimate of the calendar time.
+  calendarMicros @6 :Int64;
+  loads @7 :List(HeardLoad);
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_SCHEMA(b0d5a78b3516f0a0);
 CAPNP_DECLARE_SCHEMA(fafbf31e811dbaac);
 CAPNP_DECLARE_SCHEMA(ab96c75a41c3d94e);
+CAPNP_DECLARE_SCHEMA(8ee4843af8a4ec8d);
 CAPNP_DECLARE_SCHEMA(f49ff5c110e7e6d9);
 CAPNP_DECLARE_SCHEMA(cc43680172605054);
 enum class UpstreamState_cc43680172605054: uint16_t {
@@ -247,6 +248,21 @@
   };
 };
 
+struct HeardLoad {
+  HeardLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ee4843af8a4ec8d, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeHeartbeat {
   NodeHeartbeat() = delete;
 
@@ -255,7 +271,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1365,6 +1381,8 @@
   inline bool hasUses() const;
   inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
 
+  inline  ::uint16_t getProcessorPercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1450,6 +1468,9 @@
   inline void adoptUses(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>> disownUses();
 
+  inline  ::uint16_t getProcessorPercent();
+  inline void setProcessorPercent( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1746,6 +1767,117 @@
 };
 #endif  // !CAPNP_LITE
 
+class HeardLoad::Reader {
+public:
+  typedef HeardLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::int32_t getRunning() const;
+
+  inline  ::int32_t getWaiting() const;
+
+  inline  ::int32_t getSlots() const;
+
+  inline  ::int32_t getWorkPercent() const;
+
+  inline  ::int64_t getAgeMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HeardLoad::Builder {
+public:
+  typedef HeardLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::int32_t getRunning();
+  inline void setRunning( ::int32_t value);
+
+  inline  ::int32_t getWaiting();
+  inline void setWaiting( ::int32_t value);
+
+  inline  ::int32_t getSlots();
+  inline void setSlots( ::int32_t value);
+
+  inline  ::int32_t getWorkPercent();
+  inline void setWorkPercent( ::int32_t value);
+
+  inline  ::int64_t getAgeMicros();
+  inline void setAgeMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeardLoad::Pipeline {
+public:
+  typedef HeardLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeHeartbeat::Reader {
 public:
   typedef NodeHeartbeat Reads;
@@ -1778,6 +1910,11 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline  ::int64_t getCalendarMicros() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1836,6 +1973,16 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline  ::int64_t getCalendarMicros();
+  inline void setCalendarMicros( ::int64_t value);
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5088,6 +5235,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t MemberRecord::Reader::getProcessorPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t MemberRecord::Builder::getProcessorPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setProcessorPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LimitLevel::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5259,6 +5420,124 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HeardLoad::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeardLoad::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HeardLoad::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HeardLoad::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeardLoad::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HeardLoad::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HeardLoad::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HeardLoad::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HeardLoad::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeardLoad::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeardLoad::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t HeardLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t HeardLoad::Builder::getRunning() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HeardLoad::Builder::setRunning( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t HeardLoad::Reader::getWaiting() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t HeardLoad::Builder::getWaiting() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HeardLoad::Builder::setWaiting( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t HeardLoad::Reader::getSlots() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t HeardLoad::Builder::getSlots() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HeardLoad::Builder::setSlots( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t HeardLoad::Reader::getWorkPercent() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 100);
+}
+
+inline  ::int32_t HeardLoad::Builder::getWorkPercent() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 100);
+}
+inline void HeardLoad::Builder::setWorkPercent( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 100);
+}
+
+inline  ::int64_t HeardLoad::Reader::getAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeardLoad::Builder::getAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HeardLoad::Builder::setAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeHeartbeat::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5403,6 +5682,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t NodeHeartbeat::Reader::getCalendarMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t NodeHeartbeat::Builder::getCalendarMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NodeHeartbeat::Builder::setCalendarMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeHeartbeat::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Reader NodeHeartbeat::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::setLoads( ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeHeartbeat::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>> NodeHeartbeat::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -131,6 +131,7 @@
   record.left = reader.getLeft();
   record.tables_version = reader.getTablesVersion();
   record.active_requests = reader.getActiveRequests();
+  record.processor_percent = reader.getProcessorPercent();
   for (const auto demand : reader.getDemands()) {
     record.demands.push_back(
         {demand.getCustomer(), demand.getTokensPerSecond()});
@@ -151,6 +152,7 @@
   builder.setLeft(record.left);
   builder.setTablesVersion(record.tables_version);
   builder.setActiveRequests(record.active_requests);
+  builder.setProcessorPercent(record.processor_percent);
   auto demands =
       builder.initDemands(static_cast<unsigned>(record.demands.size()));
   for (unsigned i = 0; i < demands.size(); ++i) {
@@ -164,6 +166,23 @@
   }
 }
 
+HeardLoad FromWire(wire::HeardLoad::Reader reader) {
+  return {{reader.getUpstream(), reader.getIncarnation()},
+          {reader.getRunning(), reader.getWaiting(), reader.getSlots(),
+           reader.getWorkPercent()},
+          Duration(reader.getAgeMicros())};
+}
+
+void ToWire(const HeardLoad& report, wire::HeardLoad::Builder builder) {
+  builder.setUpstream(report.upstream.name);
+  builder.setIncarnation(report.upstream.incarnation);
+  builder.setRunning(report.load.running);
+  builder.setWaiting(report.load.waiting);
+  builder.setSlots(report.load.slots);
+  builder.setWorkPercent(report.load.work_percent);
+  builder.setAgeMicros(report.age.count());
+}
+
 Heartbeat FromWire(wire::NodeHeartbeat::Reader reader) {
   Heartbeat heartbeat;
   for (const auto record : reader.getRecords()) {
@@ -180,6 +199,10 @@
     heartbeat.levels.push_back(
         {level.getCustomer(), level.getUnits(), level.getCountedUse()});
   }
+  heartbeat.calendar = WallTime(Duration(reader.getCalendarMicros()));
+  for (const auto load : reader.getLoads()) {
+    heartbeat.loads.push_back(FromWire(load));
+  }
   return heartbeat;
 }
 
@@ -206,6 +229,11 @@
     levels[i].setUnits(heartbeat.levels[i].units);
     levels[i].setCountedUse(heartbeat.levels[i].counted_use);
   }
+  builder.setCalendarMicros(heartbeat.calendar.time_since_epoch().count());
+  auto loads = builder.initLoads(static_cast<unsigned>(heartbeat.loads.size()));
+  for (unsigned i = 0; i < loads.size(); ++i) {
+    ToWire(heartbeat.loads[i], loads[i]);
+  }
 }
 
 HandOverMessage FromWire(wire::HandedOverRequest::Reader reader) {
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -82,7 +82,7 @@
   request->last_event_at = now();
   request->first_event_seen = false;
   request->unread_tokens = request->spec.prompt_tokens;
-  upstreams_.OnSent(upstream, request->unread_tokens);
+  upstreams_.OnSent(upstream, request->unread_tokens, now());
   LogRequest(
       LogLevel::kInfo, "sent", *request,
       {{"upstream", request->upstream},
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -26,11 +26,19 @@
 /// enough to save a read. A proof is looked at each half period, so at most
 /// 1.2 periods pass without a read or a newer proof.
 constexpr double kProofPart = 0.7;
+/// Reports of upstreams' load that one heartbeat carries at most.
+constexpr std::size_t kMaxLoads = 32;
 /// What heartbeats say of limits is taken in this soon.
 constexpr Duration kLimitsPeriod = std::chrono::milliseconds(50);
 /// A wave of losses takes some requests along twice; three without a whole
 /// answer between them are no chance.
 constexpr std::size_t kCrashesToRefuse = 3;
+/// A node that stops takes whatever comes for this long, in which the balancer
+/// asks twice and sends it no more new connections; then only what must end
+/// before the node does.
+constexpr Duration kDrainTakesAll = std::chrono::seconds(2);
+/// When a caller may come back that any other node can serve.
+constexpr Duration kElsewhereRetryAfter = std::chrono::milliseconds(100);
 /// Longest pause between two ticks.
 constexpr Duration kTickPeriod = kHeartbeat.period;
 /// A caller is told to come back after at most this part of its time left, so
@@ -126,6 +134,7 @@
   if (patience <= Duration::zero()) {
     return NotRun{503, "no-time-left", "no time left", {}};
   }
+  if (std::optional<NotRun> refused = CheckDrain(*request)) return refused;
   if (std::optional<NotRun> refused = CheckSuspect(*request)) return refused;
   request->service = PickService(route);
   return TakeLimit(request);
@@ -146,6 +155,15 @@
   return std::nullopt;
 }
 
+std::optional<NotRun> ForwardNode::CheckDrain(const Request& request) const {
+  if (!draining()) return std::nullopt;
+  const bool balancer_knows = now() - *drain_started_at_ >= kDrainTakesAll;
+  const TimePoint cut_at = *drain_started_at_ + options_.drain_time;
+  if (!balancer_knows || request.deadline <= cut_at) return std::nullopt;
+  return NotRun{503, "stopping", "this node stops before the answer could end",
+                kElsewhereRetryAfter};
+}
+
 bool ForwardNode::KeyIsFresh(TimePoint now) const {
   if (options_.key_freshness == Duration::zero()) return true;
   return tables_proven_at_.has_value() && now < KeysHoldUntil();
@@ -238,6 +256,7 @@
   membership_.OnHeartbeat(said.records, now());
   if (now() - limits_updated_at_ >= kLimitsPeriod) UpdateLimits();
   TakeReports(said.suspects);
+  upstreams_.TakeReports(said.loads, now());
   const MemberRecord& sender = said.records.front();
   if (said.asks_for_levels) {
     Answer(said);
@@ -304,8 +323,8 @@
 }
 
 void ForwardNode::On(const forward_event::DrainStarted&) {
-  if (draining_) return;
-  draining_ = true;
+  if (draining()) return;
+  drain_started_at_ = now();
   Emit(forward_action::LogDecision{
       LogLevel::kInfo,
       "draining",
@@ -326,7 +345,7 @@
   MemberRecord self = membership_.self();
   self.tables_version = index_ == nullptr ? 0 : index_->tables().version;
   self.active_requests = static_cast<std::uint32_t>(requests_.size());
-  self.leaving = draining_;
+  self.leaving = draining();
   self.uses = limits_.Uses();
   membership_.UpdateSelf(self);
   std::vector<HeartbeatMessage> messages = membership_.OnTick(now());
@@ -335,8 +354,11 @@
   if (period_began) {
     suspects = suspects_.ReportsToTell(kMaxSuspectReports, now());
   }
+  std::vector<HeardLoad> loads;
+  if (period_began && !membership_.IsSparse()) loads = LoadsToTell();
   for (HeartbeatMessage& message : messages) {
     message.heartbeat.suspects = suspects;
+    message.heartbeat.loads = loads;
     Emit(forward_action::SendHeartbeat{std::move(message)});
   }
   if (period_began && membership_.IsSparse()) AskForLevels();
@@ -344,6 +366,13 @@
   ForgetSuspects();
 }
 
+std::vector<HeardLoad> ForwardNode::LoadsToTell() {
+  std::vector<HeardLoad> loads = upstreams_.ReportsSince(loads_told_at_, now());
+  if (loads.size() > kMaxLoads) loads.resize(kMaxLoads);
+  loads_told_at_ = now();
+  return loads;
+}
+
 void ForwardNode::UpdateLimits() {
   limits_updated_at_ = now();
   limits_.Update(membership_.Others(now()), now());
@@ -427,7 +456,7 @@
 }
 
 bool ForwardNode::Ready(TimePoint now) const {
-  if (draining_ || index_ == nullptr || !suspects_known_) return false;
+  if (draining() || index_ == nullptr || !suspects_known_) return false;
   if (index_->needs_keys() && !KeyIsFresh(now)) return false;
   return !upstreams_.all().empty();
 }
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -63,6 +63,7 @@
     options.self.id = {"n", 1};
     options.key_freshness = kFreshness;
     options.retry_slack = 100;
+    options.drain_time = std::chrono::milliseconds(7600);
     return options;
   }
 
@@ -76,8 +77,10 @@
   }
 
   void Arrive(ForwardId id, const std::string& route,
-              const std::string& key = "key") {
+              const std::string& key = "key",
+              std::optional<Duration> time_left = std::nullopt) {
     ForwardSpec spec;
+    spec.time_left = time_left;
     spec.trace_id = std::to_string(id);
     spec.host = "h";
     spec.path = "/" + route + "/x";
@@ -344,5 +347,34 @@
   EXPECT_NE(Find<action::SendAttempt>(), nullptr);
 }
 
+// Guards against streams that a stopping node takes in its last seconds and
+// cuts at the end of its grace (LOST on the grown Cymorth, hunt-7f96-3).
+TEST_F(ForwardNodeTest, ADrainingNodeTakesNothingThatItWouldCut) {
+  Tell(event::DrainStarted{});
+  {
+    SCOPED_TRACE("while the balancer still sends callers, all work is taken");
+    Pass(std::chrono::milliseconds(1900));
+    Arrive(1, "draft");
+    EXPECT_NE(Find<action::SendAttempt>(), nullptr);
+  }
+  {
+    SCOPED_TRACE("later a stream that may outlast the node goes elsewhere");
+    Pass(std::chrono::milliseconds(1200));
+    Arrive(2, "draft");
+    EXPECT_EQ(Find<action::SendAttempt>(), nullptr);
+    ASSERT_NE(Find<action::Refuse>(), nullptr);
+    const NotRun& not_run = Find<action::Refuse>()->not_run;
+    EXPECT_EQ(not_run.http_status, 503);
+    EXPECT_EQ(not_run.type, "stopping");
+    EXPECT_GT(not_run.retry_after, Duration(0));
+    EXPECT_LT(not_run.retry_after, std::chrono::milliseconds(200));
+  }
+  {
+    SCOPED_TRACE("what must end in time is still taken");
+    Arrive(3, "read", "key", std::chrono::seconds(4));
+    EXPECT_NE(Find<action::SendAttempt>(), nullptr);
+  }
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -75,6 +75,11 @@
   return head;
 }
 
+ForwardServiceOptions WithDrainTime(ForwardServiceOptions options) {
+  options.node.drain_time = options.grace - kGraceMargin;
+  return options;
+}
+
 std::string StatusLabel(int status) {
   return "status=\"" + std::to_string(status) + "\"";
 }
@@ -85,7 +90,7 @@
                                ForwardServiceOptions options,
                                ForwardingCodec codec)
     : loop_(loop),
-      options_(std::move(options)),
+      options_(WithDrainTime(std::move(options))),
       codec_(std::move(codec)),
       node_(options_.node),
       upstream_pool_(loop),
@@ -258,6 +263,12 @@
         {{"request", exchange->spec.trace_id}, {"answer_to", *facts.trace_id}});
     return false;
   }
+  if (facts.load_is_unreadable) {
+    metrics_.Count("loads_unreadable_total");
+    Log(LogLevel::kWarn, "load_unreadable",
+        {{"request", exchange->spec.trace_id},
+         {"upstream", exchange->attempt->address()}});
+  }
   exchange->answer = head;
   exchange->facts = std::move(facts);
   exchange->passing_events = exchange->is_stream && head.status == kStatusOk &&
@@ -478,7 +489,7 @@
     caller_server_.StopAccepting();
     caller_server_.CloseIdleConnections();
   }
-  const bool over = since >= options_.grace - kGraceMargin;
+  const bool over = since >= options_.node.drain_time;
   if (over || (balancer_knows && exchanges_.empty() &&
                caller_server_.connection_count() == 0)) {
     on_drained_();
--- a/src/libpollenledge/process/forward_upstreams.cc
+++ b/src/libpollenledge/process/forward_upstreams.cc
@@ -15,6 +15,10 @@
 /// Load over the mean at which a request goes past its preferred upstream.
 /// Mirrokni et al. give 1.25 to 2 as the useful range.
 constexpr double kLoadBound = 1.5;
+/// Time in which what an upstream said of its speed loses two thirds of its
+/// weight: others share its machine, and their work comes and goes.
+constexpr Duration kSpeedMemory = std::chrono::milliseconds(300);
+constexpr double kUsualPercent = 100;
 /// Requests over the bound that do not matter yet: prompts of so few requests
 /// are read in less time than a typical prompt saves.
 constexpr double kLoadSlack = 2;
@@ -29,9 +33,12 @@
 /// An upstream is passed over when its error rate exceeds that of its
 /// service's best half by this much.
 constexpr double kErrorMargin = 0.25;
-/// Load of its own failure domain, as part of the slots, at which a plain
-/// request goes to another one.
-constexpr double kLocalLoadBound = 0.7;
+/// Expected time in an upstream, in usual times of its work, beyond which a
+/// plain request goes to another failure domain.
+constexpr double kLocalTimeBound = 1.3;
+/// Part of the time of a request with all slots taken that the last free slot
+/// still costs: upstreams slow down when they are nearly full.
+constexpr double kLoadCost = 0.4;
 
 /// Requests of one node at an upstream that is not known yet, as part of its
 /// slots: some nodes share it.
@@ -56,6 +63,15 @@
   return upstream.listed && !upstream.info.leaving;
 }
 
+/// Time until a request sent now would end, in usual times of the work.
+double ExpectedTime(const ForwardUpstream& upstream, TimePoint now) {
+  const double slots = std::max(1, upstream.info.slots);
+  const double load = upstream.EstimatedLoad(now) / slots;
+  const double waiting = std::max(0.0, load + 1 / slots - 1);
+  return upstream.Slowness(now) *
+         (1 + kLoadCost * std::min(1.0, load) + waiting);
+}
+
 std::uint64_t RendezvousWeight(const std::string& name,
                                std::uint64_t affinity) {
   return XXH64(name.data(), name.size(), affinity);
@@ -69,6 +85,13 @@
   return std::max(in_flight, reported + sent_since_report);
 }
 
+double ForwardUpstream::Slowness(TimePoint now) const {
+  if (!report.has_value()) return 1;
+  const double weight =
+      std::exp(-ToSeconds(now - reported_at) / ToSeconds(kSpeedMemory));
+  return 1 + weight * (report->work_percent / kUsualPercent - 1);
+}
+
 bool ForwardUpstream::HasRoom(TimePoint now) const {
   return in_flight < limit && EstimatedLoad(now) < kSlotsBeyond * info.slots;
 }
@@ -157,18 +180,7 @@
   ForwardUpstream* least =
       *std::min_element(candidates.begin(), candidates.end(), less_loaded);
   if (query.least_loaded) return least;
-  if (!query.affinity.has_value()) {
-    std::vector<ForwardUpstream*> local;
-    for (ForwardUpstream* candidate : candidates) {
-      if (candidate->info.domain == query.own_domain) {
-        local.push_back(candidate);
-      }
-    }
-    if (local.empty()) return least;
-    ForwardUpstream* best =
-        *std::min_element(local.begin(), local.end(), less_loaded);
-    return relative_load(best) < kLocalLoadBound ? best : least;
-  }
+  if (!query.affinity.has_value()) return FirstToEnd(query, candidates, now);
   double total = 0;
   for (const ForwardUpstream* candidate : candidates) {
     total += candidate->EstimatedLoad(now);
@@ -184,6 +196,28 @@
   return within_bound.empty() ? least : LeastToRead(query, within_bound);
 }
 
+ForwardUpstream* ForwardUpstreams::FirstToEnd(
+    const UpstreamQuery& query, const std::vector<ForwardUpstream*>& candidates,
+    TimePoint now) {
+  ForwardUpstream* best = nullptr;
+  ForwardUpstream* local = nullptr;
+  double best_time = 0;
+  double local_time = 0;
+  for (ForwardUpstream* candidate : candidates) {
+    const double time = ExpectedTime(*candidate, now);
+    if (best == nullptr || time < best_time) {
+      best = candidate;
+      best_time = time;
+    }
+    const bool is_local = candidate->info.domain == query.own_domain;
+    if (is_local && (local == nullptr || time < local_time)) {
+      local = candidate;
+      local_time = time;
+    }
+  }
+  return local != nullptr && local_time < kLocalTimeBound ? local : best;
+}
+
 void ForwardUpstreams::RemoveAvoided(
     const UpstreamQuery& query, std::vector<ForwardUpstream*>* candidates) {
   if (query.avoid.empty()) return;
@@ -225,9 +259,10 @@
 }
 
 void ForwardUpstreams::OnSent(ForwardUpstream* upstream,
-                              std::int64_t unread_tokens) {
+                              std::int64_t unread_tokens, TimePoint now) {
   ++upstream->in_flight;
   ++upstream->sent_since_report;
+  upstream->sent_at = now;
   upstream->unread_tokens += unread_tokens;
 }
 
@@ -282,12 +317,50 @@
 
 void ForwardUpstreams::OnReport(ForwardUpstream* upstream,
                                 const ReportedLoad& load, TimePoint now) {
+  TakeReport(upstream, load, now);
+  upstream->heard_here = true;
+}
+
+void ForwardUpstreams::TakeReport(ForwardUpstream* upstream,
+                                  const ReportedLoad& load,
+                                  TimePoint reported_at) {
+  const bool is_older =
+      upstream->report.has_value() && reported_at <= upstream->reported_at;
+  if (is_older) return;
   upstream->report = load;
-  upstream->reported_at = now;
-  upstream->sent_since_report = 0;
+  upstream->reported_at = reported_at;
+  upstream->heard_here = false;
+  // Of what was sent here, at most the last request is newer than the report.
+  const bool sent_later = upstream->sent_at > reported_at;
+  upstream->sent_since_report =
+      sent_later ? std::min(upstream->sent_since_report, 1) : 0;
   if (load.slots > 0) upstream->info.slots = load.slots;
 }
 
+std::vector<HeardLoad> ForwardUpstreams::ReportsSince(TimePoint since,
+                                                      TimePoint now) const {
+  std::vector<HeardLoad> reports;
+  for (const auto& [name, upstream] : upstreams_) {
+    if (!upstream.heard_here || upstream.reported_at <= since) continue;
+    if (now - upstream.reported_at > kReportLife) continue;
+    reports.push_back(
+        {upstream.info.id, *upstream.report, now - upstream.reported_at});
+  }
+  return reports;
+}
+
+void ForwardUpstreams::TakeReports(const std::vector<HeardLoad>& reports,
+                                   TimePoint now) {
+  for (const HeardLoad& report : reports) {
+    ForwardUpstream* upstream = Find(report.upstream.name);
+    const bool is_same = upstream != nullptr && upstream->info.id.incarnation ==
+                                                    report.upstream.incarnation;
+    if (is_same && report.age >= Duration::zero()) {
+      TakeReport(upstream, report.load, now - report.age);
+    }
+  }
+}
+
 void ForwardUpstreams::NoteOutcome(ForwardUpstream* upstream, bool failed,
                                    TimePoint now) {
   const double rate = ErrorRate(*upstream, now);
--- a/src/libpollenledge/process/forward_upstreams_test.cc
+++ b/src/libpollenledge/process/forward_upstreams_test.cc
@@ -47,9 +47,9 @@
   List(6, 32);
   const UpstreamQuery query = PromptOf(42, kShared);
   ForwardUpstream* first = Choose(query);
-  upstreams_.OnSent(first, 0);
+  upstreams_.OnSent(first, 0, now_);
   EXPECT_EQ(Choose(query), first);
-  for (int i = 0; i < 10; ++i) upstreams_.OnSent(first, 0);
+  for (int i = 0; i < 10; ++i) upstreams_.OnSent(first, 0, now_);
   EXPECT_NE(Choose(query), first);
 }
 
@@ -60,7 +60,7 @@
   for (int i = 0; i < 4; ++i) {
     ForwardUpstream* upstream = Choose(query);
     chosen.insert(upstream->info.id.name);
-    upstreams_.OnSent(upstream, kLongPrompt);
+    upstreams_.OnSent(upstream, kLongPrompt, now_);
   }
   EXPECT_EQ(chosen.size(), 4U);
 }
@@ -71,7 +71,7 @@
   ForwardUpstream* preferred = Choose(query);
   {
     SCOPED_TRACE("its upstream reads a long prompt: another one is taken");
-    upstreams_.OnSent(preferred, kLongPrompt);
+    upstreams_.OnSent(preferred, kLongPrompt, now_);
     EXPECT_NE(Choose(query), preferred);
   }
   {
@@ -85,7 +85,7 @@
   List(6, 32);
   const UpstreamQuery query = PromptOf(42, kShared);
   ForwardUpstream* preferred = Choose(query);
-  upstreams_.OnSent(preferred, kShortPrompt);
+  upstreams_.OnSent(preferred, kShortPrompt, now_);
   EXPECT_EQ(Choose(query), preferred);
 }
 
@@ -93,7 +93,7 @@
   List(3, 6);
   ForwardUpstream* bad = upstreams_.Find("e1");
   for (int i = 0; i < 5; ++i) {
-    upstreams_.OnSent(bad, 0);
+    upstreams_.OnSent(bad, 0, now_);
     upstreams_.OnEnded(bad, ForwardEnd::kFailed, now_);
   }
   UpstreamQuery query;
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -154,16 +154,24 @@
   return fields;
 }
 
-std::optional<ReportedLoad> DecodeLoad(const HttpHead& answer) {
-  const std::string* text = answer.Find(kLoad);
-  if (text == nullptr) return std::nullopt;
-  const auto parts = Split(*text);
-  if (parts.size() != 3) return std::nullopt;
+/// Running, waiting, slots and, from some services, how long work takes now.
+/// Figures of later versions that follow these are passed over.
+std::optional<ReportedLoad> DecodeLoad(const std::string& text) {
+  const auto parts = Split(text);
+  constexpr std::size_t kLeastFigures = 3;
+  if (parts.size() < kLeastFigures) return std::nullopt;
   const auto running = ParseNumber<int>(parts[0]);
   const auto waiting = ParseNumber<int>(parts[1]);
   const auto slots = ParseNumber<int>(parts[2]);
   if (!running || !waiting || !slots) return std::nullopt;
-  return ReportedLoad{*running, *waiting, *slots};
+  if (*running < 0 || *waiting < 0 || *slots < 0) return std::nullopt;
+  ReportedLoad load{*running, *waiting, *slots};
+  if (parts.size() > kLeastFigures) {
+    const auto work_percent = ParseNumber<int>(parts[kLeastFigures]);
+    if (!work_percent || *work_percent <= 0) return std::nullopt;
+    load.work_percent = *work_percent;
+  }
+  return load;
 }
 
 AnswerFacts DecodeAnswer(const HttpHead& answer) {
@@ -173,7 +181,10 @@
   facts.not_run =
       answer.Find(kNotRun) != nullptr || answer.status == kMisdirected;
   facts.is_encoded = answer.Find("Content-Encoding") != nullptr;
-  facts.load = DecodeLoad(answer);
+  if (const std::string* load = answer.Find(kLoad)) {
+    facts.load = DecodeLoad(*load);
+    facts.load_is_unreadable = !facts.load.has_value();
+  }
   return facts;
 }
 
--- a/src/platform/platform_test.cc
+++ b/src/platform/platform_test.cc
@@ -135,5 +135,24 @@
   EXPECT_TRUE(codec.decode_answer(answer).not_run);
 }
 
+// Guards against a further figure that hides all that an upstream reports.
+TEST(PlatformHeadersTest, AReportOfLoadMayHaveFurtherFigures) {
+  const ForwardingCodec codec = PlatformHeaders();
+  const auto decode = [&codec](const std::string& load) {
+    HttpHead answer;
+    answer.status = 200;
+    answer.fields = {{"Server-Load", load}};
+    return codec.decode_answer(answer);
+  };
+  EXPECT_EQ(decode("3,1,8").load, (ReportedLoad{3, 1, 8, 100}));
+  EXPECT_EQ(decode("3,1,8,250").load, (ReportedLoad{3, 1, 8, 250}));
+  EXPECT_EQ(decode("3, 1, 8, 90, later").load, (ReportedLoad{3, 1, 8, 90}));
+  for (const char* bad : {"", "3,1", "3,x,8", "-1,0,8", "3,1,8,slow"}) {
+    EXPECT_EQ(decode(bad).load, std::nullopt) << bad;
+    EXPECT_TRUE(decode(bad).load_is_unreadable) << bad;
+  }
+  EXPECT_FALSE(codec.decode_answer(HttpHead()).load_is_unreadable);
+}
+
 }  // namespace
 }  // namespace pollenledge
