--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -21,15 +21,14 @@
  public:
   using Decode = std::function<Result<ForwardingTables>(const std::string&)>;
   using Submit = std::function<void(ForwardEvent)>;
-  /// True if the tables must be read now, where they are to be read each
-  /// period.
-  using NeedsRead = std::function<bool(Duration period, TimePoint now)>;
 
   ConfigSync(boost::asio::io_context& loop, AsyncStore* store, std::string key,
-             Duration read_period, Decode decode, NeedsRead needs_read,
+             Duration read_period, Decode decode, StoreFollowing following,
              Submit submit);
 
   void Start();
+  /// Reads now, whenever the next read is due.
+  void ReadNow();
 
  private:
   /// Reads if it is time to.
@@ -46,7 +45,8 @@
   std::string key_;
   Duration read_period_;
   Decode decode_;
-  NeedsRead needs_read_;
+  StoreFollowing following_;
+  bool reading_ = false;
   Submit submit_;
   boost::asio::steady_timer read_timer_;
   StoreWatch watch_;
--- a/src/include/pollenledge/process/duty_lease.h
+++ b/src/include/pollenledge/process/duty_lease.h
@@ -55,8 +55,13 @@
   static constexpr Duration kTimeToLive = std::chrono::milliseconds(4000);
   static constexpr Duration kRenewPeriod = std::chrono::milliseconds(1200);
 
+  /// True if this node should be the one that holds the duties. In a large
+  /// fleet few nodes are; the others only see to it that somebody is.
+  using IsCandidate = std::function<bool()>;
+
   DutyLease(boost::asio::io_context& loop, AsyncStore* store, std::string key,
-            std::string owner, std::uint64_t incarnation, Duration quiet_time);
+            std::string owner, std::uint64_t incarnation, Duration quiet_time,
+            IsCandidate is_candidate);
 
   void Start();
   /// Gives up the lease, if held, and competes no more.
@@ -69,6 +74,7 @@
   }
 
  private:
+  void Begin();
   void Look();
   void Compete();
   /// Writes the key, and a record that it was ever held; with `as_first` under
@@ -86,6 +92,7 @@
   std::string key_;
   std::string owner_;
   std::string identity_;  ///< The key's value: owner and incarnation.
+  IsCandidate is_candidate_;
   DutyTenure tenure_;
   boost::asio::steady_timer timer_;
   std::optional<StoreLease> lease_;
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -53,6 +53,10 @@
 /// The platform's list of upstreams.
 struct UpstreamsListed {
   std::vector<ForwardUpstreamInfo> upstreams;
+  std::int64_t revision = 0;  ///< Of the store, that the list shows.
+  /// When it was surely the store's: a linearizable listing began. Nothing if
+  /// it came with a watch.
+  std::optional<TimePoint> read_at;
 };
 struct HeartbeatReceived {
   Heartbeat heartbeat;
@@ -126,6 +130,8 @@
 struct SendHeartbeat {
   HeartbeatMessage message;
 };
+/// Read the operators' tables from the store now: there are newer ones.
+struct ReadTables {};
 /// Keep what is known of refused requests beyond this process.
 struct KeepSuspects {
   std::vector<CrashReport> refused;
@@ -143,6 +149,7 @@
     std::variant<forward_action::SendAttempt, forward_action::Refuse,
                  forward_action::Fail, forward_action::Deliver,
                  forward_action::CancelAttempt, forward_action::SendHeartbeat,
-                 forward_action::KeepSuspects, forward_action::LogDecision>;
+                 forward_action::ReadTables, forward_action::KeepSuspects,
+                 forward_action::LogDecision>;
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -8,6 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pollenledge/process/calendar_estimate.h"
+#include "pollenledge/process/collector_choice.h"
 #include "pollenledge/process/crash_suspects.h"
 #include "pollenledge/process/fair_queue.h"
 #include "pollenledge/process/forward_events.h"
@@ -15,6 +17,7 @@
 #include "pollenledge/process/limit_buckets.h"
 #include "pollenledge/process/membership.h"
 #include "pollenledge/process/retry_budget.h"
+#include "pollenledge/process/upstream_list.h"
 #include "pollenledge/process/usage_ledger.h"
 
 namespace pollenledge {
@@ -51,6 +54,8 @@
  public:
   /// When a caller may come back if nothing better is known.
   static constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
+  /// Period of heartbeats in a small fleet.
+  static constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(250);
 
   explicit ForwardNode(ForwardOptions options);
 
@@ -79,6 +84,13 @@
   /// read each `period` at least. Ask each half period: peers' proofs save
   /// reads in a large fleet, where the collectors read twice as often.
   bool NeedsTablesRead(Duration period, TimePoint now) const;
+  /// The same of the list of upstreams.
+  bool NeedsUpstreamsRead(Duration period, TimePoint now) const;
+  /// True if collectors tell this node what changes in the store.
+  bool FollowsCollectors(TimePoint now) const;
+  /// True if this node is among the few that should do what is done for all.
+  bool IsDutyCandidate(TimePoint now) const;
+  const CalendarEstimate& calendar() const { return calendar_; }
   /// Age of the newest proof that the tables are in force.
   std::optional<Duration> TablesAge(TimePoint now) const;
 
@@ -194,16 +206,31 @@
   void OnSilence(Request* request);
   std::optional<TimePoint> SilenceDue(const Request& request) const;
   void ScheduleCheck(Request* request);
+
+  // Peers.
+  void SendHeartbeats();
+  TimePoint HeartbeatsDue(TimePoint now) const;
   void UpdateLimits();
   /// What upstreams said here since peers were last told.
   std::vector<HeardLoad> LoadsToTell();
+  /// How often each collector is asked.
+  Duration QuestionPeriod() const;
+  /// Tells the collectors what was used here, and asks for what they know.
+  void AskCollectors();
   void Answer(const Heartbeat& question);
+  /// What a collector tells `node` of itself and of what is left of limits.
+  Heartbeat AnswerFor(const std::string& node);
+  void TakeAnswer(const Heartbeat& answer);
+  /// As a collector, tells all nodes that a limit has become low.
+  void TellLowLevels();
+  /// Tells the collectors soon what was used of a limit that is low.
+  void ReportLowLevel(const std::string& customer);
   /// The tables here were in force at `proven_at`.
   void NoteProof(TimePoint proven_at);
   /// Takes a peer's proof that the tables here are in force.
   void TakeProof(const Heartbeat& answer);
-  /// Tells the collectors what was used here, and asks what is left.
-  void AskForLevels();
+  void UseUpstreams();
+  void LogCalendar(Duration correction);
 
   void AdoptTables(const std::shared_ptr<const ForwardingIndex>& tables,
                    const char* source);
@@ -221,12 +248,17 @@
 
   std::shared_ptr<const ForwardingIndex> index_;
   std::optional<TimePoint> tables_proven_at_;
+  CalendarEstimate calendar_;
+  UpstreamList upstream_list_;
   ForwardUpstreams upstreams_;
   Membership membership_;
   LimitBuckets limits_;
   int expected_nodes_;  ///< That limits are shared among at the least.
   TimePoint limits_updated_at_;
   TimePoint loads_told_at_;
+  CollectorChoice collectors_;
+  TimePoint asked_at_;
+  TimePoint levels_told_at_;
   RetryBudget retry_budget_;
   UsageLedger usage_;
   CrashSuspects suspects_;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -28,6 +28,8 @@
   std::string peer_address;       ///< Where other nodes send heartbeats.
   /// Keeps refused requests beyond this process; may be empty.
   std::function<void(const std::vector<CrashReport>&)> keep_suspects;
+  /// Reads the operators' tables from the store at once; may be empty.
+  std::function<void()> read_tables;
   Duration grace{0};  ///< Time from the stop signal until the process is gone.
   ForwardOptions node;
 };
@@ -51,6 +53,7 @@
 
   ForwardNode& node() { return node_; }
   ForwardMetrics& metrics() { return metrics_; }
+  /// The present time, the calendar as the nodes together estimate it.
   Instant Now() const;
 
  private:
@@ -84,6 +87,7 @@
   void Do(const forward_action::Deliver& deliver);
   void Do(const forward_action::CancelAttempt& cancel);
   void Do(const forward_action::SendHeartbeat& send);
+  void Do(const forward_action::ReadTables& read);
   void Do(const forward_action::KeepSuspects& keep);
   void Do(const forward_action::LogDecision& decision);
 
@@ -100,6 +104,7 @@
   void Forget(ForwardId id);
   Exchange* Find(ForwardId id);
 
+  Instant OwnClocks() const;
   void ArmTimer();
   void OnTimer();
   void ContinueDrain();
--- a/src/include/pollenledge/process/forward_upstreams.h
+++ b/src/include/pollenledge/process/forward_upstreams.h
@@ -106,6 +106,9 @@
                 TimePoint now);
   /// The newest reports, if they came to this node and after `since`.
   std::vector<HeardLoad> ReportsSince(TimePoint since, TimePoint now) const;
+  /// Fresh reports of the upstreams that are busiest for their slots, whoever
+  /// heard them.
+  std::vector<HeardLoad> BusiestReports(std::size_t count, TimePoint now) const;
   /// Takes in what a peer heard from upstreams.
   void TakeReports(const std::vector<HeardLoad>& reports, TimePoint now);
 
--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -46,7 +46,7 @@
 /// Not thread-safe. Memory grows with customers and nodes.
 class LimitBuckets {
  public:
-  explicit LimitBuckets(LimitBucketOptions options) : options_(options) {}
+  explicit LimitBuckets(LimitBucketOptions options);
 
   /// Sets the limits in force. A customer that is not named has none.
   void Configure(const std::vector<CustomerLimit>& limits, TimePoint now);
@@ -55,8 +55,17 @@
   /// heard of or not. What this node begins with is cut to its part.
   void SetLeastNodes(int nodes);
 
-  /// Takes in what the other nodes say. Call it each heartbeat period.
+  /// How often others say what they used; one that is silent for several times
+  /// as long is taken to be out of reach.
+  void SetReportPeriod(Duration period);
+
+  /// True while a collector's word is fresh. Then call `Follow` each heartbeat
+  /// period, else `Update`.
+  bool IsLed(TimePoint now) const;
+  /// Takes in what the other nodes say.
   void Update(const std::vector<Member>& others, TimePoint now);
+  /// Notes that there are so many nodes, and that a collector hears them.
+  void Follow(int nodes, TimePoint now);
 
   /// Takes `units` for the customer. Returns nothing if there was room, else
   /// about how long until there will be.
@@ -79,6 +88,11 @@
 
   /// Units of the whole system's bucket, as this node follows it.
   double CommonLevel(const std::string& customer) const;
+  /// True if so little is left that each use must be known soon.
+  bool IsLow(const std::string& customer) const;
+  /// True if some level went down by a step since this was asked last, so that
+  /// those who follow this node's word must hear of it.
+  bool TakeLevelNews();
 
  private:
   struct Bucket {
@@ -90,6 +104,7 @@
     double own_rate = 0;  ///< Units a second that this node used of late.
     double used_at_update = 0;
     std::map<std::string, double> peer_rates;  ///< By node, of late.
+    int told_step = 0;  ///< How far the level was down when it was told last.
   };
   struct Peer {
     std::uint64_t incarnation = 0;
@@ -99,12 +114,13 @@
   void Refill(TimePoint now);
   void TakeIn(const Member& member, double elapsed_s, bool led);
   void NoteHearing(int silent, TimePoint now);
-  /// True while a collector's word is fresh.
-  bool Led(TimePoint now) const;
+  static void NoteOwnRate(Bucket* bucket, double elapsed_s);
+  void SettleDebt(Bucket* bucket) const;
   void TakeLevel(const LimitLevel& level);
   void SetPart(Bucket* bucket, int nodes) const;
 
   LimitBucketOptions options_;
+  Duration silent_after_;  ///< A node's last word that is older is no news.
   std::map<std::string, Bucket> buckets_;
   std::map<std::string, Peer> peers_;
   std::optional<TimePoint> refilled_at_;
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "pollenledge/process/crash_suspects.h"
+#include "pollenledge/process/upstream_list.h"
 #include "pollenledge/request/forward_request.h"
 #include "pollenledge/request/request.h"
 #include "pollenledge/time.h"
@@ -108,6 +109,10 @@
   std::vector<SuspectReport> suspects;
   WallTime calendar{};  ///< The sender's estimate; zero if it has none.
   std::vector<HeardLoad> loads;
+  /// In a question how far the sender knows the list of upstreams; in the
+  /// answer what changed in it since.
+  std::int64_t upstreams_revision = 0;
+  std::optional<UpstreamChanges> upstream_changes;
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
@@ -126,6 +131,11 @@
   Duration period = std::chrono::milliseconds(500);
   std::size_t fanout = 2;
   std::size_t records_per_message = 10;
+  /// In a fleet that a period's messages do not reach whole: there heartbeats
+  /// only spread who is there, and what nodes used of limits is left out. Zero:
+  /// as in a small fleet.
+  Duration sparse_period{0};
+  std::size_t sparse_fanout = 2;
 
   friend bool operator==(const HeartbeatOptions&,
                          const HeartbeatOptions&) = default;
@@ -147,6 +157,11 @@
   static constexpr Duration kPeriod = std::chrono::milliseconds(500);
   static constexpr Duration kSuspectAfter = std::chrono::seconds(3);
   static constexpr Duration kUnreachableAfter = std::chrono::seconds(10);
+  /// The same for each known entry, in a large fleet: news of one entry takes
+  /// turns with that of all others.
+  static constexpr Duration kSuspectAfterEach = std::chrono::milliseconds(40);
+  /// An entry that has just started spreads its news as in a small fleet.
+  static constexpr Duration kJoinTime = std::chrono::seconds(3);
   /// A member unheard of for this long is forgotten, and its part of the
   /// limits given out again.
   static constexpr Duration kForgetAfter = std::chrono::minutes(30);
@@ -155,8 +170,18 @@
   Membership(MemberRecord self, std::vector<std::string> seeds,
              std::uint64_t seed, HeartbeatOptions options = {});
 
+  /// When `OnTick` returns messages next.
+  TimePoint NextDue(TimePoint now) const;
+  bool IsDue(TimePoint now) const { return now >= NextDue(now); }
   /// Call at least every period; returns the messages that are due.
   std::vector<HeartbeatMessage> OnTick(TimePoint now);
+  /// The record of this entry, newer than any before, to be told to a peer.
+  const MemberRecord& Announce();
+  /// What a message tells of the entries, this one first.
+  std::vector<MemberRecord> PickRecords();
+  /// Whether others follow what happens here by asking and being told, so that
+  /// heartbeats need only spread who is there.
+  void SetLed(bool led) { led_ = led; }
   void OnHeartbeat(const std::vector<MemberRecord>& records, TimePoint now);
 
   /// Replaces what this entry says of itself; identity and heartbeat stay.
@@ -170,10 +195,11 @@
   std::vector<Member> Others(TimePoint now) const;
   /// True if the fleet is so large that a period's messages do not reach all.
   bool IsSparse() const { return others_.size() > options_.fanout; }
-  /// The live entry that comes `place`th in an order that all entries agree
-  /// on, as far as they see the same ones alive; may be this one. Null if
-  /// there are fewer.
-  const MemberRecord* Ranked(std::size_t place, TimePoint now) const;
+  /// The live entries that come first in an order that all agree on, as far as
+  /// they see the same ones alive: those with more processor time before
+  /// others. This one may be among them. At most `count`.
+  std::vector<const MemberRecord*> Ranked(std::size_t count,
+                                          TimePoint now) const;
   /// Live entries, this one included.
   int AliveCount(TimePoint now) const;
   /// Place of this entry among the live ones, by name.
@@ -190,17 +216,21 @@
   };
 
   MemberStatus StatusOf(const Known& known, TimePoint now) const;
+  Duration Scaled(Duration bound) const;
+  bool IsJoining(TimePoint now) const;
+  bool IsQuiet(TimePoint now) const;
   std::vector<std::string> ShuffledPeers(TimePoint now);
   std::vector<std::string> Targets(TimePoint now);
-  std::vector<MemberRecord> PickRecords();
 
   HeartbeatOptions options_;
+  std::optional<TimePoint> started_at_;  ///< First tick.
   MemberRecord self_;
   std::vector<std::string> seeds_;
   std::mt19937_64 random_;
   std::map<std::string, Known> others_;
   std::string cursor_;  ///< Name of the last record that was sent on.
   TimePoint sent_at_;
+  bool led_ = false;
 };
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/process/node_settings.h
+++ b/src/include/pollenledge/process/node_settings.h
@@ -31,6 +31,7 @@
   Duration usage_window{0};
   Duration usage_delay{0};
   Duration duty_lease{0};
+  double processor_cores = 0;  ///< That this node may use; 0: not known.
   std::string log_level;
 
   friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
--- a/src/include/pollenledge/process/store_watch.h
+++ b/src/include/pollenledge/process/store_watch.h
@@ -10,6 +10,15 @@
 
 namespace pollenledge {
 
+/// How far a node must read the store itself: in a large fleet a few nodes read
+/// and tell the others.
+struct StoreFollowing {
+  /// True if it must be read now, where it is to be read each `period`.
+  std::function<bool(Duration period, TimePoint now)> needs_read;
+  /// True if changes must be watched for.
+  std::function<bool()> needs_watch;
+};
+
 /// Hears of changes under a prefix of the store, one long poll after the other.
 ///
 /// A watch that hears nothing proves nothing: its connection may be silent, or
@@ -27,7 +36,8 @@
   /// `pause` lies between two polls: changes come in flurries, and one call
   /// then brings several.
   StoreWatch(boost::asio::io_context& loop, AsyncStore* store,
-             std::string prefix, Duration pause, OnChanges on_changes,
+             std::string prefix, Duration pause,
+             std::function<bool()> needs_watch, OnChanges on_changes,
              OnError on_error);
 
   /// A read showed the store as of `revision`.
@@ -43,6 +53,7 @@
   AsyncStore* store_;
   std::string prefix_;
   Duration pause_;
+  std::function<bool()> needs_watch_;
   OnChanges on_changes_;
   OnError on_error_;
   boost::asio::steady_timer timer_;
--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -64,25 +64,32 @@
 
   UpstreamSync(boost::asio::io_context& loop, AsyncStore* store,
                std::string prefix, Duration list_period,
-               UpstreamDirectory::Decode decode, Submit submit);
+               UpstreamDirectory::Decode decode, StoreFollowing following,
+               Submit submit);
 
   void Start();
 
  private:
+  /// Lists if it is time to.
+  void Check();
+  void CheckAfter(Duration wait);
   void List();
-  void OnListed(const Result<StoreListing>& listing);
+  void OnListed(TimePoint started, const Result<StoreListing>& listing);
   void OnChanges(const StoreChanges& changes);
   void OnWatchError(const Error& error);
-  void Publish();
+  /// `read_at` is when a listing began, if one has just ended.
+  void Publish(std::optional<TimePoint> read_at);
 
   AsyncStore* store_;
   std::string prefix_;
   Duration list_period_;
   UpstreamDirectory directory_;
+  StoreFollowing following_;
   Submit submit_;
   boost::asio::steady_timer list_timer_;
   boost::asio::steady_timer due_timer_;
   StoreWatch watch_;
+  std::int64_t revision_ = 0;  ///< Of the store, as far as it is known here.
   std::vector<ForwardUpstreamInfo> published_;
 };
 
--- a/src/include/pollenledge/process/usage_reporter.h
+++ b/src/include/pollenledge/process/usage_reporter.h
@@ -35,6 +35,8 @@
   struct Hooks {
     std::function<WallTime()> now;
     std::function<int()> live_nodes;
+    /// False while the calendar may be far off.
+    std::function<bool()> calendar_is_known;
   };
 
   UsageReporter(boost::asio::io_context& loop, AsyncStore* store,
@@ -55,6 +57,7 @@
   };
 
   void Tick();
+  void Advance(WallTime now);
   void WriteOwn(UsageWindow window);
   void Advance(UsageWindow window);
   void Collect(UsageWindow window);
--- a/src/include/pollenledge/request/forward_request.h
+++ b/src/include/pollenledge/request/forward_request.h
@@ -77,6 +77,7 @@
   bool reclaimable = false;
   std::optional<Duration> leaves_in;  ///< Time until it is gone, if known.
   Duration warmup_left{0};            ///< How long it is still slow.
+  std::int64_t revision = 0;          ///< Of its entry in the store.
 
   friend bool operator==(const ForwardUpstreamInfo&,
                          const ForwardUpstreamInfo&) = default;
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -63,6 +63,32 @@
   ageMicros @6 :Int64;
 }
 
+# An upstream as the platform's list names it. Remaining time is -1 where it is
+# not known.
+struct ListedForwardUpstream {
+  id @0 :UpstreamId;
+  address @1 :Text;
+  service @2 :Text;
+  domain @3 :Text;
+  slots @4 :Int32;
+  leaving @5 :Bool;
+  reclaimable @6 :Bool;
+  leavesInMicros @7 :Int64 = -1;
+  warmupMicros @8 :Int64;
+  revision @9 :Int64;
+}
+
+struct RemovedUpstream { name @0 :Text; revision @1 :Int64; }
+
+# What changed in the list of upstreams since an older revision.
+struct UpstreamChanges {
+  to @0 :Int64;
+  changed @1 :List(ListedForwardUpstream);
+  removed @2 :List(RemovedUpstream);
+  digest @3 :UInt64;
+  ageMicros @4 :Int64 = -1;
+}
+
 # A datagram between forwarding nodes. The first record is the sender's.
 struct NodeHeartbeat {
   records @0 :List(MemberRecord);
@@ -77,6 +103,10 @@
   # The sender's estimate of the calendar time.
   calendarMicros @6 :Int64;
   loads @7 :List(HeardLoad);
+  # In a question how far the sender knows the list of upstreams.
+  upstreamsRevision @8 :Int64;
+  # In an answer what changed in that list since; may be missing.
+  upstreamChanges @9 :UpstreamChanges;
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -31,6 +31,9 @@
 CAPNP_DECLARE_SCHEMA(fafbf31e811dbaac);
 CAPNP_DECLARE_SCHEMA(ab96c75a41c3d94e);
 CAPNP_DECLARE_SCHEMA(8ee4843af8a4ec8d);
+CAPNP_DECLARE_SCHEMA(c33ad99111ba2390);
+CAPNP_DECLARE_SCHEMA(e4e9685908a817cb);
+CAPNP_DECLARE_SCHEMA(dfce740bcbd79dcc);
 CAPNP_DECLARE_SCHEMA(f49ff5c110e7e6d9);
 CAPNP_DECLARE_SCHEMA(cc43680172605054);
 enum class UpstreamState_cc43680172605054: uint16_t {
@@ -263,6 +266,51 @@
   };
 };
 
+struct ListedForwardUpstream {
+  ListedForwardUpstream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c33ad99111ba2390, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RemovedUpstream {
+  RemovedUpstream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e4e9685908a817cb, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamChanges {
+  UpstreamChanges() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfce740bcbd79dcc, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeHeartbeat {
   NodeHeartbeat() = delete;
 
@@ -271,7 +319,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1878,9 +1926,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class NodeHeartbeat::Reader {
+class ListedForwardUpstream::Reader {
 public:
-  typedef NodeHeartbeat Reads;
+  typedef ListedForwardUpstream Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1895,25 +1943,29 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline bool hasId() const;
+  inline  ::pollenledge::wire::UpstreamId::Reader getId() const;
 
-  inline bool getAsksForLevels() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool hasLevels() const;
-  inline  ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::int64_t getAskedAtMicros() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
-  inline  ::int64_t getProofAgeMicros() const;
+  inline  ::int32_t getSlots() const;
 
-  inline bool hasSuspects() const;
-  inline  ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+  inline bool getLeaving() const;
 
-  inline  ::int64_t getCalendarMicros() const;
+  inline bool getReclaimable() const;
 
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+  inline  ::int64_t getLeavesInMicros() const;
+
+  inline  ::int64_t getWarmupMicros() const;
+
+  inline  ::int64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1927,9 +1979,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class NodeHeartbeat::Builder {
+class ListedForwardUpstream::Builder {
 public:
-  typedef NodeHeartbeat Builds;
+  typedef ListedForwardUpstream Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1943,45 +1995,51 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRecords();
-  inline  ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+  inline bool hasId();
+  inline  ::pollenledge::wire::UpstreamId::Builder getId();
+  inline void setId( ::pollenledge::wire::UpstreamId::Reader value);
+  inline  ::pollenledge::wire::UpstreamId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownId();
 
-  inline bool getAsksForLevels();
-  inline void setAsksForLevels(bool value);
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline bool hasLevels();
-  inline  ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Builder getLevels();
-  inline void setLevels( ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
-  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>> disownLevels();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::int64_t getAskedAtMicros();
-  inline void setAskedAtMicros( ::int64_t value);
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
-  inline  ::int64_t getProofAgeMicros();
-  inline void setProofAgeMicros( ::int64_t value);
+  inline  ::int32_t getSlots();
+  inline void setSlots( ::int32_t value);
 
-  inline bool hasSuspects();
-  inline  ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Builder getSuspects();
-  inline void setSuspects( ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
-  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>> disownSuspects();
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
 
-  inline  ::int64_t getCalendarMicros();
-  inline void setCalendarMicros( ::int64_t value);
+  inline bool getReclaimable();
+  inline void setReclaimable(bool value);
 
-  inline bool hasLoads();
-  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+  inline  ::int64_t getLeavesInMicros();
+  inline void setLeavesInMicros( ::int64_t value);
+
+  inline  ::int64_t getWarmupMicros();
+  inline void setWarmupMicros( ::int64_t value);
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1993,14 +2051,15 @@
 };
 
 #if !CAPNP_LITE
-class NodeHeartbeat::Pipeline {
+class ListedForwardUpstream::Pipeline {
 public:
-  typedef NodeHeartbeat Pipelines;
+  typedef ListedForwardUpstream Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::pollenledge::wire::UpstreamId::Pipeline getId();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2009,9 +2068,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RequestSpec::Reader {
+class RemovedUpstream::Reader {
 public:
-  typedef RequestSpec Reads;
+  typedef RemovedUpstream Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2026,28 +2085,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
-
-  inline bool hasModel() const;
-  inline  ::capnp::Text::Reader getModel() const;
-
-  inline  ::int8_t getRank() const;
-
-  inline bool getStream() const;
-
-  inline  ::int64_t getPromptTokens() const;
-
-  inline  ::int64_t getMaxTokens() const;
-
-  inline bool hasPrefixHashes() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPrefixHashes() const;
-
-  inline bool hasFingerprint() const;
-  inline  ::pollenledge::wire::Fingerprint::Reader getFingerprint() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasBodySha256() const;
-  inline  ::capnp::Text::Reader getBodySha256() const;
+  inline  ::int64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2061,9 +2102,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RequestSpec::Builder {
+class RemovedUpstream::Builder {
 public:
-  typedef RequestSpec Builds;
+  typedef RemovedUpstream Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2077,53 +2118,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
-
-  inline bool hasModel();
-  inline  ::capnp::Text::Builder getModel();
-  inline void setModel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownModel();
-
-  inline  ::int8_t getRank();
-  inline void setRank( ::int8_t value);
-
-  inline bool getStream();
-  inline void setStream(bool value);
-
-  inline  ::int64_t getPromptTokens();
-  inline void setPromptTokens( ::int64_t value);
-
-  inline  ::int64_t getMaxTokens();
-  inline void setMaxTokens( ::int64_t value);
-
-  inline bool hasPrefixHashes();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPrefixHashes();
-  inline void setPrefixHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setPrefixHashes(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPrefixHashes(unsigned int size);
-  inline void adoptPrefixHashes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPrefixHashes();
-
-  inline bool hasFingerprint();
-  inline  ::pollenledge::wire::Fingerprint::Builder getFingerprint();
-  inline void setFingerprint( ::pollenledge::wire::Fingerprint::Reader value);
-  inline  ::pollenledge::wire::Fingerprint::Builder initFingerprint();
-  inline void adoptFingerprint(::capnp::Orphan< ::pollenledge::wire::Fingerprint>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::Fingerprint> disownFingerprint();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasBodySha256();
-  inline  ::capnp::Text::Builder getBodySha256();
-  inline void setBodySha256( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBodySha256(unsigned int size);
-  inline void adoptBodySha256(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBodySha256();
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2135,15 +2138,14 @@
 };
 
 #if !CAPNP_LITE
-class RequestSpec::Pipeline {
+class RemovedUpstream::Pipeline {
 public:
-  typedef RequestSpec Pipelines;
+  typedef RemovedUpstream Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pollenledge::wire::Fingerprint::Pipeline getFingerprint();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2152,9 +2154,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HandedOverRequest::Reader {
+class UpstreamChanges::Reader {
 public:
-  typedef HandedOverRequest Reads;
+  typedef UpstreamChanges Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2169,27 +2171,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::pollenledge::wire::RequestId::Reader getId() const;
-
-  inline bool hasSpec() const;
-  inline  ::pollenledge::wire::RequestSpec::Reader getSpec() const;
-
-  inline  ::int64_t getDeliveredTokens() const;
-
-  inline  ::uint32_t getAttempts() const;
+  inline  ::int64_t getTo() const;
 
-  inline bool hasUpstream() const;
-  inline  ::pollenledge::wire::UpstreamId::Reader getUpstream() const;
+  inline bool hasChanged() const;
+  inline  ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>::Reader getChanged() const;
 
-  inline bool hasPath() const;
-  inline  ::capnp::Text::Reader getPath() const;
+  inline bool hasRemoved() const;
+  inline  ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>::Reader getRemoved() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline  ::uint64_t getDigest() const;
 
-  inline bool hasDelivered() const;
-  inline  ::capnp::Data::Reader getDelivered() const;
+  inline  ::int64_t getAgeMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2203,9 +2195,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HandedOverRequest::Builder {
+class UpstreamChanges::Builder {
 public:
-  typedef HandedOverRequest Builds;
+  typedef UpstreamChanges Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2219,53 +2211,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::pollenledge::wire::RequestId::Builder getId();
-  inline void setId( ::pollenledge::wire::RequestId::Reader value);
-  inline  ::pollenledge::wire::RequestId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::pollenledge::wire::RequestId>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::RequestId> disownId();
+  inline  ::int64_t getTo();
+  inline void setTo( ::int64_t value);
 
-  inline bool hasSpec();
-  inline  ::pollenledge::wire::RequestSpec::Builder getSpec();
-  inline void setSpec( ::pollenledge::wire::RequestSpec::Reader value);
-  inline  ::pollenledge::wire::RequestSpec::Builder initSpec();
-  inline void adoptSpec(::capnp::Orphan< ::pollenledge::wire::RequestSpec>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::RequestSpec> disownSpec();
+  inline bool hasChanged();
+  inline  ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>::Builder getChanged();
+  inline void setChanged( ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>::Builder initChanged(unsigned int size);
+  inline void adoptChanged(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>> disownChanged();
 
-  inline  ::int64_t getDeliveredTokens();
-  inline void setDeliveredTokens( ::int64_t value);
+  inline bool hasRemoved();
+  inline  ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>::Builder getRemoved();
+  inline void setRemoved( ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>::Builder initRemoved(unsigned int size);
+  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>> disownRemoved();
 
-  inline  ::uint32_t getAttempts();
-  inline void setAttempts( ::uint32_t value);
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
 
-  inline bool hasUpstream();
-  inline  ::pollenledge::wire::UpstreamId::Builder getUpstream();
-  inline void setUpstream( ::pollenledge::wire::UpstreamId::Reader value);
-  inline  ::pollenledge::wire::UpstreamId::Builder initUpstream();
-  inline void adoptUpstream(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownUpstream();
-
-  inline bool hasPath();
-  inline  ::capnp::Text::Builder getPath();
-  inline void setPath( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPath(unsigned int size);
-  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPath();
-
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
-
-  inline bool hasDelivered();
-  inline  ::capnp::Data::Builder getDelivered();
-  inline void setDelivered( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDelivered(unsigned int size);
-  inline void adoptDelivered(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDelivered();
+  inline  ::int64_t getAgeMicros();
+  inline void setAgeMicros( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2277,17 +2244,14 @@
 };
 
 #if !CAPNP_LITE
-class HandedOverRequest::Pipeline {
+class UpstreamChanges::Pipeline {
 public:
-  typedef HandedOverRequest Pipelines;
+  typedef UpstreamChanges Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pollenledge::wire::RequestId::Pipeline getId();
-  inline  ::pollenledge::wire::RequestSpec::Pipeline getSpec();
-  inline  ::pollenledge::wire::UpstreamId::Pipeline getUpstream();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2296,9 +2260,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Upstream::Reader {
+class NodeHeartbeat::Reader {
 public:
-  typedef Upstream Reads;
+  typedef NodeHeartbeat Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2313,22 +2277,30 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::pollenledge::wire::UpstreamId::Reader getId() const;
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool getAsksForLevels() const;
 
-  inline bool hasPool() const;
-  inline  ::capnp::Text::Reader getPool() const;
+  inline bool hasLevels() const;
+  inline  ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
 
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
+  inline  ::int64_t getAskedAtMicros() const;
 
-  inline bool hasMachineClass() const;
-  inline  ::capnp::Text::Reader getMachineClass() const;
+  inline  ::int64_t getProofAgeMicros() const;
 
-  inline bool getReclaimable() const;
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+  inline  ::int64_t getCalendarMicros() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline  ::int64_t getUpstreamsRevision() const;
+
+  inline bool hasUpstreamChanges() const;
+  inline  ::pollenledge::wire::UpstreamChanges::Reader getUpstreamChanges() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2342,9 +2314,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Upstream::Builder {
+class NodeHeartbeat::Builder {
 public:
-  typedef Upstream Builds;
+  typedef NodeHeartbeat Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2358,43 +2330,55 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::pollenledge::wire::UpstreamId::Builder getId();
-  inline void setId( ::pollenledge::wire::UpstreamId::Reader value);
-  inline  ::pollenledge::wire::UpstreamId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownId();
+  inline bool hasRecords();
+  inline  ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::MemberRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool getAsksForLevels();
+  inline void setAsksForLevels(bool value);
 
-  inline bool hasPool();
-  inline  ::capnp::Text::Builder getPool();
-  inline void setPool( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+  inline bool hasLevels();
+  inline  ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Builder getLevels();
+  inline void setLevels( ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
+  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LimitLevel,  ::capnp::Kind::STRUCT>> disownLevels();
 
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+  inline  ::int64_t getAskedAtMicros();
+  inline void setAskedAtMicros( ::int64_t value);
 
-  inline bool hasMachineClass();
-  inline  ::capnp::Text::Builder getMachineClass();
-  inline void setMachineClass( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMachineClass(unsigned int size);
-  inline void adoptMachineClass(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMachineClass();
+  inline  ::int64_t getProofAgeMicros();
+  inline void setProofAgeMicros( ::int64_t value);
 
-  inline bool getReclaimable();
-  inline void setReclaimable(bool value);
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::SuspectReport,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+  inline  ::int64_t getCalendarMicros();
+  inline void setCalendarMicros( ::int64_t value);
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::HeardLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline  ::int64_t getUpstreamsRevision();
+  inline void setUpstreamsRevision( ::int64_t value);
+
+  inline bool hasUpstreamChanges();
+  inline  ::pollenledge::wire::UpstreamChanges::Builder getUpstreamChanges();
+  inline void setUpstreamChanges( ::pollenledge::wire::UpstreamChanges::Reader value);
+  inline  ::pollenledge::wire::UpstreamChanges::Builder initUpstreamChanges();
+  inline void adoptUpstreamChanges(::capnp::Orphan< ::pollenledge::wire::UpstreamChanges>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamChanges> disownUpstreamChanges();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2406,15 +2390,15 @@
 };
 
 #if !CAPNP_LITE
-class Upstream::Pipeline {
+class NodeHeartbeat::Pipeline {
 public:
-  typedef Upstream Pipelines;
+  typedef NodeHeartbeat Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pollenledge::wire::UpstreamId::Pipeline getId();
+  inline  ::pollenledge::wire::UpstreamChanges::Pipeline getUpstreamChanges();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2423,92 +2407,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::pollenledge::wire::Peer::HeartbeatParams,  ::pollenledge::wire::Peer::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::Peer::UpstreamNoticeParams,  ::pollenledge::wire::Peer::UpstreamNoticeResults> upstreamNoticeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::Peer::QueryHolderParams,  ::pollenledge::wire::Peer::QueryHolderResults> queryHolderRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::Peer::HandOverParams,  ::pollenledge::wire::Peer::HandOverResults> handOverRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::Peer::FetchParams,  ::pollenledge::wire::Peer::FetchResults> fetchRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::Peer::TablesParams,  ::pollenledge::wire::Peer::TablesResults> tablesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::pollenledge::wire::Peer::HeartbeatParams HeartbeatParams;
-  typedef  ::pollenledge::wire::Peer::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::pollenledge::wire::Peer::UpstreamNoticeParams UpstreamNoticeParams;
-  typedef  ::pollenledge::wire::Peer::UpstreamNoticeResults UpstreamNoticeResults;
-  typedef ::capnp::CallContext<UpstreamNoticeParams, UpstreamNoticeResults> UpstreamNoticeContext;
-  virtual ::kj::Promise<void> upstreamNotice(UpstreamNoticeContext context);
-  typedef  ::pollenledge::wire::Peer::QueryHolderParams QueryHolderParams;
-  typedef  ::pollenledge::wire::Peer::QueryHolderResults QueryHolderResults;
-  typedef ::capnp::CallContext<QueryHolderParams, QueryHolderResults> QueryHolderContext;
-  virtual ::kj::Promise<void> queryHolder(QueryHolderContext context);
-  typedef  ::pollenledge::wire::Peer::HandOverParams HandOverParams;
-  typedef  ::pollenledge::wire::Peer::HandOverResults HandOverResults;
-  typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
-  virtual ::kj::Promise<void> handOver(HandOverContext context);
-  typedef  ::pollenledge::wire::Peer::FetchParams FetchParams;
-  typedef  ::pollenledge::wire::Peer::FetchResults FetchResults;
-  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
-  virtual ::kj::Promise<void> fetch(FetchContext context);
-  typedef  ::pollenledge::wire::Peer::TablesParams TablesParams;
-  typedef  ::pollenledge::wire::Peer::TablesResults TablesResults;
-  typedef ::capnp::CallContext<TablesParams, TablesResults> TablesContext;
-  virtual ::kj::Promise<void> tables(TablesContext context);
-
-  inline  ::pollenledge::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::pollenledge::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::HeartbeatParams::Reader {
+class RequestSpec::Reader {
 public:
-  typedef HeartbeatParams Reads;
+  typedef RequestSpec Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2523,11 +2424,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader() const;
-  inline  ::pollenledge::wire::Header::Reader getHeader() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
-  inline bool hasHeartbeat() const;
-  inline  ::pollenledge::wire::NodeHeartbeat::Reader getHeartbeat() const;
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline  ::int8_t getRank() const;
+
+  inline bool getStream() const;
+
+  inline  ::int64_t getPromptTokens() const;
+
+  inline  ::int64_t getMaxTokens() const;
+
+  inline bool hasPrefixHashes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPrefixHashes() const;
+
+  inline bool hasFingerprint() const;
+  inline  ::pollenledge::wire::Fingerprint::Reader getFingerprint() const;
+
+  inline bool hasBodySha256() const;
+  inline  ::capnp::Text::Reader getBodySha256() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2541,9 +2459,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatParams::Builder {
+class RequestSpec::Builder {
 public:
-  typedef HeartbeatParams Builds;
+  typedef RequestSpec Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2557,19 +2475,53 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader();
-  inline  ::pollenledge::wire::Header::Builder getHeader();
-  inline void setHeader( ::pollenledge::wire::Header::Reader value);
-  inline  ::pollenledge::wire::Header::Builder initHeader();
-  inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
-
-  inline bool hasHeartbeat();
-  inline  ::pollenledge::wire::NodeHeartbeat::Builder getHeartbeat();
-  inline void setHeartbeat( ::pollenledge::wire::NodeHeartbeat::Reader value);
-  inline  ::pollenledge::wire::NodeHeartbeat::Builder initHeartbeat();
-  inline void adoptHeartbeat(::capnp::Orphan< ::pollenledge::wire::NodeHeartbeat>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::NodeHeartbeat> disownHeartbeat();
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline  ::int8_t getRank();
+  inline void setRank( ::int8_t value);
+
+  inline bool getStream();
+  inline void setStream(bool value);
+
+  inline  ::int64_t getPromptTokens();
+  inline void setPromptTokens( ::int64_t value);
+
+  inline  ::int64_t getMaxTokens();
+  inline void setMaxTokens( ::int64_t value);
+
+  inline bool hasPrefixHashes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPrefixHashes();
+  inline void setPrefixHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPrefixHashes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPrefixHashes(unsigned int size);
+  inline void adoptPrefixHashes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPrefixHashes();
+
+  inline bool hasFingerprint();
+  inline  ::pollenledge::wire::Fingerprint::Builder getFingerprint();
+  inline void setFingerprint( ::pollenledge::wire::Fingerprint::Reader value);
+  inline  ::pollenledge::wire::Fingerprint::Builder initFingerprint();
+  inline void adoptFingerprint(::capnp::Orphan< ::pollenledge::wire::Fingerprint>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::Fingerprint> disownFingerprint();
+
+  inline bool hasBodySha256();
+  inline  ::capnp::Text::Builder getBodySha256();
+  inline void setBodySha256( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBodySha256(unsigned int size);
+  inline void adoptBodySha256(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBodySha256();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2581,16 +2533,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatParams::Pipeline {
+class RequestSpec::Pipeline {
 public:
-  typedef HeartbeatParams Pipelines;
+  typedef RequestSpec Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pollenledge::wire::Header::Pipeline getHeader();
-  inline  ::pollenledge::wire::NodeHeartbeat::Pipeline getHeartbeat();
+  inline  ::pollenledge::wire::Fingerprint::Pipeline getFingerprint();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2599,9 +2550,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HeartbeatResults::Reader {
+class HandedOverRequest::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef HandedOverRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2616,6 +2567,28 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasId() const;
+  inline  ::pollenledge::wire::RequestId::Reader getId() const;
+
+  inline bool hasSpec() const;
+  inline  ::pollenledge::wire::RequestSpec::Reader getSpec() const;
+
+  inline  ::int64_t getDeliveredTokens() const;
+
+  inline  ::uint32_t getAttempts() const;
+
+  inline bool hasUpstream() const;
+  inline  ::pollenledge::wire::UpstreamId::Reader getUpstream() const;
+
+  inline bool hasPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool hasDelivered() const;
+  inline  ::capnp::Data::Reader getDelivered() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2628,9 +2601,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder {
+class HandedOverRequest::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef HandedOverRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2644,6 +2617,54 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasId();
+  inline  ::pollenledge::wire::RequestId::Builder getId();
+  inline void setId( ::pollenledge::wire::RequestId::Reader value);
+  inline  ::pollenledge::wire::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::pollenledge::wire::RequestId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::RequestId> disownId();
+
+  inline bool hasSpec();
+  inline  ::pollenledge::wire::RequestSpec::Builder getSpec();
+  inline void setSpec( ::pollenledge::wire::RequestSpec::Reader value);
+  inline  ::pollenledge::wire::RequestSpec::Builder initSpec();
+  inline void adoptSpec(::capnp::Orphan< ::pollenledge::wire::RequestSpec>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::RequestSpec> disownSpec();
+
+  inline  ::int64_t getDeliveredTokens();
+  inline void setDeliveredTokens( ::int64_t value);
+
+  inline  ::uint32_t getAttempts();
+  inline void setAttempts( ::uint32_t value);
+
+  inline bool hasUpstream();
+  inline  ::pollenledge::wire::UpstreamId::Builder getUpstream();
+  inline void setUpstream( ::pollenledge::wire::UpstreamId::Reader value);
+  inline  ::pollenledge::wire::UpstreamId::Builder initUpstream();
+  inline void adoptUpstream(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownUpstream();
+
+  inline bool hasPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool hasDelivered();
+  inline  ::capnp::Data::Builder getDelivered();
+  inline void setDelivered( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDelivered(unsigned int size);
+  inline void adoptDelivered(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDelivered();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2654,14 +2675,17 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline {
+class HandedOverRequest::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef HandedOverRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::pollenledge::wire::RequestId::Pipeline getId();
+  inline  ::pollenledge::wire::RequestSpec::Pipeline getSpec();
+  inline  ::pollenledge::wire::UpstreamId::Pipeline getUpstream();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2670,9 +2694,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::UpstreamNoticeParams::Reader {
+class Upstream::Reader {
 public:
-  typedef UpstreamNoticeParams Reads;
+  typedef Upstream Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2687,15 +2711,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader() const;
-  inline  ::pollenledge::wire::Header::Reader getHeader() const;
+  inline bool hasId() const;
+  inline  ::pollenledge::wire::UpstreamId::Reader getId() const;
 
-  inline bool hasUpstream() const;
-  inline  ::pollenledge::wire::UpstreamId::Reader getUpstream() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline  ::pollenledge::wire::UpstreamState getState() const;
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
 
-  inline  ::int64_t getRemainingMicros() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasMachineClass() const;
+  inline  ::capnp::Text::Reader getMachineClass() const;
+
+  inline bool getReclaimable() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2709,9 +2740,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::UpstreamNoticeParams::Builder {
+class Upstream::Builder {
 public:
-  typedef UpstreamNoticeParams Builds;
+  typedef Upstream Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2725,25 +2756,43 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader();
-  inline  ::pollenledge::wire::Header::Builder getHeader();
-  inline void setHeader( ::pollenledge::wire::Header::Reader value);
-  inline  ::pollenledge::wire::Header::Builder initHeader();
-  inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
+  inline bool hasId();
+  inline  ::pollenledge::wire::UpstreamId::Builder getId();
+  inline void setId( ::pollenledge::wire::UpstreamId::Reader value);
+  inline  ::pollenledge::wire::UpstreamId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownId();
 
-  inline bool hasUpstream();
-  inline  ::pollenledge::wire::UpstreamId::Builder getUpstream();
-  inline void setUpstream( ::pollenledge::wire::UpstreamId::Reader value);
-  inline  ::pollenledge::wire::UpstreamId::Builder initUpstream();
-  inline void adoptUpstream(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownUpstream();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline  ::pollenledge::wire::UpstreamState getState();
-  inline void setState( ::pollenledge::wire::UpstreamState value);
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
 
-  inline  ::int64_t getRemainingMicros();
-  inline void setRemainingMicros( ::int64_t value);
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasMachineClass();
+  inline  ::capnp::Text::Builder getMachineClass();
+  inline void setMachineClass( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMachineClass(unsigned int size);
+  inline void adoptMachineClass(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMachineClass();
+
+  inline bool getReclaimable();
+  inline void setReclaimable(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2755,16 +2804,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::UpstreamNoticeParams::Pipeline {
+class Upstream::Pipeline {
 public:
-  typedef UpstreamNoticeParams Pipelines;
+  typedef Upstream Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pollenledge::wire::Header::Pipeline getHeader();
-  inline  ::pollenledge::wire::UpstreamId::Pipeline getUpstream();
+  inline  ::pollenledge::wire::UpstreamId::Pipeline getId();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2773,80 +2821,92 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::UpstreamNoticeResults::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef UpstreamNoticeResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  typedef Peer Calls;
+  typedef Peer Reads;
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+  ::capnp::Request< ::pollenledge::wire::Peer::HeartbeatParams,  ::pollenledge::wire::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::Peer::UpstreamNoticeParams,  ::pollenledge::wire::Peer::UpstreamNoticeResults> upstreamNoticeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::Peer::QueryHolderParams,  ::pollenledge::wire::Peer::QueryHolderResults> queryHolderRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::Peer::HandOverParams,  ::pollenledge::wire::Peer::HandOverResults> handOverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::Peer::FetchParams,  ::pollenledge::wire::Peer::FetchResults> fetchRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::Peer::TablesParams,  ::pollenledge::wire::Peer::TablesResults> tablesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
 };
 
-class Peer::UpstreamNoticeResults::Builder {
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-  typedef UpstreamNoticeResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+  typedef Peer Serves;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
-#if !CAPNP_LITE
-class Peer::UpstreamNoticeResults::Pipeline {
-public:
-  typedef UpstreamNoticeResults Pipelines;
+protected:
+  typedef  ::pollenledge::wire::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::pollenledge::wire::Peer::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+  typedef  ::pollenledge::wire::Peer::UpstreamNoticeParams UpstreamNoticeParams;
+  typedef  ::pollenledge::wire::Peer::UpstreamNoticeResults UpstreamNoticeResults;
+  typedef ::capnp::CallContext<UpstreamNoticeParams, UpstreamNoticeResults> UpstreamNoticeContext;
+  virtual ::kj::Promise<void> upstreamNotice(UpstreamNoticeContext context);
+  typedef  ::pollenledge::wire::Peer::QueryHolderParams QueryHolderParams;
+  typedef  ::pollenledge::wire::Peer::QueryHolderResults QueryHolderResults;
+  typedef ::capnp::CallContext<QueryHolderParams, QueryHolderResults> QueryHolderContext;
+  virtual ::kj::Promise<void> queryHolder(QueryHolderContext context);
+  typedef  ::pollenledge::wire::Peer::HandOverParams HandOverParams;
+  typedef  ::pollenledge::wire::Peer::HandOverResults HandOverResults;
+  typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
+  virtual ::kj::Promise<void> handOver(HandOverContext context);
+  typedef  ::pollenledge::wire::Peer::FetchParams FetchParams;
+  typedef  ::pollenledge::wire::Peer::FetchResults FetchResults;
+  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
+  virtual ::kj::Promise<void> fetch(FetchContext context);
+  typedef  ::pollenledge::wire::Peer::TablesParams TablesParams;
+  typedef  ::pollenledge::wire::Peer::TablesResults TablesResults;
+  typedef ::capnp::CallContext<TablesParams, TablesResults> TablesContext;
+  virtual ::kj::Promise<void> tables(TablesContext context);
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline  ::pollenledge::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::pollenledge::wire::Peer>();
+  }
 
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
-class Peer::QueryHolderParams::Reader {
+class Peer::HeartbeatParams::Reader {
 public:
-  typedef QueryHolderParams Reads;
+  typedef HeartbeatParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2864,8 +2924,8 @@
   inline bool hasHeader() const;
   inline  ::pollenledge::wire::Header::Reader getHeader() const;
 
-  inline bool hasId() const;
-  inline  ::pollenledge::wire::RequestId::Reader getId() const;
+  inline bool hasHeartbeat() const;
+  inline  ::pollenledge::wire::NodeHeartbeat::Reader getHeartbeat() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2879,9 +2939,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::QueryHolderParams::Builder {
+class Peer::HeartbeatParams::Builder {
 public:
-  typedef QueryHolderParams Builds;
+  typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2902,12 +2962,12 @@
   inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
-  inline bool hasId();
-  inline  ::pollenledge::wire::RequestId::Builder getId();
-  inline void setId( ::pollenledge::wire::RequestId::Reader value);
-  inline  ::pollenledge::wire::RequestId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::pollenledge::wire::RequestId>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::RequestId> disownId();
+  inline bool hasHeartbeat();
+  inline  ::pollenledge::wire::NodeHeartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::pollenledge::wire::NodeHeartbeat::Reader value);
+  inline  ::pollenledge::wire::NodeHeartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::pollenledge::wire::NodeHeartbeat>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::NodeHeartbeat> disownHeartbeat();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2919,16 +2979,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::QueryHolderParams::Pipeline {
+class Peer::HeartbeatParams::Pipeline {
 public:
-  typedef QueryHolderParams Pipelines;
+  typedef HeartbeatParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenledge::wire::Header::Pipeline getHeader();
-  inline  ::pollenledge::wire::RequestId::Pipeline getId();
+  inline  ::pollenledge::wire::NodeHeartbeat::Pipeline getHeartbeat();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2937,9 +2997,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::QueryHolderResults::Reader {
+class Peer::HeartbeatResults::Reader {
 public:
-  typedef QueryHolderResults Reads;
+  typedef HeartbeatResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2954,11 +3014,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::pollenledge::wire::HolderWord getWord() const;
-
-  inline bool hasOutcome() const;
-  inline  ::capnp::Text::Reader getOutcome() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2971,9 +3026,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::QueryHolderResults::Builder {
+class Peer::HeartbeatResults::Builder {
 public:
-  typedef QueryHolderResults Builds;
+  typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2987,16 +3042,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::pollenledge::wire::HolderWord getWord();
-  inline void setWord( ::pollenledge::wire::HolderWord value);
-
-  inline bool hasOutcome();
-  inline  ::capnp::Text::Builder getOutcome();
-  inline void setOutcome( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOutcome(unsigned int size);
-  inline void adoptOutcome(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOutcome();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3007,9 +3052,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::QueryHolderResults::Pipeline {
+class Peer::HeartbeatResults::Pipeline {
 public:
-  typedef QueryHolderResults Pipelines;
+  typedef HeartbeatResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3023,9 +3068,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HandOverParams::Reader {
+class Peer::UpstreamNoticeParams::Reader {
 public:
-  typedef HandOverParams Reads;
+  typedef UpstreamNoticeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3043,8 +3088,12 @@
   inline bool hasHeader() const;
   inline  ::pollenledge::wire::Header::Reader getHeader() const;
 
-  inline bool hasRequest() const;
-  inline  ::pollenledge::wire::HandedOverRequest::Reader getRequest() const;
+  inline bool hasUpstream() const;
+  inline  ::pollenledge::wire::UpstreamId::Reader getUpstream() const;
+
+  inline  ::pollenledge::wire::UpstreamState getState() const;
+
+  inline  ::int64_t getRemainingMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3058,9 +3107,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HandOverParams::Builder {
+class Peer::UpstreamNoticeParams::Builder {
 public:
-  typedef HandOverParams Builds;
+  typedef UpstreamNoticeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3081,12 +3130,18 @@
   inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
-  inline bool hasRequest();
-  inline  ::pollenledge::wire::HandedOverRequest::Builder getRequest();
-  inline void setRequest( ::pollenledge::wire::HandedOverRequest::Reader value);
-  inline  ::pollenledge::wire::HandedOverRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::pollenledge::wire::HandedOverRequest>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::HandedOverRequest> disownRequest();
+  inline bool hasUpstream();
+  inline  ::pollenledge::wire::UpstreamId::Builder getUpstream();
+  inline void setUpstream( ::pollenledge::wire::UpstreamId::Reader value);
+  inline  ::pollenledge::wire::UpstreamId::Builder initUpstream();
+  inline void adoptUpstream(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownUpstream();
+
+  inline  ::pollenledge::wire::UpstreamState getState();
+  inline void setState( ::pollenledge::wire::UpstreamState value);
+
+  inline  ::int64_t getRemainingMicros();
+  inline void setRemainingMicros( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3098,16 +3153,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HandOverParams::Pipeline {
+class Peer::UpstreamNoticeParams::Pipeline {
 public:
-  typedef HandOverParams Pipelines;
+  typedef UpstreamNoticeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenledge::wire::Header::Pipeline getHeader();
-  inline  ::pollenledge::wire::HandedOverRequest::Pipeline getRequest();
+  inline  ::pollenledge::wire::UpstreamId::Pipeline getUpstream();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3116,9 +3171,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HandOverResults::Reader {
+class Peer::UpstreamNoticeResults::Reader {
 public:
-  typedef HandOverResults Reads;
+  typedef UpstreamNoticeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3133,8 +3188,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3147,9 +3200,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HandOverResults::Builder {
+class Peer::UpstreamNoticeResults::Builder {
 public:
-  typedef HandOverResults Builds;
+  typedef UpstreamNoticeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3163,9 +3216,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3176,9 +3226,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HandOverResults::Pipeline {
+class Peer::UpstreamNoticeResults::Pipeline {
 public:
-  typedef HandOverResults Pipelines;
+  typedef UpstreamNoticeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3192,9 +3242,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchParams::Reader {
+class Peer::QueryHolderParams::Reader {
 public:
-  typedef FetchParams Reads;
+  typedef QueryHolderParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3215,11 +3265,6 @@
   inline bool hasId() const;
   inline  ::pollenledge::wire::RequestId::Reader getId() const;
 
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
-
-  inline  ::uint64_t getOffset() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3232,9 +3277,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchParams::Builder {
+class Peer::QueryHolderParams::Builder {
 public:
-  typedef FetchParams Builds;
+  typedef QueryHolderParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3262,16 +3307,6 @@
   inline void adoptId(::capnp::Orphan< ::pollenledge::wire::RequestId>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::RequestId> disownId();
 
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
-
-  inline  ::uint64_t getOffset();
-  inline void setOffset( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3282,9 +3317,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchParams::Pipeline {
+class Peer::QueryHolderParams::Pipeline {
 public:
-  typedef FetchParams Pipelines;
+  typedef QueryHolderParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3300,9 +3335,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchResults::Reader {
+class Peer::QueryHolderResults::Reader {
 public:
-  typedef FetchResults Reads;
+  typedef QueryHolderResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3317,17 +3352,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound() const;
-
-  inline bool getFinished() const;
-
-  inline  ::uint16_t getHttpStatus() const;
-
-  inline bool hasContentType() const;
-  inline  ::capnp::Text::Reader getContentType() const;
+  inline  ::pollenledge::wire::HolderWord getWord() const;
 
-  inline bool hasData() const;
-  inline  ::capnp::Data::Reader getData() const;
+  inline bool hasOutcome() const;
+  inline  ::capnp::Text::Reader getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3341,9 +3369,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchResults::Builder {
+class Peer::QueryHolderResults::Builder {
 public:
-  typedef FetchResults Builds;
+  typedef QueryHolderResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3357,28 +3385,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound();
-  inline void setFound(bool value);
-
-  inline bool getFinished();
-  inline void setFinished(bool value);
-
-  inline  ::uint16_t getHttpStatus();
-  inline void setHttpStatus( ::uint16_t value);
-
-  inline bool hasContentType();
-  inline  ::capnp::Text::Builder getContentType();
-  inline void setContentType( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+  inline  ::pollenledge::wire::HolderWord getWord();
+  inline void setWord( ::pollenledge::wire::HolderWord value);
 
-  inline bool hasData();
-  inline  ::capnp::Data::Builder getData();
-  inline void setData( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initData(unsigned int size);
-  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownData();
+  inline bool hasOutcome();
+  inline  ::capnp::Text::Builder getOutcome();
+  inline void setOutcome( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOutcome(unsigned int size);
+  inline void adoptOutcome(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOutcome();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3390,9 +3405,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchResults::Pipeline {
+class Peer::QueryHolderResults::Pipeline {
 public:
-  typedef FetchResults Pipelines;
+  typedef QueryHolderResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3406,9 +3421,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TablesParams::Reader {
+class Peer::HandOverParams::Reader {
 public:
-  typedef TablesParams Reads;
+  typedef HandOverParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3426,6 +3441,9 @@
   inline bool hasHeader() const;
   inline  ::pollenledge::wire::Header::Reader getHeader() const;
 
+  inline bool hasRequest() const;
+  inline  ::pollenledge::wire::HandedOverRequest::Reader getRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3438,9 +3456,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TablesParams::Builder {
+class Peer::HandOverParams::Builder {
 public:
-  typedef TablesParams Builds;
+  typedef HandOverParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3461,6 +3479,13 @@
   inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
+  inline bool hasRequest();
+  inline  ::pollenledge::wire::HandedOverRequest::Builder getRequest();
+  inline void setRequest( ::pollenledge::wire::HandedOverRequest::Reader value);
+  inline  ::pollenledge::wire::HandedOverRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::pollenledge::wire::HandedOverRequest>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::HandedOverRequest> disownRequest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3471,15 +3496,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TablesParams::Pipeline {
+class Peer::HandOverParams::Pipeline {
 public:
-  typedef TablesParams Pipelines;
+  typedef HandOverParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenledge::wire::Header::Pipeline getHeader();
+  inline  ::pollenledge::wire::HandedOverRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3488,9 +3514,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TablesResults::Reader {
+class Peer::HandOverResults::Reader {
 public:
-  typedef TablesResults Reads;
+  typedef HandOverResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3505,13 +3531,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
-
-  inline bool hasRoutes() const;
-  inline  ::capnp::Text::Reader getRoutes() const;
-
-  inline bool hasPools() const;
-  inline  ::capnp::Text::Reader getPools() const;
+  inline bool getAccepted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3525,9 +3545,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TablesResults::Builder {
+class Peer::HandOverResults::Builder {
 public:
-  typedef TablesResults Builds;
+  typedef HandOverResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3541,22 +3561,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline bool hasRoutes();
-  inline  ::capnp::Text::Builder getRoutes();
-  inline void setRoutes( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRoutes(unsigned int size);
-  inline void adoptRoutes(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRoutes();
-
-  inline bool hasPools();
-  inline  ::capnp::Text::Builder getPools();
-  inline void setPools( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPools(unsigned int size);
-  inline void adoptPools(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPools();
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3568,9 +3574,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TablesResults::Pipeline {
+class Peer::HandOverResults::Pipeline {
 public:
-  typedef TablesResults Pipelines;
+  typedef HandOverResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3584,86 +3590,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class EntryControl::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef EntryControl Calls;
-  typedef EntryControl Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::pollenledge::wire::EntryControl::ApplyTablesParams,  ::pollenledge::wire::EntryControl::ApplyTablesResults> applyTablesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::EntryControl::ListUpstreamsParams,  ::pollenledge::wire::EntryControl::ListUpstreamsResults> listUpstreamsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::EntryControl::ForwardNoticeParams,  ::pollenledge::wire::EntryControl::ForwardNoticeResults> forwardNoticeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::EntryControl::DrainParams,  ::pollenledge::wire::EntryControl::DrainResults> drainRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollenledge::wire::EntryControl::ReportParams,  ::pollenledge::wire::EntryControl::ReportResults> reportRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class EntryControl::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef EntryControl Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::pollenledge::wire::EntryControl::ApplyTablesParams ApplyTablesParams;
-  typedef  ::pollenledge::wire::EntryControl::ApplyTablesResults ApplyTablesResults;
-  typedef ::capnp::CallContext<ApplyTablesParams, ApplyTablesResults> ApplyTablesContext;
-  virtual ::kj::Promise<void> applyTables(ApplyTablesContext context);
-  typedef  ::pollenledge::wire::EntryControl::ListUpstreamsParams ListUpstreamsParams;
-  typedef  ::pollenledge::wire::EntryControl::ListUpstreamsResults ListUpstreamsResults;
-  typedef ::capnp::CallContext<ListUpstreamsParams, ListUpstreamsResults> ListUpstreamsContext;
-  virtual ::kj::Promise<void> listUpstreams(ListUpstreamsContext context);
-  typedef  ::pollenledge::wire::EntryControl::ForwardNoticeParams ForwardNoticeParams;
-  typedef  ::pollenledge::wire::EntryControl::ForwardNoticeResults ForwardNoticeResults;
-  typedef ::capnp::CallContext<ForwardNoticeParams, ForwardNoticeResults> ForwardNoticeContext;
-  virtual ::kj::Promise<void> forwardNotice(ForwardNoticeContext context);
-  typedef  ::pollenledge::wire::EntryControl::DrainParams DrainParams;
-  typedef  ::pollenledge::wire::EntryControl::DrainResults DrainResults;
-  typedef ::capnp::CallContext<DrainParams, DrainResults> DrainContext;
-  virtual ::kj::Promise<void> drain(DrainContext context);
-  typedef  ::pollenledge::wire::EntryControl::ReportParams ReportParams;
-  typedef  ::pollenledge::wire::EntryControl::ReportResults ReportResults;
-  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
-  virtual ::kj::Promise<void> report(ReportContext context);
-
-  inline  ::pollenledge::wire::EntryControl::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::pollenledge::wire::EntryControl>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class EntryControl::ApplyTablesParams::Reader {
+class Peer::FetchParams::Reader {
 public:
-  typedef ApplyTablesParams Reads;
+  typedef FetchParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3681,13 +3610,13 @@
   inline bool hasHeader() const;
   inline  ::pollenledge::wire::Header::Reader getHeader() const;
 
-  inline  ::uint64_t getVersion() const;
+  inline bool hasId() const;
+  inline  ::pollenledge::wire::RequestId::Reader getId() const;
 
-  inline bool hasRoutes() const;
-  inline  ::capnp::Text::Reader getRoutes() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
-  inline bool hasPools() const;
-  inline  ::capnp::Text::Reader getPools() const;
+  inline  ::uint64_t getOffset() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3701,9 +3630,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::ApplyTablesParams::Builder {
+class Peer::FetchParams::Builder {
 public:
-  typedef ApplyTablesParams Builds;
+  typedef FetchParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3724,22 +3653,22 @@
   inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool hasId();
+  inline  ::pollenledge::wire::RequestId::Builder getId();
+  inline void setId( ::pollenledge::wire::RequestId::Reader value);
+  inline  ::pollenledge::wire::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::pollenledge::wire::RequestId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::RequestId> disownId();
 
-  inline bool hasRoutes();
-  inline  ::capnp::Text::Builder getRoutes();
-  inline void setRoutes( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRoutes(unsigned int size);
-  inline void adoptRoutes(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRoutes();
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
-  inline bool hasPools();
-  inline  ::capnp::Text::Builder getPools();
-  inline void setPools( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPools(unsigned int size);
-  inline void adoptPools(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPools();
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3751,15 +3680,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::ApplyTablesParams::Pipeline {
+class Peer::FetchParams::Pipeline {
 public:
-  typedef ApplyTablesParams Pipelines;
+  typedef FetchParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenledge::wire::Header::Pipeline getHeader();
+  inline  ::pollenledge::wire::RequestId::Pipeline getId();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3768,9 +3698,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::ApplyTablesResults::Reader {
+class Peer::FetchResults::Reader {
 public:
-  typedef ApplyTablesResults Reads;
+  typedef FetchResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3785,7 +3715,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersionInForce() const;
+  inline bool getFound() const;
+
+  inline bool getFinished() const;
+
+  inline  ::uint16_t getHttpStatus() const;
+
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3799,9 +3739,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::ApplyTablesResults::Builder {
+class Peer::FetchResults::Builder {
 public:
-  typedef ApplyTablesResults Builds;
+  typedef FetchResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3815,22 +3755,42 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersionInForce();
-  inline void setVersionInForce( ::uint64_t value);
+  inline bool getFound();
+  inline void setFound(bool value);
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
+  inline bool getFinished();
+  inline void setFinished(bool value);
+
+  inline  ::uint16_t getHttpStatus();
+  inline void setHttpStatus( ::uint16_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EntryControl::ApplyTablesResults::Pipeline {
+class Peer::FetchResults::Pipeline {
 public:
-  typedef ApplyTablesResults Pipelines;
+  typedef FetchResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3844,9 +3804,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::ListUpstreamsParams::Reader {
+class Peer::TablesParams::Reader {
 public:
-  typedef ListUpstreamsParams Reads;
+  typedef TablesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3864,9 +3824,6 @@
   inline bool hasHeader() const;
   inline  ::pollenledge::wire::Header::Reader getHeader() const;
 
-  inline bool hasUpstreams() const;
-  inline  ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>::Reader getUpstreams() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3879,9 +3836,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::ListUpstreamsParams::Builder {
+class Peer::TablesParams::Builder {
 public:
-  typedef ListUpstreamsParams Builds;
+  typedef TablesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3902,13 +3859,6 @@
   inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
-  inline bool hasUpstreams();
-  inline  ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>::Builder getUpstreams();
-  inline void setUpstreams( ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>::Builder initUpstreams(unsigned int size);
-  inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>> disownUpstreams();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3919,9 +3869,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::ListUpstreamsParams::Pipeline {
+class Peer::TablesParams::Pipeline {
 public:
-  typedef ListUpstreamsParams Pipelines;
+  typedef TablesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3936,9 +3886,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::ListUpstreamsResults::Reader {
+class Peer::TablesResults::Reader {
 public:
-  typedef ListUpstreamsResults Reads;
+  typedef TablesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3953,6 +3903,14 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasRoutes() const;
+  inline  ::capnp::Text::Reader getRoutes() const;
+
+  inline bool hasPools() const;
+  inline  ::capnp::Text::Reader getPools() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3965,9 +3923,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::ListUpstreamsResults::Builder {
+class Peer::TablesResults::Builder {
 public:
-  typedef ListUpstreamsResults Builds;
+  typedef TablesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3981,6 +3939,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasRoutes();
+  inline  ::capnp::Text::Builder getRoutes();
+  inline void setRoutes( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoutes(unsigned int size);
+  inline void adoptRoutes(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoutes();
+
+  inline bool hasPools();
+  inline  ::capnp::Text::Builder getPools();
+  inline void setPools( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPools();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3991,9 +3966,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::ListUpstreamsResults::Pipeline {
+class Peer::TablesResults::Pipeline {
 public:
-  typedef ListUpstreamsResults Pipelines;
+  typedef TablesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4007,9 +3982,86 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::ForwardNoticeParams::Reader {
+#if !CAPNP_LITE
+class EntryControl::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ForwardNoticeParams Reads;
+  typedef EntryControl Calls;
+  typedef EntryControl Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::pollenledge::wire::EntryControl::ApplyTablesParams,  ::pollenledge::wire::EntryControl::ApplyTablesResults> applyTablesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::EntryControl::ListUpstreamsParams,  ::pollenledge::wire::EntryControl::ListUpstreamsResults> listUpstreamsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::EntryControl::ForwardNoticeParams,  ::pollenledge::wire::EntryControl::ForwardNoticeResults> forwardNoticeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::EntryControl::DrainParams,  ::pollenledge::wire::EntryControl::DrainResults> drainRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollenledge::wire::EntryControl::ReportParams,  ::pollenledge::wire::EntryControl::ReportResults> reportRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class EntryControl::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef EntryControl Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::pollenledge::wire::EntryControl::ApplyTablesParams ApplyTablesParams;
+  typedef  ::pollenledge::wire::EntryControl::ApplyTablesResults ApplyTablesResults;
+  typedef ::capnp::CallContext<ApplyTablesParams, ApplyTablesResults> ApplyTablesContext;
+  virtual ::kj::Promise<void> applyTables(ApplyTablesContext context);
+  typedef  ::pollenledge::wire::EntryControl::ListUpstreamsParams ListUpstreamsParams;
+  typedef  ::pollenledge::wire::EntryControl::ListUpstreamsResults ListUpstreamsResults;
+  typedef ::capnp::CallContext<ListUpstreamsParams, ListUpstreamsResults> ListUpstreamsContext;
+  virtual ::kj::Promise<void> listUpstreams(ListUpstreamsContext context);
+  typedef  ::pollenledge::wire::EntryControl::ForwardNoticeParams ForwardNoticeParams;
+  typedef  ::pollenledge::wire::EntryControl::ForwardNoticeResults ForwardNoticeResults;
+  typedef ::capnp::CallContext<ForwardNoticeParams, ForwardNoticeResults> ForwardNoticeContext;
+  virtual ::kj::Promise<void> forwardNotice(ForwardNoticeContext context);
+  typedef  ::pollenledge::wire::EntryControl::DrainParams DrainParams;
+  typedef  ::pollenledge::wire::EntryControl::DrainResults DrainResults;
+  typedef ::capnp::CallContext<DrainParams, DrainResults> DrainContext;
+  virtual ::kj::Promise<void> drain(DrainContext context);
+  typedef  ::pollenledge::wire::EntryControl::ReportParams ReportParams;
+  typedef  ::pollenledge::wire::EntryControl::ReportResults ReportResults;
+  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
+  virtual ::kj::Promise<void> report(ReportContext context);
+
+  inline  ::pollenledge::wire::EntryControl::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::pollenledge::wire::EntryControl>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class EntryControl::ApplyTablesParams::Reader {
+public:
+  typedef ApplyTablesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4027,15 +4079,13 @@
   inline bool hasHeader() const;
   inline  ::pollenledge::wire::Header::Reader getHeader() const;
 
-  inline bool hasUpstream() const;
-  inline  ::pollenledge::wire::UpstreamId::Reader getUpstream() const;
-
-  inline  ::pollenledge::wire::UpstreamState getState() const;
+  inline  ::uint64_t getVersion() const;
 
-  inline  ::int64_t getRemainingMicros() const;
+  inline bool hasRoutes() const;
+  inline  ::capnp::Text::Reader getRoutes() const;
 
-  inline bool hasSource() const;
-  inline  ::capnp::Text::Reader getSource() const;
+  inline bool hasPools() const;
+  inline  ::capnp::Text::Reader getPools() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4049,9 +4099,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::ForwardNoticeParams::Builder {
+class EntryControl::ApplyTablesParams::Builder {
 public:
-  typedef ForwardNoticeParams Builds;
+  typedef ApplyTablesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4072,25 +4122,22 @@
   inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
-  inline bool hasUpstream();
-  inline  ::pollenledge::wire::UpstreamId::Builder getUpstream();
-  inline void setUpstream( ::pollenledge::wire::UpstreamId::Reader value);
-  inline  ::pollenledge::wire::UpstreamId::Builder initUpstream();
-  inline void adoptUpstream(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
-  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownUpstream();
-
-  inline  ::pollenledge::wire::UpstreamState getState();
-  inline void setState( ::pollenledge::wire::UpstreamState value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
-  inline  ::int64_t getRemainingMicros();
-  inline void setRemainingMicros( ::int64_t value);
+  inline bool hasRoutes();
+  inline  ::capnp::Text::Builder getRoutes();
+  inline void setRoutes( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoutes(unsigned int size);
+  inline void adoptRoutes(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoutes();
 
-  inline bool hasSource();
-  inline  ::capnp::Text::Builder getSource();
-  inline void setSource( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSource(unsigned int size);
-  inline void adoptSource(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSource();
+  inline bool hasPools();
+  inline  ::capnp::Text::Builder getPools();
+  inline void setPools( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPools();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4102,16 +4149,15 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::ForwardNoticeParams::Pipeline {
+class EntryControl::ApplyTablesParams::Pipeline {
 public:
-  typedef ForwardNoticeParams Pipelines;
+  typedef ApplyTablesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenledge::wire::Header::Pipeline getHeader();
-  inline  ::pollenledge::wire::UpstreamId::Pipeline getUpstream();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4120,9 +4166,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::ForwardNoticeResults::Reader {
+class EntryControl::ApplyTablesResults::Reader {
 public:
-  typedef ForwardNoticeResults Reads;
+  typedef ApplyTablesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4137,6 +4183,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getVersionInForce() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4149,9 +4197,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::ForwardNoticeResults::Builder {
+class EntryControl::ApplyTablesResults::Builder {
 public:
-  typedef ForwardNoticeResults Builds;
+  typedef ApplyTablesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4165,6 +4213,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getVersionInForce();
+  inline void setVersionInForce( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4175,9 +4226,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::ForwardNoticeResults::Pipeline {
+class EntryControl::ApplyTablesResults::Pipeline {
 public:
-  typedef ForwardNoticeResults Pipelines;
+  typedef ApplyTablesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4191,9 +4242,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::DrainParams::Reader {
+class EntryControl::ListUpstreamsParams::Reader {
 public:
-  typedef DrainParams Reads;
+  typedef ListUpstreamsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4211,7 +4262,8 @@
   inline bool hasHeader() const;
   inline  ::pollenledge::wire::Header::Reader getHeader() const;
 
-  inline  ::int64_t getRemainingMicros() const;
+  inline bool hasUpstreams() const;
+  inline  ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>::Reader getUpstreams() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4225,9 +4277,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::DrainParams::Builder {
+class EntryControl::ListUpstreamsParams::Builder {
 public:
-  typedef DrainParams Builds;
+  typedef ListUpstreamsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4248,12 +4300,16 @@
   inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
-  inline  ::int64_t getRemainingMicros();
-  inline void setRemainingMicros( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
+  inline bool hasUpstreams();
+  inline  ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>::Builder getUpstreams();
+  inline void setUpstreams( ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>::Builder initUpstreams(unsigned int size);
+  inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::Upstream,  ::capnp::Kind::STRUCT>> disownUpstreams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
   template <typename, ::capnp::Kind>
@@ -4261,9 +4317,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::DrainParams::Pipeline {
+class EntryControl::ListUpstreamsParams::Pipeline {
 public:
-  typedef DrainParams Pipelines;
+  typedef ListUpstreamsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4278,9 +4334,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::DrainResults::Reader {
+class EntryControl::ListUpstreamsResults::Reader {
 public:
-  typedef DrainResults Reads;
+  typedef ListUpstreamsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4307,9 +4363,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::DrainResults::Builder {
+class EntryControl::ListUpstreamsResults::Builder {
 public:
-  typedef DrainResults Builds;
+  typedef ListUpstreamsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4333,9 +4389,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::DrainResults::Pipeline {
+class EntryControl::ListUpstreamsResults::Pipeline {
 public:
-  typedef DrainResults Pipelines;
+  typedef ListUpstreamsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4349,9 +4405,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::ReportParams::Reader {
+class EntryControl::ForwardNoticeParams::Reader {
 public:
-  typedef ReportParams Reads;
+  typedef ForwardNoticeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4369,6 +4425,16 @@
   inline bool hasHeader() const;
   inline  ::pollenledge::wire::Header::Reader getHeader() const;
 
+  inline bool hasUpstream() const;
+  inline  ::pollenledge::wire::UpstreamId::Reader getUpstream() const;
+
+  inline  ::pollenledge::wire::UpstreamState getState() const;
+
+  inline  ::int64_t getRemainingMicros() const;
+
+  inline bool hasSource() const;
+  inline  ::capnp::Text::Reader getSource() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4381,9 +4447,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::ReportParams::Builder {
+class EntryControl::ForwardNoticeParams::Builder {
 public:
-  typedef ReportParams Builds;
+  typedef ForwardNoticeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4404,6 +4470,26 @@
   inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
+  inline bool hasUpstream();
+  inline  ::pollenledge::wire::UpstreamId::Builder getUpstream();
+  inline void setUpstream( ::pollenledge::wire::UpstreamId::Reader value);
+  inline  ::pollenledge::wire::UpstreamId::Builder initUpstream();
+  inline void adoptUpstream(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownUpstream();
+
+  inline  ::pollenledge::wire::UpstreamState getState();
+  inline void setState( ::pollenledge::wire::UpstreamState value);
+
+  inline  ::int64_t getRemainingMicros();
+  inline void setRemainingMicros( ::int64_t value);
+
+  inline bool hasSource();
+  inline  ::capnp::Text::Builder getSource();
+  inline void setSource( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSource(unsigned int size);
+  inline void adoptSource(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSource();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4414,15 +4500,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::ReportParams::Pipeline {
+class EntryControl::ForwardNoticeParams::Pipeline {
 public:
-  typedef ReportParams Pipelines;
+  typedef ForwardNoticeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenledge::wire::Header::Pipeline getHeader();
+  inline  ::pollenledge::wire::UpstreamId::Pipeline getUpstream();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4431,9 +4518,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryControl::ReportResults::Reader {
+class EntryControl::ForwardNoticeResults::Reader {
 public:
-  typedef ReportResults Reads;
+  typedef ForwardNoticeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4448,23 +4535,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::capnp::Text::Reader getStatus() const;
-
-  inline bool hasTimeLine() const;
-  inline  ::capnp::Text::Reader getTimeLine() const;
-
-  inline bool hasUsage() const;
-  inline  ::capnp::Text::Reader getUsage() const;
-
-  inline bool hasRoutes() const;
-  inline  ::capnp::Text::Reader getRoutes() const;
-
-  inline bool hasPools() const;
-  inline  ::capnp::Text::Reader getPools() const;
-
-  inline  ::uint64_t getVersion() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4477,9 +4547,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryControl::ReportResults::Builder {
+class EntryControl::ForwardNoticeResults::Builder {
 public:
-  typedef ReportResults Builds;
+  typedef ForwardNoticeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4493,44 +4563,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::capnp::Text::Builder getStatus();
-  inline void setStatus( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initStatus(unsigned int size);
-  inline void adoptStatus(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownStatus();
-
-  inline bool hasTimeLine();
-  inline  ::capnp::Text::Builder getTimeLine();
-  inline void setTimeLine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTimeLine(unsigned int size);
-  inline void adoptTimeLine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTimeLine();
-
-  inline bool hasUsage();
-  inline  ::capnp::Text::Builder getUsage();
-  inline void setUsage( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initUsage(unsigned int size);
-  inline void adoptUsage(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownUsage();
-
-  inline bool hasRoutes();
-  inline  ::capnp::Text::Builder getRoutes();
-  inline void setRoutes( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRoutes(unsigned int size);
-  inline void adoptRoutes(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRoutes();
-
-  inline bool hasPools();
-  inline  ::capnp::Text::Builder getPools();
-  inline void setPools( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPools(unsigned int size);
-  inline void adoptPools(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPools();
-
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4541,9 +4573,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryControl::ReportResults::Pipeline {
+class EntryControl::ForwardNoticeResults::Pipeline {
 public:
-  typedef ReportResults Pipelines;
+  typedef ForwardNoticeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
