@@ -4557,985 +4589,1734 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class EntryLink::Client
-    : public virtual ::capnp::Capability::Client,
-      public virtual  ::pollenledge::wire::Peer::Client,
-      public virtual  ::pollenledge::wire::EntryControl::Client {
+class EntryControl::DrainParams::Reader {
 public:
-  typedef EntryLink Calls;
-  typedef EntryLink Reads;
+  typedef DrainParams Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-protected:
-  Client() = default;
+  inline bool hasHeader() const;
+  inline  ::pollenledge::wire::Header::Reader getHeader() const;
+
+  inline  ::int64_t getRemainingMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class EntryLink::Server
-    : public virtual ::capnp::Capability::Server,
-      public virtual  ::pollenledge::wire::Peer::Server,
-      public virtual  ::pollenledge::wire::EntryControl::Server {
+class EntryControl::DrainParams::Builder {
 public:
-  typedef EntryLink Serves;
+  typedef DrainParams Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-protected:
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline  ::pollenledge::wire::EntryLink::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::pollenledge::wire::EntryLink>();
-  }
+  inline bool hasHeader();
+  inline  ::pollenledge::wire::Header::Builder getHeader();
+  inline void setHeader( ::pollenledge::wire::Header::Reader value);
+  inline  ::pollenledge::wire::Header::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+  inline  ::int64_t getRemainingMicros();
+  inline void setRemainingMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryControl::DrainParams::Pipeline {
+public:
+  typedef DrainParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pollenledge::wire::Header::Pipeline getHeader();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class EntryControl::DrainResults::Reader {
+public:
+  typedef DrainResults Reads;
 
-inline bool NodeId::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeId::Builder::hasName() {
-  return !_builder.getPointerField(
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryControl::DrainResults::Builder {
+public:
+  typedef DrainResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryControl::DrainResults::Pipeline {
+public:
+  typedef DrainResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryControl::ReportParams::Reader {
+public:
+  typedef ReportParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::pollenledge::wire::Header::Reader getHeader() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryControl::ReportParams::Builder {
+public:
+  typedef ReportParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::pollenledge::wire::Header::Builder getHeader();
+  inline void setHeader( ::pollenledge::wire::Header::Reader value);
+  inline  ::pollenledge::wire::Header::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::pollenledge::wire::Header>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::Header> disownHeader();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryControl::ReportParams::Pipeline {
+public:
+  typedef ReportParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pollenledge::wire::Header::Pipeline getHeader();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryControl::ReportResults::Reader {
+public:
+  typedef ReportResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus() const;
+  inline  ::capnp::Text::Reader getStatus() const;
+
+  inline bool hasTimeLine() const;
+  inline  ::capnp::Text::Reader getTimeLine() const;
+
+  inline bool hasUsage() const;
+  inline  ::capnp::Text::Reader getUsage() const;
+
+  inline bool hasRoutes() const;
+  inline  ::capnp::Text::Reader getRoutes() const;
+
+  inline bool hasPools() const;
+  inline  ::capnp::Text::Reader getPools() const;
+
+  inline  ::uint64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryControl::ReportResults::Builder {
+public:
+  typedef ReportResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus();
+  inline  ::capnp::Text::Builder getStatus();
+  inline void setStatus( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStatus(unsigned int size);
+  inline void adoptStatus(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStatus();
+
+  inline bool hasTimeLine();
+  inline  ::capnp::Text::Builder getTimeLine();
+  inline void setTimeLine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTimeLine(unsigned int size);
+  inline void adoptTimeLine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTimeLine();
+
+  inline bool hasUsage();
+  inline  ::capnp::Text::Builder getUsage();
+  inline void setUsage( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUsage(unsigned int size);
+  inline void adoptUsage(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUsage();
+
+  inline bool hasRoutes();
+  inline  ::capnp::Text::Builder getRoutes();
+  inline void setRoutes( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoutes(unsigned int size);
+  inline void adoptRoutes(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoutes();
+
+  inline bool hasPools();
+  inline  ::capnp::Text::Builder getPools();
+  inline void setPools( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPools();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryControl::ReportResults::Pipeline {
+public:
+  typedef ReportResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class EntryLink::Client
+    : public virtual ::capnp::Capability::Client,
+      public virtual  ::pollenledge::wire::Peer::Client,
+      public virtual  ::pollenledge::wire::EntryControl::Client {
+public:
+  typedef EntryLink Calls;
+  typedef EntryLink Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+
+protected:
+  Client() = default;
+};
+
+class EntryLink::Server
+    : public virtual ::capnp::Capability::Server,
+      public virtual  ::pollenledge::wire::Peer::Server,
+      public virtual  ::pollenledge::wire::EntryControl::Server {
+public:
+  typedef EntryLink Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+
+  inline  ::pollenledge::wire::EntryLink::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::pollenledge::wire::EntryLink>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool NodeId::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeId::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeId::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeId::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeId::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeId::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeId::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeId::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeId::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeId::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeId::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RequestId::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestId::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::NodeId::Reader RequestId::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::NodeId::Builder RequestId::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::NodeId::Pipeline RequestId::Pipeline::getNode() {
+  return  ::pollenledge::wire::NodeId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RequestId::Builder::setNode( ::pollenledge::wire::NodeId::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::NodeId::Builder RequestId::Builder::initNode() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RequestId::Builder::adoptNode(
+    ::capnp::Orphan< ::pollenledge::wire::NodeId>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::NodeId> RequestId::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RequestId::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestId::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RequestId::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamId::Reader::hasName() const {
+  return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeId::Reader::getName() const {
+inline bool UpstreamId::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamId::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeId::Builder::getName() {
+inline  ::capnp::Text::Builder UpstreamId::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeId::Builder::setName( ::capnp::Text::Reader value) {
+inline void UpstreamId::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeId::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder UpstreamId::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeId::Builder::adoptName(
+inline void UpstreamId::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeId::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> UpstreamId::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeId::Reader::getIncarnation() const {
+inline  ::uint64_t UpstreamId::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeId::Builder::getIncarnation() {
+inline  ::uint64_t UpstreamId::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeId::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void UpstreamId::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t HybridTime::Reader::getWallMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HybridTime::Builder::getWallMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HybridTime::Builder::setWallMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HybridTime::Reader::getLogical() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HybridTime::Builder::getLogical() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HybridTime::Builder::setLogical( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Header::Reader::hasToken() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasToken() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setToken( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initToken(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptToken(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasClock() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasClock() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::HybridTime::Reader Header::Reader::getClock() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::HybridTime::Builder Header::Builder::getClock() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::HybridTime::Pipeline Header::Pipeline::getClock() {
+  return  ::pollenledge::wire::HybridTime::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Header::Builder::setClock( ::pollenledge::wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::HybridTime::Builder Header::Builder::initClock() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::adoptClock(
+    ::capnp::Orphan< ::pollenledge::wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::HybridTime> Header::Builder::disownClock() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CustomerDemand::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CustomerDemand::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CustomerDemand::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CustomerDemand::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CustomerDemand::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CustomerDemand::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CustomerDemand::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CustomerDemand::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double CustomerDemand::Reader::getTokensPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double CustomerDemand::Builder::getTokensPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CustomerDemand::Builder::setTokensPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CustomerUse::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CustomerUse::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CustomerUse::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CustomerUse::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CustomerUse::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CustomerUse::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CustomerUse::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CustomerUse::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double CustomerUse::Reader::getUnits() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double CustomerUse::Builder::getUnits() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CustomerUse::Builder::setUnits(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RequestId::Reader::hasNode() const {
+inline bool MemberRecord::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RequestId::Builder::hasNode() {
+inline bool MemberRecord::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::pollenledge::wire::NodeId::Reader RequestId::Reader::getNode() const {
+inline  ::pollenledge::wire::NodeId::Reader MemberRecord::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::pollenledge::wire::NodeId::Builder RequestId::Builder::getNode() {
+inline  ::pollenledge::wire::NodeId::Builder MemberRecord::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::pollenledge::wire::NodeId::Pipeline RequestId::Pipeline::getNode() {
+inline  ::pollenledge::wire::NodeId::Pipeline MemberRecord::Pipeline::getId() {
   return  ::pollenledge::wire::NodeId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RequestId::Builder::setNode( ::pollenledge::wire::NodeId::Reader value) {
+inline void MemberRecord::Builder::setId( ::pollenledge::wire::NodeId::Reader value) {
   ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::pollenledge::wire::NodeId::Builder RequestId::Builder::initNode() {
+inline  ::pollenledge::wire::NodeId::Builder MemberRecord::Builder::initId() {
   return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RequestId::Builder::adoptNode(
+inline void MemberRecord::Builder::adoptId(
     ::capnp::Orphan< ::pollenledge::wire::NodeId>&& value) {
   ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::pollenledge::wire::NodeId> RequestId::Builder::disownNode() {
+inline ::capnp::Orphan< ::pollenledge::wire::NodeId> MemberRecord::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RequestId::Reader::getSequence() const {
+inline  ::uint64_t MemberRecord::Reader::getHeartbeat() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RequestId::Builder::getSequence() {
+inline  ::uint64_t MemberRecord::Builder::getHeartbeat() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RequestId::Builder::setSequence( ::uint64_t value) {
+inline void MemberRecord::Builder::setHeartbeat( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool UpstreamId::Reader::hasName() const {
+inline bool MemberRecord::Reader::hasDomain() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool UpstreamId::Builder::hasName() {
+inline bool MemberRecord::Builder::hasDomain() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader UpstreamId::Reader::getName() const {
+inline  ::capnp::Text::Reader MemberRecord::Reader::getDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder UpstreamId::Builder::getName() {
+inline  ::capnp::Text::Builder MemberRecord::Builder::getDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void UpstreamId::Builder::setName( ::capnp::Text::Reader value) {
+inline void MemberRecord::Builder::setDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder UpstreamId::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder MemberRecord::Builder::initDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void UpstreamId::Builder::adoptName(
+inline void MemberRecord::Builder::adoptDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> UpstreamId::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t UpstreamId::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MemberRecord::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t UpstreamId::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MemberRecord::Reader::hasAdminAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void UpstreamId::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool MemberRecord::Builder::hasAdminAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getAdminAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getAdminAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setAdminAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initAdminAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptAdminAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownAdminAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t HybridTime::Reader::getWallMicros() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MemberRecord::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t HybridTime::Builder::getWallMicros() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MemberRecord::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void HybridTime::Builder::setWallMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t HybridTime::Reader::getLogical() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool MemberRecord::Reader::getLeft() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool MemberRecord::Builder::getLeft() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setLeft(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MemberRecord::Reader::getTablesVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t HybridTime::Builder::getLogical() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t MemberRecord::Builder::getTablesVersion() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void HybridTime::Builder::setLogical( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void MemberRecord::Builder::setTablesVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Header::Reader::hasToken() const {
+inline  ::uint32_t MemberRecord::Reader::getActiveRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberRecord::Builder::getActiveRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setActiveRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberRecord::Reader::hasDemands() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasToken() {
+inline bool MemberRecord::Builder::hasDemands() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader MemberRecord::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getToken() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setToken( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setDemands( ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initToken(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptToken(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>> MemberRecord::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasClock() const {
+inline bool MemberRecord::Reader::hasUses() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasClock() {
+inline bool MemberRecord::Builder::hasUses() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::pollenledge::wire::HybridTime::Reader Header::Reader::getClock() const {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader MemberRecord::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::pollenledge::wire::HybridTime::Builder Header::Builder::getClock() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void MemberRecord::Builder::setUses( ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-#if !CAPNP_LITE
-inline  ::pollenledge::wire::HybridTime::Pipeline Header::Pipeline::getClock() {
-  return  ::pollenledge::wire::HybridTime::Pipeline(_typeless.getPointerField(1));
+inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-#endif  // !CAPNP_LITE
-inline void Header::Builder::setClock( ::pollenledge::wire::HybridTime::Reader value) {
-  ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::pollenledge::wire::HybridTime::Builder Header::Builder::initClock() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>> MemberRecord::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::adoptClock(
-    ::capnp::Orphan< ::pollenledge::wire::HybridTime>&& value) {
-  ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint16_t MemberRecord::Reader::getProcessorPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::pollenledge::wire::HybridTime> Header::Builder::disownClock() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::HybridTime>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint16_t MemberRecord::Builder::getProcessorPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setProcessorPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CustomerDemand::Reader::hasCustomer() const {
+inline bool LimitLevel::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CustomerDemand::Builder::hasCustomer() {
+inline bool LimitLevel::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CustomerDemand::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader LimitLevel::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CustomerDemand::Builder::getCustomer() {
+inline  ::capnp::Text::Builder LimitLevel::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CustomerDemand::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void LimitLevel::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CustomerDemand::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder LimitLevel::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CustomerDemand::Builder::adoptCustomer(
+inline void LimitLevel::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CustomerDemand::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> LimitLevel::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double CustomerDemand::Reader::getTokensPerSecond() const {
+inline double LimitLevel::Reader::getUnits() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double CustomerDemand::Builder::getTokensPerSecond() {
+inline double LimitLevel::Builder::getUnits() {
   return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CustomerDemand::Builder::setTokensPerSecond(double value) {
+inline void LimitLevel::Builder::setUnits(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CustomerUse::Reader::hasCustomer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool CustomerUse::Builder::hasCustomer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader CustomerUse::Reader::getCustomer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder CustomerUse::Builder::getCustomer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CustomerUse::Builder::setCustomer( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder CustomerUse::Builder::initCustomer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline double LimitLevel::Reader::getCountedUse() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CustomerUse::Builder::adoptCustomer(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline double LimitLevel::Builder::getCountedUse() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> CustomerUse::Builder::disownCustomer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void LimitLevel::Builder::setCountedUse(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline double CustomerUse::Reader::getUnits() const {
-  return _reader.getDataField<double>(
+inline  ::uint64_t Fingerprint::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double CustomerUse::Builder::getUnits() {
-  return _builder.getDataField<double>(
+inline  ::uint64_t Fingerprint::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CustomerUse::Builder::setUnits(double value) {
-  _builder.setDataField<double>(
+inline void Fingerprint::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasId() const {
+inline  ::uint64_t Fingerprint::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Fingerprint::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Fingerprint::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectReport::Reader::hasFingerprint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasId() {
+inline bool SuspectReport::Builder::hasFingerprint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::pollenledge::wire::NodeId::Reader MemberRecord::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::get(_reader.getPointerField(
+inline  ::pollenledge::wire::Fingerprint::Reader SuspectReport::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::pollenledge::wire::NodeId::Builder MemberRecord::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::get(_builder.getPointerField(
+inline  ::pollenledge::wire::Fingerprint::Builder SuspectReport::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::pollenledge::wire::NodeId::Pipeline MemberRecord::Pipeline::getId() {
-  return  ::pollenledge::wire::NodeId::Pipeline(_typeless.getPointerField(0));
+inline  ::pollenledge::wire::Fingerprint::Pipeline SuspectReport::Pipeline::getFingerprint() {
+  return  ::pollenledge::wire::Fingerprint::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void MemberRecord::Builder::setId( ::pollenledge::wire::NodeId::Reader value) {
-  ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::set(_builder.getPointerField(
+inline void SuspectReport::Builder::setFingerprint( ::pollenledge::wire::Fingerprint::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::pollenledge::wire::NodeId::Builder MemberRecord::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::init(_builder.getPointerField(
+inline  ::pollenledge::wire::Fingerprint::Builder SuspectReport::Builder::initFingerprint() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::adoptId(
-    ::capnp::Orphan< ::pollenledge::wire::NodeId>&& value) {
-  ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::adopt(_builder.getPointerField(
+inline void SuspectReport::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::pollenledge::wire::Fingerprint>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::pollenledge::wire::NodeId> MemberRecord::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::NodeId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::pollenledge::wire::Fingerprint> SuspectReport::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberRecord::Reader::getHeartbeat() const {
+inline  ::uint64_t SuspectReport::Reader::getCrash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberRecord::Builder::getHeartbeat() {
+inline  ::uint64_t SuspectReport::Builder::getCrash() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setHeartbeat( ::uint64_t value) {
+inline void SuspectReport::Builder::setCrash( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberRecord::Builder::hasDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MemberRecord::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void MemberRecord::Builder::setDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void MemberRecord::Builder::adoptDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool SuspectReport::Reader::getShared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberRecord::Reader::hasPeerAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberRecord::Builder::hasPeerAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MemberRecord::Reader::getPeerAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::getPeerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool SuspectReport::Builder::getShared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setPeerAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void SuspectReport::Builder::setShared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initPeerAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+
+inline  ::int64_t SuspectReport::Reader::getAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::adoptPeerAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t SuspectReport::Builder::getAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownPeerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void SuspectReport::Builder::setAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasAdminAddress() const {
+inline bool HeardLoad::Reader::hasUpstream() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasAdminAddress() {
+inline bool HeardLoad::Builder::hasUpstream() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getAdminAddress() const {
+inline  ::capnp::Text::Reader HeardLoad::Reader::getUpstream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getAdminAddress() {
+inline  ::capnp::Text::Builder HeardLoad::Builder::getUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setAdminAddress( ::capnp::Text::Reader value) {
+inline void HeardLoad::Builder::setUpstream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initAdminAddress(unsigned int size) {
+inline  ::capnp::Text::Builder HeardLoad::Builder::initUpstream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptAdminAddress(
+inline void HeardLoad::Builder::adoptUpstream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownAdminAddress() {
+inline ::capnp::Orphan< ::capnp::Text> HeardLoad::Builder::disownUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool MemberRecord::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool MemberRecord::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void MemberRecord::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::getLeft() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HeardLoad::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberRecord::Builder::getLeft() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HeardLoad::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setLeft(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+inline void HeardLoad::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MemberRecord::Reader::getTablesVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int32_t HeardLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberRecord::Builder::getTablesVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int32_t HeardLoad::Builder::getRunning() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setTablesVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void HeardLoad::Builder::setRunning( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t MemberRecord::Reader::getActiveRequests() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::int32_t HeardLoad::Reader::getWaiting() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MemberRecord::Builder::getActiveRequests() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::int32_t HeardLoad::Builder::getWaiting() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setActiveRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void HeardLoad::Builder::setWaiting( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasDemands() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline  ::int32_t HeardLoad::Reader::getSlots() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline bool MemberRecord::Builder::hasDemands() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+
+inline  ::int32_t HeardLoad::Builder::getSlots() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader MemberRecord::Reader::getDemands() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void HeardLoad::Builder::setSlots( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::getDemands() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::int32_t HeardLoad::Reader::getWorkPercent() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 100);
 }
-inline void MemberRecord::Builder::setDemands( ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+
+inline  ::int32_t HeardLoad::Builder::getWorkPercent() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 100);
 }
-inline  ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::initDemands(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline void HeardLoad::Builder::setWorkPercent( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 100);
 }
-inline void MemberRecord::Builder::adoptDemands(
-    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t HeardLoad::Reader::getAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>> MemberRecord::Builder::disownDemands() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::int64_t HeardLoad::Builder::getAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HeardLoad::Builder::setAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasUses() const {
+inline bool ListedForwardUpstream::Reader::hasId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasUses() {
+inline bool ListedForwardUpstream::Builder::hasId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader MemberRecord::Reader::getUses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::getUses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void MemberRecord::Builder::setUses( ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline  ::pollenledge::wire::UpstreamId::Reader ListedForwardUpstream::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::initUses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::pollenledge::wire::UpstreamId::Builder ListedForwardUpstream::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::adoptUses(
-    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::UpstreamId::Pipeline ListedForwardUpstream::Pipeline::getId() {
+  return  ::pollenledge::wire::UpstreamId::Pipeline(_typeless.getPointerField(0));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>> MemberRecord::Builder::disownUses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void ListedForwardUpstream::Builder::setId( ::pollenledge::wire::UpstreamId::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint16_t MemberRecord::Reader::getProcessorPercent() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::pollenledge::wire::UpstreamId::Builder ListedForwardUpstream::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t MemberRecord::Builder::getProcessorPercent() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void ListedForwardUpstream::Builder::adoptId(
+    ::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void MemberRecord::Builder::setProcessorPercent( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> ListedForwardUpstream::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LimitLevel::Reader::hasCustomer() const {
+inline bool ListedForwardUpstream::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool LimitLevel::Builder::hasCustomer() {
+inline bool ListedForwardUpstream::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LimitLevel::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader ListedForwardUpstream::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LimitLevel::Builder::getCustomer() {
+inline  ::capnp::Text::Builder ListedForwardUpstream::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LimitLevel::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void ListedForwardUpstream::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LimitLevel::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder ListedForwardUpstream::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void LimitLevel::Builder::adoptCustomer(
+inline void ListedForwardUpstream::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LimitLevel::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> ListedForwardUpstream::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline double LimitLevel::Reader::getUnits() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline double LimitLevel::Builder::getUnits() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LimitLevel::Builder::setUnits(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline double LimitLevel::Reader::getCountedUse() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline double LimitLevel::Builder::getCountedUse() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool ListedForwardUpstream::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void LimitLevel::Builder::setCountedUse(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool ListedForwardUpstream::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Fingerprint::Reader::getHigh() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader ListedForwardUpstream::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Fingerprint::Builder::getHigh() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ListedForwardUpstream::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Fingerprint::Builder::setHigh( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ListedForwardUpstream::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Fingerprint::Reader::getLow() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ListedForwardUpstream::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Fingerprint::Builder::getLow() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void ListedForwardUpstream::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Fingerprint::Builder::setLow( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> ListedForwardUpstream::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool SuspectReport::Reader::hasFingerprint() const {
+inline bool ListedForwardUpstream::Reader::hasDomain() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool SuspectReport::Builder::hasFingerprint() {
+inline bool ListedForwardUpstream::Builder::hasDomain() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::pollenledge::wire::Fingerprint::Reader SuspectReport::Reader::getFingerprint() const {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::pollenledge::wire::Fingerprint::Builder SuspectReport::Builder::getFingerprint() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ListedForwardUpstream::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::pollenledge::wire::Fingerprint::Pipeline SuspectReport::Pipeline::getFingerprint() {
-  return  ::pollenledge::wire::Fingerprint::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Text::Builder ListedForwardUpstream::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void SuspectReport::Builder::setFingerprint( ::pollenledge::wire::Fingerprint::Reader value) {
-  ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ListedForwardUpstream::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::pollenledge::wire::Fingerprint::Builder SuspectReport::Builder::initFingerprint() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ListedForwardUpstream::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void SuspectReport::Builder::adoptFingerprint(
-    ::capnp::Orphan< ::pollenledge::wire::Fingerprint>&& value) {
-  ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ListedForwardUpstream::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::pollenledge::wire::Fingerprint> SuspectReport::Builder::disownFingerprint() {
-  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ListedForwardUpstream::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SuspectReport::Reader::getCrash() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int32_t ListedForwardUpstream::Reader::getSlots() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SuspectReport::Builder::getCrash() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int32_t ListedForwardUpstream::Builder::getSlots() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SuspectReport::Builder::setCrash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ListedForwardUpstream::Builder::setSlots( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SuspectReport::Reader::getShared() const {
+inline bool ListedForwardUpstream::Reader::getLeaving() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool SuspectReport::Builder::getShared() {
+inline bool ListedForwardUpstream::Builder::getLeaving() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void SuspectReport::Builder::setShared(bool value) {
+inline void ListedForwardUpstream::Builder::setLeaving(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t SuspectReport::Reader::getAgeMicros() const {
+inline bool ListedForwardUpstream::Reader::getReclaimable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool ListedForwardUpstream::Builder::getReclaimable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void ListedForwardUpstream::Builder::setReclaimable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ListedForwardUpstream::Reader::getLeavesInMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t ListedForwardUpstream::Builder::getLeavesInMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void ListedForwardUpstream::Builder::setLeavesInMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline  ::int64_t ListedForwardUpstream::Reader::getWarmupMicros() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t SuspectReport::Builder::getAgeMicros() {
+inline  ::int64_t ListedForwardUpstream::Builder::getWarmupMicros() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SuspectReport::Builder::setAgeMicros( ::int64_t value) {
+inline void ListedForwardUpstream::Builder::setWarmupMicros( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HeardLoad::Reader::hasUpstream() const {
+inline  ::int64_t ListedForwardUpstream::Reader::getRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ListedForwardUpstream::Builder::getRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ListedForwardUpstream::Builder::setRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RemovedUpstream::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeardLoad::Builder::hasUpstream() {
+inline bool RemovedUpstream::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HeardLoad::Reader::getUpstream() const {
+inline  ::capnp::Text::Reader RemovedUpstream::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HeardLoad::Builder::getUpstream() {
+inline  ::capnp::Text::Builder RemovedUpstream::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HeardLoad::Builder::setUpstream( ::capnp::Text::Reader value) {
+inline void RemovedUpstream::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HeardLoad::Builder::initUpstream(unsigned int size) {
+inline  ::capnp::Text::Builder RemovedUpstream::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HeardLoad::Builder::adoptUpstream(
+inline void RemovedUpstream::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HeardLoad::Builder::disownUpstream() {
+inline ::capnp::Orphan< ::capnp::Text> RemovedUpstream::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HeardLoad::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t RemovedUpstream::Reader::getRevision() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HeardLoad::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t RemovedUpstream::Builder::getRevision() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HeardLoad::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RemovedUpstream::Builder::setRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t HeardLoad::Reader::getRunning() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t UpstreamChanges::Reader::getTo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t HeardLoad::Builder::getRunning() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t UpstreamChanges::Builder::getTo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HeardLoad::Builder::setRunning( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void UpstreamChanges::Builder::setTo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t HeardLoad::Reader::getWaiting() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool UpstreamChanges::Reader::hasChanged() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int32_t HeardLoad::Builder::getWaiting() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool UpstreamChanges::Builder::hasChanged() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void HeardLoad::Builder::setWaiting( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>::Reader UpstreamChanges::Reader::getChanged() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int32_t HeardLoad::Reader::getSlots() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>::Builder UpstreamChanges::Builder::getChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamChanges::Builder::setChanged( ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>::Builder UpstreamChanges::Builder::initChanged(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamChanges::Builder::adoptChanged(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>> UpstreamChanges::Builder::disownChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::ListedForwardUpstream,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int32_t HeardLoad::Builder::getSlots() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool UpstreamChanges::Reader::hasRemoved() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void HeardLoad::Builder::setSlots( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline bool UpstreamChanges::Builder::hasRemoved() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>::Reader UpstreamChanges::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>::Builder UpstreamChanges::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void UpstreamChanges::Builder::setRemoved( ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>::Builder UpstreamChanges::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamChanges::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>> UpstreamChanges::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RemovedUpstream,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int32_t HeardLoad::Reader::getWorkPercent() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 100);
+inline  ::uint64_t UpstreamChanges::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t HeardLoad::Builder::getWorkPercent() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 100);
+inline  ::uint64_t UpstreamChanges::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HeardLoad::Builder::setWorkPercent( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 100);
+inline void UpstreamChanges::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t HeardLoad::Reader::getAgeMicros() const {
+inline  ::int64_t UpstreamChanges::Reader::getAgeMicros() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
 }
 
-inline  ::int64_t HeardLoad::Builder::getAgeMicros() {
+inline  ::int64_t UpstreamChanges::Builder::getAgeMicros() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
 }
-inline void HeardLoad::Builder::setAgeMicros( ::int64_t value) {
+inline void UpstreamChanges::Builder::setAgeMicros( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
 inline bool NodeHeartbeat::Reader::hasRecords() const {
@@ -5730,6 +6511,59 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t NodeHeartbeat::Reader::getUpstreamsRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t NodeHeartbeat::Builder::getUpstreamsRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void NodeHeartbeat::Builder::setUpstreamsRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeHeartbeat::Reader::hasUpstreamChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasUpstreamChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::UpstreamChanges::Reader NodeHeartbeat::Reader::getUpstreamChanges() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamChanges>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::UpstreamChanges::Builder NodeHeartbeat::Builder::getUpstreamChanges() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamChanges>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::UpstreamChanges::Pipeline NodeHeartbeat::Pipeline::getUpstreamChanges() {
+  return  ::pollenledge::wire::UpstreamChanges::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void NodeHeartbeat::Builder::setUpstreamChanges( ::pollenledge::wire::UpstreamChanges::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamChanges>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::UpstreamChanges::Builder NodeHeartbeat::Builder::initUpstreamChanges() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamChanges>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::adoptUpstreamChanges(
+    ::capnp::Orphan< ::pollenledge::wire::UpstreamChanges>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamChanges>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::UpstreamChanges> NodeHeartbeat::Builder::disownUpstreamChanges() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamChanges>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -183,6 +183,67 @@
   builder.setAgeMicros(report.age.count());
 }
 
+ForwardUpstreamInfo FromWire(wire::ListedForwardUpstream::Reader reader) {
+  ForwardUpstreamInfo info;
+  info.id = FromWire(reader.getId());
+  info.address = reader.getAddress();
+  info.service = reader.getService();
+  info.domain = reader.getDomain();
+  info.slots = reader.getSlots();
+  info.leaving = reader.getLeaving();
+  info.reclaimable = reader.getReclaimable();
+  info.leaves_in = RemainingFromWire(reader.getLeavesInMicros());
+  info.warmup_left = Duration(reader.getWarmupMicros());
+  info.revision = reader.getRevision();
+  return info;
+}
+
+void ToWire(const ForwardUpstreamInfo& info,
+            wire::ListedForwardUpstream::Builder builder) {
+  ToWire(info.id, builder.initId());
+  builder.setAddress(info.address);
+  builder.setService(info.service);
+  builder.setDomain(info.domain);
+  builder.setSlots(info.slots);
+  builder.setLeaving(info.leaving);
+  builder.setReclaimable(info.reclaimable);
+  builder.setLeavesInMicros(RemainingToWire(info.leaves_in));
+  builder.setWarmupMicros(info.warmup_left.count());
+  builder.setRevision(info.revision);
+}
+
+UpstreamChanges FromWire(wire::UpstreamChanges::Reader reader) {
+  UpstreamChanges changes;
+  changes.to = reader.getTo();
+  for (const auto info : reader.getChanged()) {
+    changes.changed.push_back(FromWire(info));
+  }
+  for (const auto removed : reader.getRemoved()) {
+    changes.removed.push_back({removed.getName(), removed.getRevision()});
+  }
+  changes.digest = reader.getDigest();
+  changes.age = RemainingFromWire(reader.getAgeMicros());
+  return changes;
+}
+
+void ToWire(const UpstreamChanges& changes,
+            wire::UpstreamChanges::Builder builder) {
+  builder.setTo(changes.to);
+  auto changed =
+      builder.initChanged(static_cast<unsigned>(changes.changed.size()));
+  for (unsigned i = 0; i < changed.size(); ++i) {
+    ToWire(changes.changed[i], changed[i]);
+  }
+  auto removed =
+      builder.initRemoved(static_cast<unsigned>(changes.removed.size()));
+  for (unsigned i = 0; i < removed.size(); ++i) {
+    removed[i].setName(changes.removed[i].name);
+    removed[i].setRevision(changes.removed[i].revision);
+  }
+  builder.setDigest(changes.digest);
+  builder.setAgeMicros(RemainingToWire(changes.age));
+}
+
 Heartbeat FromWire(wire::NodeHeartbeat::Reader reader) {
   Heartbeat heartbeat;
   for (const auto record : reader.getRecords()) {
@@ -203,6 +264,10 @@
   for (const auto load : reader.getLoads()) {
     heartbeat.loads.push_back(FromWire(load));
   }
+  heartbeat.upstreams_revision = reader.getUpstreamsRevision();
+  if (reader.hasUpstreamChanges()) {
+    heartbeat.upstream_changes = FromWire(reader.getUpstreamChanges());
+  }
   return heartbeat;
 }
 
@@ -234,6 +299,10 @@
   for (unsigned i = 0; i < loads.size(); ++i) {
     ToWire(heartbeat.loads[i], loads[i]);
   }
+  builder.setUpstreamsRevision(heartbeat.upstreams_revision);
+  if (heartbeat.upstream_changes.has_value()) {
+    ToWire(*heartbeat.upstream_changes, builder.initUpstreamChanges());
+  }
 }
 
 HandOverMessage FromWire(wire::HandedOverRequest::Reader reader) {
--- /dev/null
+++ b/src/libpollenledge/process/calendar_estimate.cc
@@ -0,0 +1,52 @@
+#include "pollenledge/process/calendar_estimate.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <vector>
+
+namespace pollenledge {
+
+void CalendarEstimate::Start(const Instant& own) {
+  if (started_at_.has_value()) return;
+  started_at_ = own.monotonic;
+  own_ = own.wall.time_since_epoch() - own.monotonic.time_since_epoch();
+}
+
+std::optional<Duration> CalendarEstimate::OnPeer(const std::string& peer,
+                                                 WallTime calendar,
+                                                 TimePoint now) {
+  const bool is_settled =
+      !started_at_.has_value() || now - *started_at_ >= kSettles;
+  if (is_settled || calendar == WallTime()) return std::nullopt;
+  const bool has_room = peers_.size() < kMostPeers || peers_.count(peer) > 0;
+  if (!has_room) return std::nullopt;
+  peers_[peer] = calendar.time_since_epoch() - now.time_since_epoch();
+  const bool has_listened = now - *started_at_ >= kListens;
+  if (!has_listened || peers_.size() < kLeastPeers) return std::nullopt;
+  const Duration correction = Median() - own_;
+  if (std::abs(correction.count()) < kTolerance.count()) return std::nullopt;
+  own_ += correction;
+  return correction;
+}
+
+CalendarEstimate::Offset CalendarEstimate::Median() const {
+  std::vector<Offset> offsets = {own_};
+  for (const auto& [name, offset] : peers_) offsets.push_back(offset);
+  const auto middle =
+      offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+  std::nth_element(offsets.begin(), middle, offsets.end());
+  return *middle;
+}
+
+WallTime CalendarEstimate::At(TimePoint now) const {
+  return WallTime(now.time_since_epoch() + own_);
+}
+
+bool CalendarEstimate::IsKnown(TimePoint now) const {
+  if (!started_at_.has_value()) return false;
+  const Duration listened = now - *started_at_;
+  return listened >= kPatience ||
+         (listened >= kListens && peers_.size() >= kLeastPeers);
+}
+
+}  // namespace pollenledge
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -18,24 +18,24 @@
 
 ConfigSync::ConfigSync(boost::asio::io_context& loop, AsyncStore* store,
                        std::string key, Duration read_period, Decode decode,
-                       NeedsRead needs_read, Submit submit)
+                       StoreFollowing following, Submit submit)
     : store_(store),
       key_(std::move(key)),
       read_period_(read_period),
       decode_(std::move(decode)),
-      needs_read_(std::move(needs_read)),
+      following_(std::move(following)),
       submit_(std::move(submit)),
       read_timer_(loop),
       // A failed watch costs nothing but delay: the reads go on.
       watch_(
-          loop, store, key_, kWatchPause,
+          loop, store, key_, kWatchPause, following_.needs_watch,
           [this](const StoreChanges& changes) { OnChanges(changes); },
           [](const Error&) {}) {}
 
 void ConfigSync::Start() { Read(); }
 
 void ConfigSync::Check() {
-  if (needs_read_(read_period_, BootNow())) {
+  if (following_.needs_read(read_period_, BootNow())) {
     Read();
   } else {
     CheckAfter(read_period_ / 2);
@@ -49,9 +49,15 @@
   });
 }
 
+void ConfigSync::ReadNow() {
+  if (!reading_) Read();
+}
+
 void ConfigSync::Read() {
+  reading_ = true;
   const TimePoint started = BootNow();
   store_->Read(key_, [this, started](const Result<StoreItem>& item) {
+    reading_ = false;
     OnRead(started, item);
     CheckAfter(Ok(item) ? read_period_ / 2 : kReadRetry);
   });
--- a/src/libpollenledge/process/duty_lease.cc
+++ b/src/libpollenledge/process/duty_lease.cc
@@ -12,6 +12,11 @@
 constexpr Duration kRetry = std::chrono::milliseconds(700);
 /// A watch that hears nothing proves nothing, so the key is read again.
 constexpr Duration kWatchWait = std::chrono::seconds(10);
+/// In this time a node that starts has heard of others that hold or are to hold
+/// the duties.
+constexpr Duration kJoinTime = std::chrono::milliseconds(700);
+/// A node that is no candidate looks this often whether the duties are held.
+constexpr Duration kStandBy = std::chrono::seconds(20);
 
 }  // namespace
 
@@ -32,15 +37,27 @@
 
 DutyLease::DutyLease(boost::asio::io_context& loop, AsyncStore* store,
                      std::string key, std::string owner,
-                     std::uint64_t incarnation, Duration quiet_time)
+                     std::uint64_t incarnation, Duration quiet_time,
+                     IsCandidate is_candidate)
     : store_(store),
       key_(std::move(key)),
       owner_(std::move(owner)),
       identity_(owner_ + "." + std::to_string(incarnation)),
+      is_candidate_(std::move(is_candidate)),
       tenure_(quiet_time),
       timer_(loop) {}
 
-void DutyLease::Start() { Look(); }
+void DutyLease::Start() {
+  After(kJoinTime, [this] { Begin(); });
+}
+
+void DutyLease::Begin() {
+  if (is_candidate_()) {
+    Look();
+  } else {
+    After(kStandBy, [this] { Look(); });
+  }
+}
 
 void DutyLease::Stop() {
   if (std::exchange(stopped_, true)) return;
@@ -116,7 +133,7 @@
                 [this](const Result<StoreChanges>& changes) {
                   if (stopped_) return;
                   if (Ok(changes)) {
-                    Look();
+                    Begin();
                   } else {
                     After(kRetry, [this] { Look(); });
                   }
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -16,20 +16,11 @@
 constexpr Duration kKeyMargin = std::chrono::milliseconds(400);
 /// Heartbeats carry what limits are dealt out by, so they come several times
 /// within the time that an overrun may take.
-constexpr HeartbeatOptions kHeartbeat{.period = std::chrono::milliseconds(250),
+constexpr HeartbeatOptions kHeartbeat{.period = ForwardNode::kHeartbeatPeriod,
                                       .fanout = 6,
-                                      .records_per_message = 8};
-/// Nodes that follow the use of limits for all others in a large fleet: one,
-/// and one that knows as much when it is lost.
-constexpr std::size_t kCollectors = 2;
-/// Part of the period of reads after which a peer's proof is no longer fresh
-/// enough to save a read. A proof is looked at each half period, so at most
-/// 1.2 periods pass without a read or a newer proof.
-constexpr double kProofPart = 0.7;
-/// Reports of upstreams' load that one heartbeat carries at most.
-constexpr std::size_t kMaxLoads = 32;
-/// What heartbeats say of limits is taken in this soon.
-constexpr Duration kLimitsPeriod = std::chrono::milliseconds(50);
+                                      .records_per_message = 8,
+                                      .sparse_period = std::chrono::seconds(1),
+                                      .sparse_fanout = 2};
 /// A wave of losses takes some requests along twice; three without a whole
 /// answer between them are no chance.
 constexpr std::size_t kCrashesToRefuse = 3;
@@ -40,7 +31,7 @@
 /// When a caller may come back that any other node can serve.
 constexpr Duration kElsewhereRetryAfter = std::chrono::milliseconds(100);
 /// Longest pause between two ticks.
-constexpr Duration kTickPeriod = kHeartbeat.period;
+constexpr Duration kLongestTick = std::chrono::seconds(1);
 /// A caller is told to come back after at most this part of its time left, so
 /// that the answer can still reach it.
 constexpr double kRetryAfterPart = 1.0 / 3.0;
@@ -85,7 +76,8 @@
 
 std::vector<ForwardAction> ForwardNode::Handle(const ForwardEvent& event,
                                                const Instant& now) {
-  now_ = now;
+  calendar_.Start(now);
+  now_ = {now.monotonic, calendar_.At(now.monotonic)};
   actions_.clear();
   std::visit([this](const auto& known) { On(known); }, event);
   return std::move(actions_);
@@ -194,6 +186,7 @@
     return NotRun{429, "over-limit", "the customer's limit is used up", *wait};
   }
   request->limit_units = units;
+  ReportLowLevel(request->customer->name);
   return std::nullopt;
 }
 
@@ -244,78 +237,20 @@
 }
 
 void ForwardNode::On(const forward_event::UpstreamsListed& listed) {
-  for (const std::string& name : upstreams_.SetList(listed.upstreams)) {
+  if (listed.revision < upstream_list_.revision()) return;
+  upstream_list_.Replace(listed.upstreams, listed.revision, listed.read_at);
+  UseUpstreams();
+}
+
+void ForwardNode::UseUpstreams() {
+  for (const std::string& name :
+       upstreams_.SetList(upstream_list_.upstreams())) {
     Emit(forward_action::LogDecision{
         LogLevel::kInfo, "upstream_leaving", {{"upstream", name}}});
   }
   PumpAll();
 }
 
-void ForwardNode::On(const forward_event::HeartbeatReceived& received) {
-  const Heartbeat& said = received.heartbeat;
-  membership_.OnHeartbeat(said.records, now());
-  if (now() - limits_updated_at_ >= kLimitsPeriod) UpdateLimits();
-  TakeReports(said.suspects);
-  upstreams_.TakeReports(said.loads, now());
-  const MemberRecord& sender = said.records.front();
-  if (said.asks_for_levels) {
-    Answer(said);
-    return;
-  }
-  if (!said.levels.empty()) limits_.TakeLevels(sender.id, said.levels, now());
-  TakeProof(said);
-}
-
-void ForwardNode::Answer(const Heartbeat& question) {
-  const MemberRecord& sender = question.records.front();
-  Heartbeat answer;
-  answer.records = {membership_.self()};
-  answer.records.front().tables_version =
-      index_ == nullptr ? 0 : index_->tables().version;
-  answer.levels = limits_.LevelsFor(sender.id.name, now());
-  answer.asked_at = question.asked_at;
-  answer.proof_age = TablesAge(now());
-  Emit(forward_action::SendHeartbeat{{sender.peer_address, std::move(answer)}});
-}
-
-void ForwardNode::TakeProof(const Heartbeat& answer) {
-  if (!answer.proof_age.has_value() || index_ == nullptr) return;
-  // Proves nothing of other tables than those in force here.
-  const MemberRecord& sender = answer.records.front();
-  if (sender.tables_version != index_->tables().version) return;
-  // The answer was given after it was asked for, so the store was read after
-  // this, whatever time the two datagrams took.
-  NoteProof(answer.asked_at - *answer.proof_age);
-}
-
-bool ForwardNode::NeedsTablesRead(Duration period, TimePoint now) const {
-  if (is_collector_) return true;
-  const std::optional<Duration> age = TablesAge(now);
-  return !age.has_value() || ToSeconds(*age) > kProofPart * ToSeconds(period);
-}
-
-void ForwardNode::AskForLevels() {
-  std::vector<std::string> collectors;
-  Heartbeat question;
-  question.records = {membership_.self()};
-  question.asks_for_levels = true;
-  question.asked_at = now();
-  for (std::size_t place = 0; place < kCollectors; ++place) {
-    const MemberRecord* collector = membership_.Ranked(place, now());
-    if (collector == nullptr) break;
-    if (collector->id == membership_.self().id) {
-      // Follows the levels itself.
-      question.asks_for_levels = false;
-    } else {
-      collectors.push_back(collector->peer_address);
-    }
-  }
-  is_collector_ = !question.asks_for_levels;
-  for (const std::string& address : collectors) {
-    Emit(forward_action::SendHeartbeat{{address, question}});
-  }
-}
-
 void ForwardNode::On(const forward_event::FleetSizeRead& read) {
   expected_nodes_ = std::max(kExpectedNodes, read.nodes);
   limits_.SetLeastNodes(expected_nodes_);
@@ -342,45 +277,11 @@
     if (request != nullptr && request->check_at == at) OnDue(request);
   }
   PumpAll();
-  MemberRecord self = membership_.self();
-  self.tables_version = index_ == nullptr ? 0 : index_->tables().version;
-  self.active_requests = static_cast<std::uint32_t>(requests_.size());
-  self.leaving = draining();
-  self.uses = limits_.Uses();
-  membership_.UpdateSelf(self);
-  std::vector<HeartbeatMessage> messages = membership_.OnTick(now());
-  const bool period_began = !messages.empty();
-  std::vector<SuspectReport> suspects;
-  if (period_began) {
-    suspects = suspects_.ReportsToTell(kMaxSuspectReports, now());
-  }
-  std::vector<HeardLoad> loads;
-  if (period_began && !membership_.IsSparse()) loads = LoadsToTell();
-  for (HeartbeatMessage& message : messages) {
-    message.heartbeat.suspects = suspects;
-    message.heartbeat.loads = loads;
-    Emit(forward_action::SendHeartbeat{std::move(message)});
-  }
-  if (period_began && membership_.IsSparse()) AskForLevels();
-  if (now() - limits_updated_at_ >= kHeartbeat.period) UpdateLimits();
+  SendHeartbeats();
+  if (now() - limits_updated_at_ >= kHeartbeatPeriod) UpdateLimits();
   ForgetSuspects();
 }
 
-std::vector<HeardLoad> ForwardNode::LoadsToTell() {
-  std::vector<HeardLoad> loads = upstreams_.ReportsSince(loads_told_at_, now());
-  if (loads.size() > kMaxLoads) loads.resize(kMaxLoads);
-  loads_told_at_ = now();
-  return loads;
-}
-
-void ForwardNode::UpdateLimits() {
-  limits_updated_at_ = now();
-  limits_.Update(membership_.Others(now()), now());
-  const int nodes =
-      std::max(expected_nodes_, membership_.ShareholderCount(now()));
-  retry_budget_.SetMaxSaved(options_.retry_slack / nodes);
-}
-
 void ForwardNode::OnDue(Request* request) {
   if (now() >= request->deadline) {
     const bool was_sent = !request->upstream.empty();
@@ -447,7 +348,7 @@
 }
 
 TimePoint ForwardNode::NextDue(TimePoint now) const {
-  TimePoint next = now + kTickPeriod;
+  TimePoint next = std::min(HeartbeatsDue(now), now + kLongestTick);
   if (!due_.empty()) next = std::min(next, due_.begin()->first);
   if (queued_requests() > 0) {
     next = std::min(next, now + std::chrono::milliseconds(20));
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -130,6 +130,11 @@
 }
 
 Instant ForwardService::Now() const {
+  const TimePoint now = BootNow();
+  return {now, node_.calendar().At(now)};
+}
+
+Instant ForwardService::OwnClocks() const {
   const TimePoint now = BootNow();
   return {now, calendar_.At(now)};
 }
@@ -141,7 +146,7 @@
   while (!pending_.empty()) {
     const ForwardEvent next = std::move(pending_.front());
     pending_.pop_front();
-    for (const ForwardAction& action : node_.Handle(next, Now())) {
+    for (const ForwardAction& action : node_.Handle(next, OwnClocks())) {
       std::visit([this](const auto& known) { Do(known); }, action);
     }
   }
@@ -425,6 +430,10 @@
   metrics_.Count("heartbeats_sent_total");
 }
 
+void ForwardService::Do(const forward_action::ReadTables&) {
+  if (options_.read_tables) options_.read_tables();
+}
+
 void ForwardService::Do(const forward_action::KeepSuspects& keep) {
   if (options_.keep_suspects) options_.keep_suspects(keep.refused);
 }
--- a/src/libpollenledge/process/forward_upstreams.cc
+++ b/src/libpollenledge/process/forward_upstreams.cc
@@ -349,6 +349,31 @@
   return reports;
 }
 
+std::vector<HeardLoad> ForwardUpstreams::BusiestReports(std::size_t count,
+                                                        TimePoint now) const {
+  std::vector<HeardLoad> reports;
+  for (const auto& [name, upstream] : upstreams_) {
+    const bool is_fresh =
+        upstream.report.has_value() && now - upstream.reported_at < kReportLife;
+    if (!is_fresh) continue;
+    reports.push_back(
+        {upstream.info.id, *upstream.report, now - upstream.reported_at});
+  }
+  const auto busier = [](const HeardLoad& a, const HeardLoad& b) {
+    const auto per_slot = [](const ReportedLoad& load) {
+      return static_cast<double>(load.running + load.waiting) /
+             std::max(1, load.slots);
+    };
+    return per_slot(a.load) > per_slot(b.load);
+  };
+  const std::size_t told = std::min(count, reports.size());
+  std::partial_sort(reports.begin(),
+                    reports.begin() + static_cast<std::ptrdiff_t>(told),
+                    reports.end(), busier);
+  reports.resize(told);
+  return reports;
+}
+
 void ForwardUpstreams::TakeReports(const std::vector<HeardLoad>& reports,
                                    TimePoint now) {
   for (const HeardLoad& report : reports) {
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -1,15 +1,20 @@
 #include "pollenledge/process/limit_buckets.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
 namespace pollenledge {
 namespace {
 
-/// A node whose last heartbeat is older than this counts as silent: a few
-/// heartbeat periods, so that one lost datagram changes nothing.
-constexpr Duration kSilent = std::chrono::milliseconds(900);
+/// A node whose last word is older than so many periods of reports counts as
+/// silent, so that one lost datagram changes nothing; at least `kLeastSilent`.
+constexpr double kSilentPeriods = 3.6;
+constexpr Duration kLeastSilent = std::chrono::milliseconds(900);
+/// Parts of the burst at which a falling level is told at once: what is lent
+/// out blindly beyond the last one is over the limit.
+constexpr std::array<double, 3> kLevelSteps = {0.6, 0.3, 0};
 /// Part of a limit that goes to the nodes in equal parts; the rest by use.
 constexpr double kEqualPart = 0.5;
 /// Part of the common level that one request may borrow, so that several nodes
@@ -28,8 +33,23 @@
   return 1 - std::exp(-elapsed_s / ToSeconds(kRateMemory));
 }
 
+/// How many steps `level` is down.
+int StepOf(double level, double burst) {
+  return static_cast<int>(
+      std::count_if(kLevelSteps.begin(), kLevelSteps.end(),
+                    [&](double part) { return level < part * burst; }));
+}
+
 }  // namespace
 
+LimitBuckets::LimitBuckets(LimitBucketOptions options)
+    : options_(options), silent_after_(kLeastSilent) {}
+
+void LimitBuckets::SetReportPeriod(Duration period) {
+  silent_after_ = std::max<Duration>(
+      kLeastSilent, FromSeconds(kSilentPeriods * ToSeconds(period)));
+}
+
 void LimitBuckets::Configure(const std::vector<CustomerLimit>& limits,
                              TimePoint now) {
   Refill(now);
@@ -83,47 +103,71 @@
   const double elapsed_s =
       updated_at_.has_value() ? ToSeconds(now - *updated_at_) : 0;
   updated_at_ = now;
-  const bool led = Led(now);
+  const bool led = IsLed(now);
   nodes_ = 1;
   int silent = 0;
   for (const Member& member : others) {
     if (member.status != MemberStatus::kLeft) {
       ++nodes_;
-      if (member.silence > kSilent) ++silent;
+      if (member.silence > silent_after_) ++silent;
     }
     TakeIn(member, elapsed_s, led);
   }
   NoteHearing(silent, now);
   for (auto& [name, bucket] : buckets_) {
-    if (elapsed_s > 0) {
-      const double rate = (bucket.used - bucket.used_at_update) / elapsed_s;
-      bucket.own_rate += RateGain(elapsed_s) * (rate - bucket.own_rate);
-    }
-    bucket.used_at_update = bucket.used;
+    NoteOwnRate(&bucket, elapsed_s);
     SetPart(&bucket, std::max(nodes_, options_.least_nodes));
-    // What others left unused settles what this node owes.
-    if (hears_most_) {
-      bucket.own_level =
-          std::max(bucket.own_level, bucket.common_level * bucket.own_part);
-    }
+    SettleDebt(&bucket);
   }
 }
 
+void LimitBuckets::Follow(int nodes, TimePoint now) {
+  Refill(now);
+  const double elapsed_s =
+      updated_at_.has_value() ? ToSeconds(now - *updated_at_) : 0;
+  updated_at_ = now;
+  nodes_ = nodes;
+  // Whatever they use until they are followed again is counted elsewhere.
+  peers_.clear();
+  const double equal = 1.0 / std::max(nodes_, options_.least_nodes);
+  for (auto& [name, bucket] : buckets_) {
+    NoteOwnRate(&bucket, elapsed_s);
+    bucket.peer_rates.clear();
+    bucket.own_part = equal;
+    SettleDebt(&bucket);
+  }
+}
+
+void LimitBuckets::NoteOwnRate(Bucket* bucket, double elapsed_s) {
+  if (elapsed_s > 0) {
+    const double rate = (bucket->used - bucket->used_at_update) / elapsed_s;
+    bucket->own_rate += RateGain(elapsed_s) * (rate - bucket->own_rate);
+  }
+  bucket->used_at_update = bucket->used;
+}
+
+void LimitBuckets::SettleDebt(Bucket* bucket) const {
+  // What others left unused settles what this node owes.
+  if (!hears_most_) return;
+  bucket->own_level =
+      std::max(bucket->own_level, bucket->common_level * bucket->own_part);
+}
+
 void LimitBuckets::NoteHearing(int silent, TimePoint now) {
   const bool hears_itself = silent * 2 < nodes_;
   if (!hears_itself) heard_most_since_.reset();
   if (hears_itself && !heard_most_since_.has_value()) heard_most_since_ = now;
-  hears_most_ = hears_itself || Led(now);
+  hears_most_ = hears_itself || IsLed(now);
 }
 
-bool LimitBuckets::Led(TimePoint now) const {
-  return levels_at_.has_value() && now - *levels_at_ <= kSilent;
+bool LimitBuckets::IsLed(TimePoint now) const {
+  return levels_at_.has_value() && now - *levels_at_ <= silent_after_;
 }
 
 void LimitBuckets::TakeLevels(const NodeId& collector,
                               const std::vector<LimitLevel>& levels,
                               TimePoint now) {
-  if (Led(now) && collector != collector_) return;
+  if (IsLed(now) && collector != collector_) return;
   Refill(now);
   collector_ = collector;
   levels_at_ = now;
@@ -145,7 +189,7 @@
   std::vector<LimitLevel> levels;
   // What another collector said is not passed on: two that take each other's
   // word would never hear of the others' use.
-  const bool settled = !Led(now) && heard_most_since_.has_value() &&
+  const bool settled = !IsLed(now) && heard_most_since_.has_value() &&
                        now - *heard_most_since_ >= kCollectorSettles;
   const auto peer = peers_.find(node);
   if (!settled || peer == peers_.end()) return levels;
@@ -173,7 +217,7 @@
     known = use.units;
   }
   const bool silent =
-      member.status != MemberStatus::kLeft && member.silence > kSilent;
+      member.status != MemberStatus::kLeft && member.silence > silent_after_;
   for (auto& [name, bucket] : buckets_) {
     double units = deltas.count(name) > 0 ? deltas.at(name) : 0;
     double& rate = bucket.peer_rates[record.id.name];
@@ -243,6 +287,22 @@
   return uses;
 }
 
+bool LimitBuckets::IsLow(const std::string& customer) const {
+  const auto found = buckets_.find(customer);
+  return found != buckets_.end() &&
+         StepOf(found->second.common_level, found->second.limit.burst) > 0;
+}
+
+bool LimitBuckets::TakeLevelNews() {
+  bool news = false;
+  for (auto& [name, bucket] : buckets_) {
+    const int step = StepOf(bucket.common_level, bucket.limit.burst);
+    news = news || step > bucket.told_step;
+    bucket.told_step = step;
+  }
+  return news;
+}
+
 double LimitBuckets::CommonLevel(const std::string& customer) const {
   const auto found = buckets_.find(customer);
   return found == buckets_.end() ? 0 : found->second.common_level;
--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <random>
@@ -154,6 +155,135 @@
   double worst_window_ = 0;
 };
 
+/// A large fleet that shares one customer's limit by two collectors, as the
+/// nodes do it: each asks in turn, says at once what it used of a low limit,
+/// and is told at once when one has become low.
+class CollectedFleet {
+ public:
+  CollectedFleet(int nodes, double rate, Duration period)
+      : rate_(rate), period_(period), central_level_(rate) {
+    const auto count = static_cast<std::size_t>(nodes);
+    for (std::size_t i = 0; i < count; ++i) {
+      limits_.push_back(std::make_unique<LimitBuckets>(LimitBucketOptions{}));
+      limits_[i]->SetLeastNodes(nodes);
+      limits_[i]->SetReportPeriod(period);
+      limits_[i]->Configure({{"c", rate_, rate_}}, At(now_));
+      // Spread over the period.
+      asked_at_.push_back(period_ * static_cast<int>(i) / nodes - period_);
+    }
+    uses_.resize(count);
+    heard_at_.resize(count, Duration(0));
+  }
+
+  void Run(double rate, Duration time, std::mt19937_64* random) {
+    constexpr double kMeanCost = 7000;
+    std::exponential_distribution<double> cost(1 / kMeanCost);
+    std::poisson_distribution<int> arrivals(rate / kMeanCost *
+                                            ToSeconds(kStep));
+    for (Duration end = now_ + time; now_ < end; now_ += kStep) {
+      for (std::size_t i = 0; i < limits_.size(); ++i) {
+        if (now_ - asked_at_[i] >= period_) Ask(i);
+      }
+      if (now_ % kCollectorPeriod == Duration(0)) Collect();
+      central_level_ =
+          std::min(rate_, central_level_ + rate_ * ToSeconds(kStep));
+      for (int n = arrivals(*random); n > 0; --n) Offer(cost(*random), random);
+      while (!window_.empty() && window_.front().first <= now_ - kWindow) {
+        window_sum_ -= window_.front().second;
+        window_.pop_front();
+      }
+    }
+  }
+
+  double admitted() const { return admitted_; }
+  double central() const { return central_; }
+  double worst_window() const { return worst_window_; }
+
+ private:
+  static constexpr std::size_t kCollectors = 2;
+  static constexpr Duration kCollectorPeriod = std::chrono::milliseconds(50);
+  static constexpr Duration kLowPeriod = std::chrono::milliseconds(100);
+
+  void Offer(double units, std::mt19937_64* random) {
+    const std::size_t node = (*random)() % limits_.size();
+    if (!limits_[node]->Take("c", units, At(now_)).has_value()) {
+      admitted_ += units;
+      window_.push_back({now_, units});
+      window_sum_ += units;
+      worst_window_ = std::max(worst_window_, window_sum_);
+      const bool is_due = now_ - asked_at_[node] >= kLowPeriod;
+      if (is_due && limits_[node]->IsLow("c")) Ask(node);
+    }
+    if (central_level_ >= std::min(units, rate_)) {
+      central_level_ -= units;
+      central_ += units;
+    }
+  }
+
+  void Ask(std::size_t node) {
+    asked_at_[node] = now_;
+    uses_[node] = limits_[node]->Uses();
+    heard_at_[node] = now_;
+    if (node < kCollectors) return;
+    if (limits_[node]->IsLed(At(now_))) {
+      limits_[node]->Follow(static_cast<int>(limits_.size()), At(now_));
+    } else {
+      limits_[node]->Update(Others(node), At(now_));
+    }
+    for (std::size_t i = 0; i < kCollectors; ++i) Tell(i, node);
+  }
+
+  void Collect() {
+    for (std::size_t i = 0; i < kCollectors; ++i) {
+      limits_[i]->Update(Others(i), At(now_));
+      if (now_ - told_at_[i] < kLowPeriod || !limits_[i]->TakeLevelNews()) {
+        continue;
+      }
+      told_at_[i] = now_;
+      for (std::size_t to = kCollectors; to < limits_.size(); ++to) {
+        Tell(i, to);
+      }
+    }
+  }
+
+  void Tell(std::size_t collector, std::size_t node) {
+    const auto levels =
+        limits_[collector]->LevelsFor("n" + std::to_string(node), At(now_));
+    if (levels.empty()) return;
+    limits_[node]->TakeLevels({"n" + std::to_string(collector), 1}, levels,
+                              At(now_));
+  }
+
+  std::vector<Member> Others(std::size_t node) const {
+    std::vector<Member> others;
+    for (std::size_t j = 0; j < limits_.size(); ++j) {
+      if (j == node) continue;
+      Member member;
+      member.record.id = {"n" + std::to_string(j), 1};
+      member.record.uses = uses_[j];
+      member.silence = now_ - heard_at_[j];
+      if (node >= kCollectors) member.silence += kGossipDelay;
+      others.push_back(std::move(member));
+    }
+    return others;
+  }
+
+  std::vector<std::unique_ptr<LimitBuckets>> limits_;
+  std::vector<Duration> asked_at_;
+  std::vector<std::vector<CustomerUse>> uses_;
+  std::vector<Duration> heard_at_;
+  std::array<Duration, kCollectors> told_at_{};
+  Duration now_{0};
+  double rate_;
+  Duration period_;
+  double central_level_;
+  double admitted_ = 0;
+  double central_ = 0;
+  std::deque<std::pair<Duration, double>> window_;
+  double window_sum_ = 0;
+  double worst_window_ = 0;
+};
+
 /// What the users allow in eight seconds: a tenth over the limit, and a slack.
 double AllowedInWindow(double rate = kRate) {
   constexpr double kOverrun = 1.1;
@@ -267,6 +397,30 @@
   EXPECT_LT(world.worst_window(), AllowedInWindow());
 }
 
+// Guards against a flood of a large customer that nodes admit from a level that
+// has long been used up (QUOTA on the grown Cymorth, hunt-7f96-3): the users'
+// slack is small beside such a limit.
+TEST_P(LimitBucketsSeeds, AFloodOfALargeCustomerKeepsTheLimitInALargeFleet) {
+  constexpr double kLargeRate = 720'000;
+  struct Size {
+    int nodes;
+    Duration period;
+  };
+  for (const Size& size : {Size{91, std::chrono::milliseconds(250)},
+                           Size{295, std::chrono::milliseconds(740)}}) {
+    SCOPED_TRACE(size.nodes);
+    CollectedFleet fleet(size.nodes, kLargeRate, size.period);
+    fleet.Run(kLargeRate * 0.55, std::chrono::seconds(10), &random_);
+    const double before = fleet.admitted();
+    const double central_before = fleet.central();
+    fleet.Run(kLargeRate * 0.55, std::chrono::seconds(20), &random_);
+    EXPECT_GT(fleet.admitted() - before,
+              0.95 * (fleet.central() - central_before));
+    fleet.Run(kLargeRate * 4.2, std::chrono::seconds(12), &random_);
+    EXPECT_LT(fleet.worst_window(), AllowedInWindow(kLargeRate));
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, LimitBucketsSeeds, ::testing::Range(1, 9));
 
 TEST(LimitBucketsTest, ALowerLimitHoldsAtOnce) {
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -43,12 +43,31 @@
                seeds_.end());
 }
 
+bool Membership::IsJoining(TimePoint now) const {
+  return !started_at_.has_value() || now - *started_at_ < kJoinTime;
+}
+
+bool Membership::IsQuiet(TimePoint now) const {
+  return led_ && options_.sparse_period > Duration::zero() && IsSparse() &&
+         !IsJoining(now);
+}
+
+TimePoint Membership::NextDue(TimePoint now) const {
+  if (sent_at_ == TimePoint()) return now;
+  return sent_at_ + (IsQuiet(now) ? options_.sparse_period : options_.period);
+}
+
+const MemberRecord& Membership::Announce() {
+  ++self_.heartbeat;
+  return self_;
+}
+
 std::vector<HeartbeatMessage> Membership::OnTick(TimePoint now) {
   std::vector<HeartbeatMessage> messages;
-  if (sent_at_ != TimePoint() && now - sent_at_ < options_.period)
-    return messages;
+  if (!IsDue(now)) return messages;
+  if (!started_at_.has_value()) started_at_ = now;
   sent_at_ = now;
-  ++self_.heartbeat;
+  Announce();
   for (auto it = others_.begin(); it != others_.end();) {
     const bool forgotten = now - it->second.advanced_at > kForgetAfter;
     it = forgotten ? others_.erase(it) : std::next(it);
@@ -100,23 +119,30 @@
   return count;
 }
 
-const MemberRecord* Membership::Ranked(std::size_t place, TimePoint now) const {
-  // By a hash of the name, so that the first places fall to entries in any
-  // failure domain.
-  std::vector<std::pair<std::uint64_t, const MemberRecord*>> ranked;
+std::vector<const MemberRecord*> Membership::Ranked(std::size_t count,
+                                                    TimePoint now) const {
+  // Among equals by a hash of the name, so that the first places fall to
+  // entries in any failure domain.
+  using Key = std::pair<int, std::uint64_t>;
+  std::vector<std::pair<Key, const MemberRecord*>> ranked;
   const auto add = [&ranked](const MemberRecord& record) {
     const std::string& name = record.id.name;
-    ranked.emplace_back(XXH64(name.data(), name.size(), 0), &record);
+    const Key key(-record.processor_percent,
+                  XXH64(name.data(), name.size(), 0));
+    ranked.emplace_back(key, &record);
   };
   if (!self_.leaving) add(self_);
   for (const auto& [name, known] : others_) {
     const bool serves = StatusOf(known, now) == MemberStatus::kAlive;
     if (serves && !known.record.leaving) add(known.record);
   }
-  if (place >= ranked.size()) return nullptr;
-  const auto wanted = ranked.begin() + static_cast<std::ptrdiff_t>(place);
-  std::nth_element(ranked.begin(), wanted, ranked.end());
-  return wanted->second;
+  const std::size_t first = std::min(count, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(first),
+                    ranked.end());
+  std::vector<const MemberRecord*> records;
+  for (std::size_t i = 0; i < first; ++i) records.push_back(ranked[i].second);
+  return records;
 }
 
 int Membership::Ordinal(TimePoint now) const {
@@ -136,11 +162,17 @@
   return count;
 }
 
+Duration Membership::Scaled(Duration bound) const {
+  if (options_.sparse_period == Duration::zero()) return bound;
+  const auto members = static_cast<Duration::rep>(others_.size());
+  return std::max(bound, bound / kSuspectAfter * members * kSuspectAfterEach);
+}
+
 MemberStatus Membership::StatusOf(const Known& known, TimePoint now) const {
   if (known.record.left) return MemberStatus::kLeft;
   const Duration silence = now - known.advanced_at;
-  if (silence > kUnreachableAfter) return MemberStatus::kUnreachable;
-  if (silence > kSuspectAfter) return MemberStatus::kSuspect;
+  if (silence > Scaled(kUnreachableAfter)) return MemberStatus::kUnreachable;
+  if (silence > Scaled(kSuspectAfter)) return MemberStatus::kSuspect;
   return MemberStatus::kAlive;
 }
 
@@ -163,13 +195,15 @@
 
 std::vector<std::string> Membership::Targets(TimePoint now) {
   const std::vector<std::string> peers = ShuffledPeers(now);
+  const std::size_t fanout =
+      IsQuiet(now) ? options_.sparse_fanout : options_.fanout;
   const bool use_seed = peers.empty() || random_() % kSeedEvery == 0;
   std::vector<std::string> targets;
   if (use_seed && !seeds_.empty()) {
     targets.push_back(seeds_[random_() % seeds_.size()]);
   }
   for (const std::string& peer : peers) {
-    if (targets.size() >= options_.fanout) break;
+    if (targets.size() >= fanout) break;
     if (std::find(targets.begin(), targets.end(), peer) == targets.end()) {
       targets.push_back(peer);
     }
@@ -193,6 +227,9 @@
     cursor_ = next->first;
     ++next;
   }
+  if (options_.sparse_period > Duration::zero() && IsSparse()) {
+    for (MemberRecord& record : records) record.uses.clear();
+  }
   return records;
 }
 
--- a/src/libpollenledge/process/node_settings.cc
+++ b/src/libpollenledge/process/node_settings.cc
@@ -85,6 +85,10 @@
   settings.duty_lease =
       Milliseconds(&reader, "duty_lease_ms", 3000,
                    "Two holders of a duty do not act within this time.");
+  settings.processor_cores = reader.Number(
+      "processor_cores", 0, 0, 1024,
+      "Processor cores that the node may use, fractions too; 0: not known. "
+      "Nodes with more take on what is done for all.");
   settings.log_level = reader.Choice(
       "log_level", {"debug", "info", "warn", "error"}, "info", "Log level.");
   reader.Finish();
--- a/src/libpollenledge/process/store_watch.cc
+++ b/src/libpollenledge/process/store_watch.cc
@@ -7,17 +7,19 @@
 namespace pollenledge {
 
 StoreWatch::StoreWatch(boost::asio::io_context& loop, AsyncStore* store,
-                       std::string prefix, Duration pause, OnChanges on_changes,
+                       std::string prefix, Duration pause,
+                       std::function<bool()> needs_watch, OnChanges on_changes,
                        OnError on_error)
     : store_(store),
       prefix_(std::move(prefix)),
       pause_(pause),
+      needs_watch_(std::move(needs_watch)),
       on_changes_(std::move(on_changes)),
       on_error_(std::move(on_error)),
       timer_(loop) {}
 
 void StoreWatch::OnReadSucceeded(std::int64_t revision) {
-  if (running_) return;
+  if (running_ || !needs_watch_()) return;
   running_ = true;
   from_revision_ = revision;
   Poll();
@@ -48,6 +50,10 @@
   }
   from_revision_ = Value(changes).store_revision;
   on_changes_(Value(changes));
+  if (!needs_watch_()) {
+    running_ = false;
+    return;
+  }
   timer_.expires_after(pause_);
   timer_.async_wait(
       [this, number = number_](const boost::system::error_code& error) {
--- a/src/libpollenledge/process/store_watch_test.cc
+++ b/src/libpollenledge/process/store_watch_test.cc
@@ -48,10 +48,12 @@
   ScriptedStore store_;
   std::vector<std::int64_t> heard_;
   int errors_ = 0;
+  bool needed_ = true;
   StoreWatch watch_{loop_,
                     &store_,
                     "config/",
                     std::chrono::milliseconds(1),
+                    [this] { return needed_; },
                     [this](const StoreChanges& changes) {
                       heard_.push_back(changes.store_revision);
                     },
@@ -119,5 +121,19 @@
   EXPECT_EQ(store_.polls[1].after_revision, 10);
 }
 
+// Guards against each node of a large fleet holding a watch of its own.
+TEST_F(StoreWatchTest, ANodeThatIsToldByOthersDoesNotWatch) {
+  watch_.OnReadSucceeded(7);
+  needed_ = false;
+  Answer(0, 9);
+  RunLoop();
+  EXPECT_EQ(store_.polls.size(), 1U);
+  watch_.OnReadSucceeded(12);
+  EXPECT_EQ(store_.polls.size(), 1U);
+  needed_ = true;
+  watch_.OnReadSucceeded(15);
+  EXPECT_EQ(store_.polls.size(), 2U);
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -14,6 +14,9 @@
 /// listings: in a large fleet something changes all the time, and each poll is
 /// a call.
 constexpr int kWatchPausesInPeriod = 6;
+/// How often in a period a node that is told by others looks whether it still
+/// is.
+constexpr int kChecksInPeriod = 4;
 /// After a listing that failed, so that a store that refuses is not pressed.
 constexpr Duration kRetry = std::chrono::milliseconds(400);
 
@@ -56,6 +59,7 @@
   Result<ForwardUpstreamInfo> info = decode_(entry);
   if (Ok(info)) {
     known.info = std::move(Value(info));
+    known.info->revision = entry.mod_revision;
     return;
   }
   known.info.reset();
@@ -99,39 +103,57 @@
 
 UpstreamSync::UpstreamSync(boost::asio::io_context& loop, AsyncStore* store,
                            std::string prefix, Duration list_period,
-                           UpstreamDirectory::Decode decode, Submit submit)
+                           UpstreamDirectory::Decode decode,
+                           StoreFollowing following, Submit submit)
     : store_(store),
       prefix_(std::move(prefix)),
       list_period_(list_period),
       directory_(std::move(decode)),
+      following_(std::move(following)),
       submit_(std::move(submit)),
       list_timer_(loop),
       due_timer_(loop),
       watch_(
           loop, store, prefix_, list_period / kWatchPausesInPeriod,
+          following_.needs_watch,
           [this](const StoreChanges& changes) { OnChanges(changes); },
           [this](const Error& error) { OnWatchError(error); }) {}
 
 void UpstreamSync::Start() { List(); }
 
+void UpstreamSync::Check() {
+  if (following_.needs_read(list_period_, BootNow())) {
+    List();
+  } else {
+    CheckAfter(list_period_ / kChecksInPeriod);
+  }
+}
+
+void UpstreamSync::CheckAfter(Duration wait) {
+  list_timer_.expires_after(wait);
+  list_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Check();
+  });
+}
+
 void UpstreamSync::List() {
-  store_->List(prefix_, [this](const Result<StoreListing>& listing) {
-    OnListed(listing);
-    list_timer_.expires_after(Ok(listing) ? list_period_ : kRetry);
-    list_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) List();
-    });
+  const TimePoint started = BootNow();
+  store_->List(prefix_, [this, started](const Result<StoreListing>& listing) {
+    OnListed(started, listing);
+    CheckAfter(Ok(listing) ? list_period_ : kRetry);
   });
 }
 
-void UpstreamSync::OnListed(const Result<StoreListing>& listing) {
+void UpstreamSync::OnListed(TimePoint started,
+                            const Result<StoreListing>& listing) {
   if (!Ok(listing)) {
     directory_.OnStoreTrouble();
     watch_.OnReadFailed();
     return;
   }
   directory_.OnListed(Value(listing), BootNow());
-  Publish();
+  revision_ = std::max(revision_, Value(listing).store_revision);
+  Publish(started);
   watch_.OnReadSucceeded(Value(listing).store_revision);
 }
 
@@ -139,7 +161,8 @@
   for (const StoreChange& change : changes.changes) {
     directory_.OnChanged(change);
   }
-  Publish();
+  revision_ = std::max(revision_, changes.store_revision);
+  Publish(std::nullopt);
 }
 
 void UpstreamSync::OnWatchError(const Error& error) {
@@ -147,18 +170,19 @@
   if (error.code != ErrorCode::kNotFound) directory_.OnStoreTrouble();
 }
 
-void UpstreamSync::Publish() {
+void UpstreamSync::Publish(std::optional<TimePoint> read_at) {
   std::vector<ForwardUpstreamInfo> upstreams = directory_.Upstreams(BootNow());
   if (const auto due = directory_.NextDue(BootNow())) {
     due_timer_.expires_after(
         std::max<Duration>(*due - BootNow(), std::chrono::milliseconds(1)));
     due_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) Publish();
+      if (!error) Publish(std::nullopt);
     });
   }
-  if (upstreams == published_) return;
+  if (upstreams == published_ && !read_at.has_value()) return;
   published_ = upstreams;
-  submit_(forward_event::UpstreamsListed{std::move(upstreams)});
+  submit_(
+      forward_event::UpstreamsListed{std::move(upstreams), revision_, read_at});
 }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/usage_reporter.cc
+++ b/src/libpollenledge/process/usage_reporter.cc
@@ -49,6 +49,14 @@
   Tick();
 }
 
+void UsageReporter::Tick() {
+  if (hooks_.calendar_is_known()) Advance(hooks_.now());
+  timer_.expires_after(kTickPeriod);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Tick();
+  });
+}
+
 void UsageReporter::Flush() {
   const UsageWindow present = ledger_->WindowOf(hooks_.now());
   written_.erase(present);
@@ -64,9 +72,10 @@
   return prefix_ + "sum/" + std::to_string(window);
 }
 
-void UsageReporter::Tick() {
-  const WallTime now = hooks_.now();
+void UsageReporter::Advance(WallTime now) {
   const UsageWindow present = ledger_->WindowOf(now);
+  // The calendar was ahead when the process started.
+  first_window_ = std::min(first_window_, present);
   for (UsageWindow window = std::max(first_window_, present - kWindowsBack);
        window < present; ++window) {
     if (now >= ledger_->EndOf(window) + kSettleTime) WriteOwn(window);
@@ -81,10 +90,6 @@
   ledger_->ForgetBefore(oldest);
   written_.erase(written_.begin(), written_.lower_bound(oldest));
   windows_.erase(windows_.begin(), windows_.lower_bound(oldest));
-  timer_.expires_after(kTickPeriod);
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) Tick();
-  });
 }
 
 void UsageReporter::WriteOwn(UsageWindow window) {
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -226,6 +226,7 @@
       Tell(to, forward_event::HeartbeatReceived{heartbeat});
     });
   }
+  void Do(std::size_t, const forward_action::ReadTables&) {}
   void Do(std::size_t, const forward_action::KeepSuspects&) {}
   void Do(std::size_t, const forward_action::LogDecision&) {}
 
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <cmath>
 #include <csignal>
 #include <map>
 #include <memory>
@@ -46,6 +47,9 @@
   options.node.self.domain = settings.domain;
   options.node.self.peer_address = settings.peer_address;
   options.node.self.admin_address = settings.admin_address;
+  constexpr double kPercent = 100;
+  options.node.self.processor_percent = static_cast<std::uint16_t>(
+      std::lround(settings.processor_cores * kPercent));
   options.node.seeds = settings.peers;
   options.node.key_freshness = settings.key_freshness;
   options.node.retries_per_request = settings.retry_ratio;
@@ -68,7 +72,7 @@
       : settings_(settings),
         settings_path_(std::move(settings_path)),
         signals_(loop_, SIGTERM, SIGINT, SIGHUP),
-        service_(loop_, WithSuspects(ServiceOptions(settings, incarnation)),
+        service_(loop_, WithStore(ServiceOptions(settings, incarnation)),
                  PlatformHeaders()),
         store_(loop_, settings.store_address,
                [this](const char* call, const char* outcome) {
@@ -81,13 +85,14 @@
         config_(
             loop_, &store_, kOperatorConfigKey,
             PollPeriod(settings.tables_bound), DecodeTables,
-            [this](Duration period, TimePoint now) {
-              return service_.node().NeedsTablesRead(period, now);
-            },
+            {[this](Duration period, TimePoint now) {
+               return service_.node().NeedsTablesRead(period, now);
+             },
+             [this] { return !service_.node().FollowsCollectors(BootNow()); }},
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         upstreams_(
             loop_, &store_, kUpstreamPrefix, PollPeriod(settings.leaving_bound),
-            DecodeUpstream,
+            DecodeUpstream, StoreNeeds(),
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         suspects_(
             loop_, &store_, kSuspectsKey,
@@ -96,7 +101,8 @@
               service_.Submit(forward_event::SuspectsRead{std::move(reports)});
             }),
         duties_(loop_, &store_, kDutyKey, settings.node, incarnation,
-                settings.duty_lease),
+                settings.duty_lease,
+                [this] { return service_.node().IsDutyCandidate(BootNow()); }),
         fleet_size_(
             loop_, &store_, &duties_, kNodesKey,
             {[this] {
@@ -105,13 +111,14 @@
              [this](int nodes) {
                service_.Submit(forward_event::FleetSizeRead{nodes});
              }}),
-        usage_(loop_, &store_, &cloud_, &duties_, &service_.node().usage(),
-               kUsagePrefix, settings.node,
-               {[this] { return service_.Now().wall; },
-                [this] {
-                  return service_.node().membership().AliveCount(
-                      service_.Now().monotonic);
-                }}),
+        usage_(
+            loop_, &store_, &cloud_, &duties_, &service_.node().usage(),
+            kUsagePrefix, settings.node,
+            {[this] { return service_.Now().wall; },
+             [this] {
+               return service_.node().membership().AliveCount(BootNow());
+             },
+             [this] { return service_.node().calendar().IsKnown(BootNow()); }}),
         fleet_(loop_, &store_, &cloud_, &duties_, &service_.node(),
                kFleetPrefix) {}
 
@@ -131,7 +138,15 @@
   }
 
  private:
-  ForwardServiceOptions WithSuspects(ForwardServiceOptions options) {
+  StoreFollowing StoreNeeds() {
+    return {[this](Duration period, TimePoint now) {
+              return service_.node().NeedsUpstreamsRead(period, now);
+            },
+            [this] { return !service_.node().FollowsCollectors(BootNow()); }};
+  }
+
+  ForwardServiceOptions WithStore(ForwardServiceOptions options) {
+    options.read_tables = [this] { config_.ReadNow(); };
     options.keep_suspects = [this](const std::vector<CrashReport>& refused) {
       suspects_.Keep(refused);
     };
