Usage counts of a large fleet go to the store through a collector

Now a node that follows collectors hands the counts of ended windows to the first of them with its questions, until it is told that they were taken; a collector writes what it was handed with its own, by process, so that counts handed over twice count once (UsageCollectionTest). A node whose counts nobody has taken 2.4 s after the window writes them itself, also when it stops. A restarted node's counts no longer take the place of those of the process before it: both wrote the same key.

A node that has just started reads for three seconds before it watches, as by then it mostly follows collectors.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -73,6 +74,10 @@
   const CrashSuspects& suspects() const { return suspects_; }
   const UsageLedger& usage() const { return usage_; }
   UsageLedger& usage() { return usage_; }
+  /// What other nodes handed to this one as a collector.
+  UsageCollection& usage_collection() { return usage_collection_; }
+  /// True if a collector has taken this node's counts of `window`.
+  bool IsUsageHandedOver(UsageWindow window) const;
   std::size_t active_requests() const { return requests_.size(); }
   std::size_t queued_requests() const;
   bool draining() const { return drain_started_at_.has_value(); }
@@ -88,6 +93,11 @@
   bool NeedsUpstreamsRead(Duration period, TimePoint now) const;
   /// True if collectors tell this node what changes in the store.
   bool FollowsCollectors(TimePoint now) const;
+  /// True if this node is to watch the store: nobody tells it what changes, and
+  /// it has been there long enough to know that. Until then it reads.
+  bool WatchesStore(TimePoint now) const {
+    return !FollowsCollectors(now) && !membership_.IsJoining(now);
+  }
   /// True if this node is among the few that should do what is done for all.
   bool IsDutyCandidate(TimePoint now) const;
   const CalendarEstimate& calendar() const { return calendar_; }
@@ -230,6 +240,10 @@
   /// Takes a peer's proof that the tables here are in force.
   void TakeProof(const Heartbeat& answer);
   void UseUpstreams();
+  /// Counts of ended windows that no collector has taken yet.
+  std::vector<UsageReport> UsageToTell();
+  std::vector<UsageWindow> TakeUsage(const NodeId& sender,
+                                     const std::vector<UsageReport>& reports);
   void LogCalendar(Duration correction);
 
   void AdoptTables(const std::shared_ptr<const ForwardingIndex>& tables,
@@ -261,6 +275,8 @@
   TimePoint levels_told_at_;
   RetryBudget retry_budget_;
   UsageLedger usage_;
+  UsageCollection usage_collection_;
+  std::set<UsageWindow> usage_handed_over_;
   CrashSuspects suspects_;
   std::map<std::string, UpstreamLoss> losses_;  ///< By upstream.
   TimePoint suspects_forgotten_at_;
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -9,6 +9,7 @@
 
 #include "pollenledge/process/crash_suspects.h"
 #include "pollenledge/process/upstream_list.h"
+#include "pollenledge/process/usage_collection.h"
 #include "pollenledge/request/forward_request.h"
 #include "pollenledge/request/request.h"
 #include "pollenledge/time.h"
@@ -113,6 +114,9 @@
   /// answer what changed in it since.
   std::int64_t upstreams_revision = 0;
   std::optional<UpstreamChanges> upstream_changes;
+  /// Counts of usage that the receiver is to write to the store with its own.
+  std::vector<UsageReport> usage;
+  std::vector<UsageWindow> usage_taken;  ///< In an answer, what was taken.
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
@@ -170,6 +174,8 @@
   Membership(MemberRecord self, std::vector<std::string> seeds,
              std::uint64_t seed, HeartbeatOptions options = {});
 
+  /// True until this entry has been there for `kJoinTime`.
+  bool IsJoining(TimePoint now) const;
   /// When `OnTick` returns messages next.
   TimePoint NextDue(TimePoint now) const;
   bool IsDue(TimePoint now) const { return now >= NextDue(now); }
@@ -217,7 +223,6 @@
 
   MemberStatus StatusOf(const Known& known, TimePoint now) const;
   Duration Scaled(Duration bound) const;
-  bool IsJoining(TimePoint now) const;
   bool IsQuiet(TimePoint now) const;
   std::vector<std::string> ShuffledPeers(TimePoint now);
   std::vector<std::string> Targets(TimePoint now);
--- a/src/include/pollenledge/process/usage_ledger.h
+++ b/src/include/pollenledge/process/usage_ledger.h
@@ -24,6 +24,9 @@
   UsageWindow WindowOf(WallTime time) const;
   /// When `window` ends.
   WallTime EndOf(UsageWindow window) const;
+  /// When this node's counts of `window` are complete: requests are counted
+  /// when their first answer bytes come.
+  WallTime SettledAt(UsageWindow window) const;
 
   void Count(const std::string& customer, WallTime began);
   /// The counts of `window` so far; empty if there are none.
@@ -31,6 +34,8 @@
   /// Forgets the windows before `window`.
   void ForgetBefore(UsageWindow window);
 
+  static constexpr Duration kSettleTime = std::chrono::milliseconds(500);
+
  private:
   Duration window_;
   std::map<UsageWindow, UsageCounts> counts_;
--- a/src/include/pollenledge/process/usage_reporter.h
+++ b/src/include/pollenledge/process/usage_reporter.h
@@ -10,6 +10,7 @@
 #include "pollenledge/connection/async_cloud.h"
 #include "pollenledge/connection/async_store.h"
 #include "pollenledge/process/duty_lease.h"
+#include "pollenledge/process/usage_collection.h"
 #include "pollenledge/process/usage_ledger.h"
 
 namespace pollenledge {
@@ -22,9 +23,10 @@
 /// holder reports the same. Not thread-safe.
 class UsageReporter {
  public:
-  /// A node's counts of a window are complete this long after its end:
-  /// requests are counted when their first answer bytes come.
-  static constexpr Duration kSettleTime = std::chrono::milliseconds(500);
+  /// A collector waits this long for the counts of others before it writes
+  /// them; a node whose counts no collector has taken by then writes them
+  /// itself.
+  static constexpr Duration kHandOverTime = std::chrono::milliseconds(2400);
   /// The holder waits this long for the other nodes' counts at the least, and
   /// `kPatience` at the most.
   static constexpr Duration kCollectAfter = std::chrono::milliseconds(1500);
@@ -35,13 +37,18 @@
   struct Hooks {
     std::function<WallTime()> now;
     std::function<int()> live_nodes;
+    /// True if a collector is to be handed this node's counts.
+    std::function<bool()> hands_over;
+    /// True if one has taken those of a window.
+    std::function<bool(UsageWindow)> is_handed_over;
     /// False while the calendar may be far off.
     std::function<bool()> calendar_is_known;
   };
 
   UsageReporter(boost::asio::io_context& loop, AsyncStore* store,
                 AsyncCloud* cloud, const DutyLease* lease, UsageLedger* ledger,
-                std::string prefix, std::string node, Hooks hooks);
+                UsageCollection* collection, std::string prefix,
+                std::string process, Hooks hooks);
 
   void Start();
   /// Writes the counts of all windows, also of the present one, before the
@@ -58,6 +65,8 @@
 
   void Tick();
   void Advance(WallTime now);
+  /// True if it is time to write what this node knows of `window`.
+  bool IsDue(UsageWindow window, WallTime now) const;
   void WriteOwn(UsageWindow window);
   void Advance(UsageWindow window);
   void Collect(UsageWindow window);
@@ -73,12 +82,14 @@
   AsyncCloud* cloud_;
   const DutyLease* lease_;
   UsageLedger* ledger_;
+  UsageCollection* collection_;
   std::string prefix_;
-  std::string node_;
+  std::string process_;  ///< Name and incarnation of this node.
   Hooks hooks_;
   boost::asio::steady_timer timer_;
   UsageWindow first_window_ = 0;
-  std::set<UsageWindow> written_;
+  /// Processes whose counts were written, by window.
+  std::map<UsageWindow, std::size_t> written_;
   std::set<UsageWindow> writing_;
   std::map<UsageWindow, Window> windows_;
 };
--- a/src/include/pollenledge/request/request.h
+++ b/src/include/pollenledge/request/request.h
@@ -23,6 +23,9 @@
   friend auto operator<=>(const NodeId&, const NodeId&) = default;
 };
 
+/// Names one process of a node, as it stands in the store.
+std::string ProcessName(const NodeId& id);
+
 /// Names one accepted request, uniquely over all nodes and restarts.
 struct RequestId {
   NodeId node;  ///< The entry that accepted it.
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -89,6 +89,11 @@
   ageMicros @4 :Int64 = -1;
 }
 
+struct CustomerCount { customer @0 :Text; count @1 :Int64; }
+
+# What a node counted in one window of usage.
+struct UsageReport { window @0 :Int64; counts @1 :List(CustomerCount); }
+
 # A datagram between forwarding nodes. The first record is the sender's.
 struct NodeHeartbeat {
   records @0 :List(MemberRecord);
@@ -107,6 +112,10 @@
   upstreamsRevision @8 :Int64;
   # In an answer what changed in that list since; may be missing.
   upstreamChanges @9 :UpstreamChanges;
+  # Counts of usage that the receiver is to write to the store with its own.
+  usage @10 :List(UsageReport);
+  # In an answer the windows whose counts were taken.
+  usageTaken @11 :List(Int64);
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -34,6 +34,8 @@
 CAPNP_DECLARE_SCHEMA(c33ad99111ba2390);
 CAPNP_DECLARE_SCHEMA(e4e9685908a817cb);
 CAPNP_DECLARE_SCHEMA(dfce740bcbd79dcc);
+CAPNP_DECLARE_SCHEMA(8b7608c59b776fc1);
+CAPNP_DECLARE_SCHEMA(a31baedb614bd4e8);
 CAPNP_DECLARE_SCHEMA(f49ff5c110e7e6d9);
 CAPNP_DECLARE_SCHEMA(cc43680172605054);
 enum class UpstreamState_cc43680172605054: uint16_t {
@@ -311,6 +313,36 @@
   };
 };
 
+struct CustomerCount {
+  CustomerCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8b7608c59b776fc1, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageReport {
+  UsageReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a31baedb614bd4e8, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeHeartbeat {
   NodeHeartbeat() = delete;
 
@@ -319,7 +351,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2260,6 +2292,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class CustomerCount::Reader {
+public:
+  typedef CustomerCount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline  ::int64_t getCount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CustomerCount::Builder {
+public:
+  typedef CustomerCount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline  ::int64_t getCount();
+  inline void setCount( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CustomerCount::Pipeline {
+public:
+  typedef CustomerCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageReport::Reader {
+public:
+  typedef UsageReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>::Reader getCounts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageReport::Builder {
+public:
+  typedef UsageReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow();
+  inline void setWindow( ::int64_t value);
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>> disownCounts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageReport::Pipeline {
+public:
+  typedef UsageReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeHeartbeat::Reader {
 public:
   typedef NodeHeartbeat Reads;
@@ -2302,6 +2506,12 @@
   inline bool hasUpstreamChanges() const;
   inline  ::pollenledge::wire::UpstreamChanges::Reader getUpstreamChanges() const;
 
+  inline bool hasUsage() const;
+  inline  ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
+
+  inline bool hasUsageTaken() const;
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUsageTaken() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2380,6 +2590,21 @@
   inline void adoptUpstreamChanges(::capnp::Orphan< ::pollenledge::wire::UpstreamChanges>&& value);
   inline ::capnp::Orphan< ::pollenledge::wire::UpstreamChanges> disownUpstreamChanges();
 
+  inline bool hasUsage();
+  inline  ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>::Builder getUsage();
+  inline void setUsage( ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>::Builder initUsage(unsigned int size);
+  inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>> disownUsage();
+
+  inline bool hasUsageTaken();
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUsageTaken();
+  inline void setUsageTaken( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUsageTaken(::kj::ArrayPtr<const  ::int64_t> value);
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUsageTaken(unsigned int size);
+  inline void adoptUsageTaken(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownUsageTaken();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6319,6 +6544,102 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline bool CustomerCount::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CustomerCount::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CustomerCount::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CustomerCount::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CustomerCount::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CustomerCount::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CustomerCount::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CustomerCount::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t CustomerCount::Reader::getCount() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CustomerCount::Builder::getCount() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CustomerCount::Builder::setCount( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UsageReport::Reader::getWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageReport::Builder::getWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageReport::Builder::setWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageReport::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageReport::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>::Reader UsageReport::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>::Builder UsageReport::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageReport::Builder::setCounts( ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>::Builder UsageReport::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageReport::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>> UsageReport::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::CustomerCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool NodeHeartbeat::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6564,6 +6885,78 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool NodeHeartbeat::Reader::hasUsage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasUsage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>::Reader NodeHeartbeat::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::setUsage( ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::initUsage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeHeartbeat::Builder::adoptUsage(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>> NodeHeartbeat::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UsageReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool NodeHeartbeat::Reader::hasUsageTaken() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasUsageTaken() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeHeartbeat::Reader::getUsageTaken() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeHeartbeat::Builder::getUsageTaken() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::setUsageTaken( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void NodeHeartbeat::Builder::setUsageTaken(::kj::ArrayPtr<const  ::int64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeHeartbeat::Builder::initUsageTaken(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void NodeHeartbeat::Builder::adoptUsageTaken(
+    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> NodeHeartbeat::Builder::disownUsageTaken() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -244,6 +244,26 @@
   builder.setAgeMicros(RemainingToWire(changes.age));
 }
 
+UsageReport FromWire(wire::UsageReport::Reader reader) {
+  UsageReport report;
+  report.window = reader.getWindow();
+  for (const auto entry : reader.getCounts()) {
+    report.counts[entry.getCustomer()] = entry.getCount();
+  }
+  return report;
+}
+
+void ToWire(const UsageReport& report, wire::UsageReport::Builder builder) {
+  builder.setWindow(report.window);
+  auto counts = builder.initCounts(static_cast<unsigned>(report.counts.size()));
+  unsigned next = 0;
+  for (const auto& [customer, count] : report.counts) {
+    counts[next].setCustomer(customer);
+    counts[next].setCount(count);
+    ++next;
+  }
+}
+
 Heartbeat FromWire(wire::NodeHeartbeat::Reader reader) {
   Heartbeat heartbeat;
   for (const auto record : reader.getRecords()) {
@@ -264,6 +284,12 @@
   for (const auto load : reader.getLoads()) {
     heartbeat.loads.push_back(FromWire(load));
   }
+  for (const auto report : reader.getUsage()) {
+    heartbeat.usage.push_back(FromWire(report));
+  }
+  for (const auto window : reader.getUsageTaken()) {
+    heartbeat.usage_taken.push_back(window);
+  }
   heartbeat.upstreams_revision = reader.getUpstreamsRevision();
   if (reader.hasUpstreamChanges()) {
     heartbeat.upstream_changes = FromWire(reader.getUpstreamChanges());
@@ -299,6 +325,15 @@
   for (unsigned i = 0; i < loads.size(); ++i) {
     ToWire(heartbeat.loads[i], loads[i]);
   }
+  auto usage = builder.initUsage(static_cast<unsigned>(heartbeat.usage.size()));
+  for (unsigned i = 0; i < usage.size(); ++i) {
+    ToWire(heartbeat.usage[i], usage[i]);
+  }
+  auto taken = builder.initUsageTaken(
+      static_cast<unsigned>(heartbeat.usage_taken.size()));
+  for (unsigned i = 0; i < taken.size(); ++i) {
+    taken.set(i, heartbeat.usage_taken[i]);
+  }
   builder.setUpstreamsRevision(heartbeat.upstreams_revision);
   if (heartbeat.upstream_changes.has_value()) {
     ToWire(*heartbeat.upstream_changes, builder.initUpstreamChanges());
--- a/src/libpollenledge/process/collector_choice.cc
+++ b/src/libpollenledge/process/collector_choice.cc
@@ -11,8 +11,7 @@
     const std::string& name = record->id.name;
     const auto known = candidates_.find(name);
     if (known != candidates_.end()) kept[name] = known->second;
-    const bool passed_over =
-        name != self && now < kept[name].passed_over_until;
+    const bool passed_over = name != self && now < kept[name].passed_over_until;
     if (!passed_over && chosen.size() < kCollectors) chosen.push_back(record);
   }
   candidates_ = std::move(kept);
--- a/src/libpollenledge/process/duty_lease.cc
+++ b/src/libpollenledge/process/duty_lease.cc
@@ -42,7 +42,7 @@
     : store_(store),
       key_(std::move(key)),
       owner_(std::move(owner)),
-      identity_(owner_ + "." + std::to_string(incarnation)),
+      identity_(ProcessName({owner_, incarnation})),
       is_candidate_(std::move(is_candidate)),
       tenure_(quiet_time),
       timer_(loop) {}
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -23,6 +23,8 @@
 /// What was used of a limit that is low is told this soon, and a collector
 /// tells this soon that one has become low.
 constexpr Duration kLowLevelPeriod = std::chrono::milliseconds(100);
+/// Ended windows whose counts of usage are handed to a collector.
+constexpr UsageWindow kWindowsTold = 2;
 
 }  // namespace
 
@@ -81,6 +83,9 @@
   for (const MemberRecord* collector : chosen) {
     if (collector->id.name == self) continue;
     if (!is_collector_) collectors_.OnAsked(collector->id.name, now());
+    // One collector writes them to the store; the next if it does not say so.
+    question.usage = collector == chosen.front() ? UsageToTell()
+                                                 : std::vector<UsageReport>();
     Emit(forward_action::SendHeartbeat{{collector->peer_address, question}});
   }
 }
@@ -92,6 +97,9 @@
   answer.proof_age = TablesAge(now());
   answer.suspects = suspects_.ReportsToTell(kMaxSuspectReports, now());
   answer.loads = upstreams_.BusiestReports(kMaxLoads, now());
+  if (is_collector_) {
+    answer.usage_taken = TakeUsage(sender.id, question.usage);
+  }
   answer.upstream_changes =
       upstream_list_.ChangesSince(question.upstreams_revision, now());
   Emit(forward_action::SendHeartbeat{{sender.peer_address, std::move(answer)}});
@@ -133,6 +141,9 @@
   const MemberRecord& sender = answer.records.front();
   const bool is_answer = answer.asked_at != TimePoint();
   if (is_answer) collectors_.OnAnswered(sender.id.name);
+  for (const UsageWindow window : answer.usage_taken) {
+    usage_handed_over_.insert(window);
+  }
   TakeProof(answer);
   if (answer.upstream_changes.has_value() &&
       upstream_list_.Apply(*answer.upstream_changes, answer.asked_at)) {
@@ -179,12 +190,44 @@
                      });
 }
 
+// Usage.
+
+std::vector<UsageReport> ForwardNode::UsageToTell() {
+  std::vector<UsageReport> reports;
+  const UsageWindow present = usage_.WindowOf(now_.wall);
+  usage_handed_over_.erase(
+      usage_handed_over_.begin(),
+      usage_handed_over_.lower_bound(present - kWindowsTold));
+  for (UsageWindow window = present - kWindowsTold; window < present;
+       ++window) {
+    const bool is_settled = now_.wall >= usage_.SettledAt(window);
+    if (is_settled && !IsUsageHandedOver(window)) {
+      reports.push_back({window, usage_.CountsOf(window)});
+    }
+  }
+  return reports;
+}
+
+std::vector<UsageWindow> ForwardNode::TakeUsage(
+    const NodeId& sender, const std::vector<UsageReport>& reports) {
+  std::vector<UsageWindow> taken;
+  for (const UsageReport& report : reports) {
+    usage_collection_.Take(ProcessName(sender), report);
+    taken.push_back(report.window);
+  }
+  return taken;
+}
+
+bool ForwardNode::IsUsageHandedOver(UsageWindow window) const {
+  return usage_handed_over_.count(window) > 0;
+}
+
 // Heartbeats.
 
 void ForwardNode::SendHeartbeats() {
   membership_.SetLed(limits_.IsLed(now()) || is_collector_);
-  const bool asks = membership_.IsSparse() &&
-                    now() - asked_at_ >= QuestionPeriod();
+  const bool asks =
+      membership_.IsSparse() && now() - asked_at_ >= QuestionPeriod();
   if (!asks && !membership_.IsDue(now())) return;
   MemberRecord self = membership_.self();
   self.tables_version = index_ == nullptr ? 0 : index_->tables().version;
--- a/src/libpollenledge/process/upstream_list.cc
+++ b/src/libpollenledge/process/upstream_list.cc
@@ -63,8 +63,8 @@
   if (!proven_at_.has_value() || at > *proven_at_) proven_at_ = at;
 }
 
-std::optional<UpstreamChanges> UpstreamList::ChangesSince(
-    std::int64_t revision, TimePoint now) const {
+std::optional<UpstreamChanges> UpstreamList::ChangesSince(std::int64_t revision,
+                                                          TimePoint now) const {
   if (revision > revision_ || revision < forgotten_revision_) {
     return std::nullopt;
   }
--- /dev/null
+++ b/src/libpollenledge/process/usage_collection.cc
@@ -0,0 +1,55 @@
+#include "pollenledge/process/usage_collection.h"
+
+#include <numeric>
+
+namespace pollenledge {
+namespace {
+
+std::int64_t Total(const UsageCounts& counts) {
+  return std::accumulate(counts.begin(), counts.end(), std::int64_t{0},
+                         [](std::int64_t sum, const auto& entry) {
+                           return sum + entry.second;
+                         });
+}
+
+/// Counts only grow, so the larger ones are the newer.
+void TakeNewer(const UsageCounts& counts, UsageCounts* kept) {
+  if (Total(counts) > Total(*kept)) *kept = counts;
+}
+
+}  // namespace
+
+void UsageCollection::Take(const std::string& process,
+                           const UsageReport& report) {
+  TakeNewer(report.counts, &windows_[report.window][process]);
+}
+
+UsageByProcess UsageCollection::Of(UsageWindow window) const {
+  const auto found = windows_.find(window);
+  return found == windows_.end() ? UsageByProcess() : found->second;
+}
+
+std::size_t UsageCollection::CountOf(UsageWindow window) const {
+  const auto found = windows_.find(window);
+  return found == windows_.end() ? 0 : found->second.size();
+}
+
+void UsageCollection::ForgetBefore(UsageWindow window) {
+  windows_.erase(windows_.begin(), windows_.lower_bound(window));
+}
+
+void MergeUsage(const UsageByProcess& part, UsageByProcess* all) {
+  for (const auto& [process, counts] : part) {
+    TakeNewer(counts, &(*all)[process]);
+  }
+}
+
+UsageCounts SumOf(const UsageByProcess& all) {
+  UsageCounts sum;
+  for (const auto& [process, counts] : all) {
+    for (const auto& [customer, count] : counts) sum[customer] += count;
+  }
+  return sum;
+}
+
+}  // namespace pollenledge
--- a/src/libpollenledge/process/usage_ledger.cc
+++ b/src/libpollenledge/process/usage_ledger.cc
@@ -10,6 +10,10 @@
   return WallTime(Duration((window + 1) * window_.count()));
 }
 
+WallTime UsageLedger::SettledAt(UsageWindow window) const {
+  return EndOf(window) + kSettleTime;
+}
+
 void UsageLedger::Count(const std::string& customer, WallTime began) {
   ++counts_[WindowOf(began)][customer];
 }
--- a/src/libpollenledge/process/usage_reporter.cc
+++ b/src/libpollenledge/process/usage_reporter.cc
@@ -18,11 +18,10 @@
 /// Removals that one transaction takes beside the sum.
 constexpr std::size_t kMaxRemovals = 24;
 
-std::string Encode(const UsageCounts& counts) { return Json(counts).dump(); }
-
-Result<UsageCounts> Decode(const KvEntry& entry) {
+template <typename Counts>
+Result<Counts> Decode(const KvEntry& entry) {
   try {
-    return Json::parse(entry.value).get<UsageCounts>();
+    return Json::parse(entry.value).get<Counts>();
   } catch (const std::exception& problem) {
     return Error{ErrorCode::kInvalidArgument,
                  entry.key + ": " + problem.what()};
@@ -33,14 +32,16 @@
 
 UsageReporter::UsageReporter(boost::asio::io_context& loop, AsyncStore* store,
                              AsyncCloud* cloud, const DutyLease* lease,
-                             UsageLedger* ledger, std::string prefix,
-                             std::string node, Hooks hooks)
+                             UsageLedger* ledger, UsageCollection* collection,
+                             std::string prefix, std::string process,
+                             Hooks hooks)
     : store_(store),
       cloud_(cloud),
       lease_(lease),
       ledger_(ledger),
+      collection_(collection),
       prefix_(std::move(prefix)),
-      node_(std::move(node)),
+      process_(std::move(process)),
       hooks_(std::move(hooks)),
       timer_(loop) {}
 
@@ -60,8 +61,13 @@
 void UsageReporter::Flush() {
   const UsageWindow present = ledger_->WindowOf(hooks_.now());
   written_.erase(present);
-  writing_.erase(present);
-  WriteOwn(present);
+  for (UsageWindow window = present - 1; window <= present; ++window) {
+    const bool is_known =
+        written_.count(window) > 0 || hooks_.is_handed_over(window);
+    if (is_known) continue;
+    writing_.erase(window);
+    WriteOwn(window);
+  }
 }
 
 std::string UsageReporter::PartPrefix(UsageWindow window) const {
@@ -78,7 +84,7 @@
   first_window_ = std::min(first_window_, present);
   for (UsageWindow window = std::max(first_window_, present - kWindowsBack);
        window < present; ++window) {
-    if (now >= ledger_->EndOf(window) + kSettleTime) WriteOwn(window);
+    if (IsDue(window, now)) WriteOwn(window);
   }
   if (lease_->MayAct(BootNow())) {
     for (UsageWindow window = present - kWindowsBack; window < present;
@@ -88,23 +94,40 @@
   }
   const UsageWindow oldest = present - kWindowsBack - 1;
   ledger_->ForgetBefore(oldest);
+  collection_->ForgetBefore(oldest);
   written_.erase(written_.begin(), written_.lower_bound(oldest));
   windows_.erase(windows_.begin(), windows_.lower_bound(oldest));
 }
 
+bool UsageReporter::IsDue(UsageWindow window, WallTime now) const {
+  if (now < ledger_->SettledAt(window) || writing_.count(window) > 0) {
+    return false;
+  }
+  const std::size_t known = 1 + collection_->CountOf(window);
+  const auto written = written_.find(window);
+  if (written != written_.end()) return written->second < known;
+  if (hooks_.is_handed_over(window) && known == 1) return false;
+  const bool waits = hooks_.hands_over() || known > 1;
+  const bool has_all = static_cast<int>(known) >= hooks_.live_nodes();
+  return !waits || has_all || now >= ledger_->EndOf(window) + kHandOverTime;
+}
+
 void UsageReporter::WriteOwn(UsageWindow window) {
-  if (written_.count(window) > 0 || writing_.count(window) > 0) return;
+  if (writing_.count(window) > 0) return;
   writing_.insert(window);
   constexpr std::int64_t kAnyRevision = -1;
+  UsageByProcess part = collection_->Of(window);
+  part[process_] = ledger_->CountsOf(window);
+  const std::size_t known = part.size();
   StoreTransaction transaction;
-  transaction.writes.push_back({PartPrefix(window) + node_,
-                                Encode(ledger_->CountsOf(window)), kAnyRevision,
-                                0});
-  store_->Commit(transaction, [this, window](const Result<KvTxnReply>& reply) {
-    writing_.erase(window);
-    // Written again if unknown: the same value does no harm.
-    if (Ok(reply)) written_.insert(window);
-  });
+  transaction.writes.push_back(
+      {PartPrefix(window) + process_, Json(part).dump(), kAnyRevision, 0});
+  store_->Commit(transaction,
+                 [this, window, known](const Result<KvTxnReply>& reply) {
+                   writing_.erase(window);
+                   // Written again if unknown: the same value does no harm.
+                   if (Ok(reply)) written_[window] = known;
+                 });
 }
 
 void UsageReporter::Advance(UsageWindow window) {
@@ -137,7 +160,7 @@
       state.stage = Stage::kCollecting;
       return;
     }
-    Result<UsageCounts> sum = Decode(*Value(item).entry);
+    Result<UsageCounts> sum = Decode<UsageCounts>(*Value(item).entry);
     if (!Ok(sum)) {
       Log(LogLevel::kError, "usage_sum_malformed",
           {{"error", ErrorOf(sum).message}});
@@ -159,29 +182,28 @@
 
 void UsageReporter::OnCollected(UsageWindow window,
                                 const StoreListing& listing) {
-  const bool complete =
-      static_cast<int>(listing.entries.size()) >= hooks_.live_nodes();
-  const bool patient = hooks_.now() < ledger_->EndOf(window) + kPatience;
-  if (!complete && patient) return;
-  UsageCounts sum;
+  UsageByProcess all;
   std::vector<std::string> parts;
   for (const KvEntry& entry : listing.entries) {
     parts.push_back(entry.key);
-    const Result<UsageCounts> counts = Decode(entry);
-    if (!Ok(counts)) {
+    const Result<UsageByProcess> part = Decode<UsageByProcess>(entry);
+    if (Ok(part)) {
+      MergeUsage(Value(part), &all);
+    } else {
       Log(LogLevel::kError, "usage_part_malformed",
-          {{"error", ErrorOf(counts).message}});
-      continue;
+          {{"error", ErrorOf(part).message}});
     }
-    for (const auto& [customer, count] : Value(counts)) sum[customer] += count;
   }
+  const bool complete = static_cast<int>(all.size()) >= hooks_.live_nodes();
+  const bool patient = hooks_.now() < ledger_->EndOf(window) + kPatience;
+  if (!complete && patient) return;
   if (!complete) {
     Log(LogLevel::kWarn, "usage_incomplete",
         {{"window", std::to_string(window)},
-         {"nodes", std::to_string(listing.entries.size())},
+         {"processes", std::to_string(all.size())},
          {"live_nodes", std::to_string(hooks_.live_nodes())}});
   }
-  CommitSum(window, std::move(sum), std::move(parts));
+  CommitSum(window, SumOf(all), std::move(parts));
 }
 
 void UsageReporter::CommitSum(UsageWindow window, UsageCounts sum,
@@ -189,7 +211,7 @@
   Window& state = windows_[window];
   state.busy = true;
   StoreTransaction transaction;
-  transaction.writes.push_back({SumKey(window), Encode(sum), 0, 0});
+  transaction.writes.push_back({SumKey(window), Json(sum).dump(), 0, 0});
   if (parts.size() > kMaxRemovals) parts.resize(kMaxRemovals);
   transaction.removals = std::move(parts);
   transaction.removals.push_back(SumKey(window - kSumsKept));
--- a/src/libpollenledge/request/request.cc
+++ b/src/libpollenledge/request/request.cc
@@ -13,9 +13,12 @@
 
 }  // namespace
 
+std::string ProcessName(const NodeId& id) {
+  return id.name + "." + std::to_string(id.incarnation);
+}
+
 std::string ToString(const RequestId& id) {
-  return id.node.name + "." + std::to_string(id.node.incarnation) + "." +
-         std::to_string(id.sequence);
+  return ProcessName(id.node) + "." + std::to_string(id.sequence);
 }
 
 Result<RequestId> ParseRequestId(const std::string& text) {
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -88,7 +88,7 @@
             {[this](Duration period, TimePoint now) {
                return service_.node().NeedsTablesRead(period, now);
              },
-             [this] { return !service_.node().FollowsCollectors(BootNow()); }},
+             [this] { return service_.node().WatchesStore(BootNow()); }},
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         upstreams_(
             loop_, &store_, kUpstreamPrefix, PollPeriod(settings.leaving_bound),
@@ -111,14 +111,9 @@
              [this](int nodes) {
                service_.Submit(forward_event::FleetSizeRead{nodes});
              }}),
-        usage_(
-            loop_, &store_, &cloud_, &duties_, &service_.node().usage(),
-            kUsagePrefix, settings.node,
-            {[this] { return service_.Now().wall; },
-             [this] {
-               return service_.node().membership().AliveCount(BootNow());
-             },
-             [this] { return service_.node().calendar().IsKnown(BootNow()); }}),
+        usage_(loop_, &store_, &cloud_, &duties_, &service_.node().usage(),
+               &service_.node().usage_collection(), kUsagePrefix,
+               ProcessName({settings.node, incarnation}), UsageHooks()),
         fleet_(loop_, &store_, &cloud_, &duties_, &service_.node(),
                kFleetPrefix) {}
 
@@ -138,11 +133,21 @@
   }
 
  private:
+  UsageReporter::Hooks UsageHooks() {
+    const ForwardNode& node = service_.node();
+    return {
+        [this] { return service_.Now().wall; },
+        [&node] { return node.membership().AliveCount(BootNow()); },
+        [&node] { return node.FollowsCollectors(BootNow()); },
+        [&node](UsageWindow window) { return node.IsUsageHandedOver(window); },
+        [&node] { return node.calendar().IsKnown(BootNow()); }};
+  }
+
   StoreFollowing StoreNeeds() {
     return {[this](Duration period, TimePoint now) {
               return service_.node().NeedsUpstreamsRead(period, now);
             },
-            [this] { return !service_.node().FollowsCollectors(BootNow()); }};
+            [this] { return service_.node().WatchesStore(BootNow()); }};
   }
 
   ForwardServiceOptions WithStore(ForwardServiceOptions options) {
