--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -100,6 +100,8 @@
   }
   /// True if this node is among the few that should do what is done for all.
   bool IsDutyCandidate(TimePoint now) const;
+  /// True if this node tells the others of a large fleet what it reads.
+  bool is_collector() const { return is_collector_; }
   const CalendarEstimate& calendar() const { return calendar_; }
   /// Age of the newest proof that the tables are in force.
   std::optional<Duration> TablesAge(TimePoint now) const;
--- a/src/include/pollenledge/process/store_watch.h
+++ b/src/include/pollenledge/process/store_watch.h
@@ -17,6 +17,8 @@
   std::function<bool(Duration period, TimePoint now)> needs_read;
   /// True if changes must be watched for.
   std::function<bool()> needs_watch;
+  /// True if others are told what is read here, so that it is read more often.
+  std::function<bool()> reads_for_others;
 };
 
 /// Hears of changes under a prefix of the store, one long poll after the other.
--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -73,6 +73,7 @@
   /// Lists if it is time to.
   void Check();
   void CheckAfter(Duration wait);
+  Duration ListPeriod() const;
   void List();
   void OnListed(TimePoint started, const Result<StoreListing>& listing);
   void OnChanges(const StoreChanges& changes);
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -136,11 +136,16 @@
   });
 }
 
+Duration UpstreamSync::ListPeriod() const {
+  // The others hear of it later than this node.
+  return following_.reads_for_others() ? list_period_ / 2 : list_period_;
+}
+
 void UpstreamSync::List() {
   const TimePoint started = BootNow();
   store_->List(prefix_, [this, started](const Result<StoreListing>& listing) {
     OnListed(started, listing);
-    CheckAfter(Ok(listing) ? list_period_ : kRetry);
+    CheckAfter(Ok(listing) ? ListPeriod() : kRetry);
   });
 }
 
--- a/src/libpollenledge/process/usage_collection.cc
+++ b/src/libpollenledge/process/usage_collection.cc
@@ -6,10 +6,9 @@
 namespace {
 
 std::int64_t Total(const UsageCounts& counts) {
-  return std::accumulate(counts.begin(), counts.end(), std::int64_t{0},
-                         [](std::int64_t sum, const auto& entry) {
-                           return sum + entry.second;
-                         });
+  return std::accumulate(
+      counts.begin(), counts.end(), std::int64_t{0},
+      [](std::int64_t sum, const auto& entry) { return sum + entry.second; });
 }
 
 /// Counts only grow, so the larger ones are the newer.
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -88,7 +88,8 @@
             {[this](Duration period, TimePoint now) {
                return service_.node().NeedsTablesRead(period, now);
              },
-             [this] { return service_.node().WatchesStore(BootNow()); }},
+             [this] { return service_.node().WatchesStore(BootNow()); },
+             [this] { return service_.node().is_collector(); }},
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         upstreams_(
             loop_, &store_, kUpstreamPrefix, PollPeriod(settings.leaving_bound),
@@ -147,7 +148,8 @@
     return {[this](Duration period, TimePoint now) {
               return service_.node().NeedsUpstreamsRead(period, now);
             },
-            [this] { return service_.node().WatchesStore(BootNow()); }};
+            [this] { return service_.node().WatchesStore(BootNow()); },
+            [this] { return service_.node().is_collector(); }};
   }
 
   ForwardServiceOptions WithStore(ForwardServiceOptions options) {
