A new node of a large fleet is told whom to ask; counts handed over stay so

Whoever hears of a node that it did not know to have started now answers with those that collect, what is suspected and some members (LargeFleet.ANewNodeFollowsSoon). 2. A fleet without limits had no followers, since levels were all that said who leads; a flag says so now (LargeFleet.TwoNodesCollectAndTheOthersFollow). 3. The calendar estimate began with the first event, so the reporter began with a window of the year 1970 and wrote four windows too many at each start.

Log: collecting_began, collecting_ended, usage_written.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -229,10 +229,14 @@
   Duration QuestionPeriod() const;
   /// Tells the collectors what was used here, and asks for what they know.
   void AskCollectors();
+  /// Notes whether this node is a collector from now on.
+  void NoteCollecting(bool is_collector);
   void Answer(const Heartbeat& question);
   /// What a collector tells `node` of itself and of what is left of limits.
   Heartbeat AnswerFor(const std::string& node);
   void TakeAnswer(const Heartbeat& answer);
+  /// Tells a node that has just started whom to ask in a large fleet.
+  void Welcome(const MemberRecord& sender);
   /// As a collector, tells all nodes that a limit has become low.
   void TellLowLevels();
   /// Tells the collectors soon what was used of a limit that is low.
--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -78,8 +78,10 @@
   /// the one that was heard first is believed until it falls silent.
   void TakeLevels(const NodeId& collector,
                   const std::vector<LimitLevel>& levels, TimePoint now);
-  /// What is left of the limits, for `node`. Nothing before this node has
-  /// heard most others for long enough to know.
+  /// True if this node has heard most others for long enough to know what is
+  /// left of the limits.
+  bool Leads(TimePoint now) const;
+  /// What is left of the limits, for `node`. Nothing unless this node leads.
   std::vector<LimitLevel> LevelsFor(const std::string& node,
                                     TimePoint now) const;
 
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -101,6 +101,8 @@
 struct Heartbeat {
   std::vector<MemberRecord> records;  ///< The sender's is the first.
   bool asks_for_levels = false;       ///< The sender wants to know `levels`.
+  /// The sender follows what all nodes do, and `levels` are to be believed.
+  bool leads = false;
   std::vector<LimitLevel> levels;
   /// In a question the asking node's clock; its answer says the same again, so
   /// that the asking node knows that the answer was given later than this.
@@ -188,7 +190,9 @@
   /// Whether others follow what happens here by asking and being told, so that
   /// heartbeats need only spread who is there.
   void SetLed(bool led) { led_ = led; }
-  void OnHeartbeat(const std::vector<MemberRecord>& records, TimePoint now);
+  /// Returns true if the sender, whose record is the first, was not known to
+  /// have started.
+  bool OnHeartbeat(const std::vector<MemberRecord>& records, TimePoint now);
 
   /// Replaces what this entry says of itself; identity and heartbeat stay.
   void UpdateSelf(const MemberRecord& self);
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -116,6 +116,8 @@
   usage @10 :List(UsageReport);
   # In an answer the windows whose counts were taken.
   usageTaken @11 :List(Int64);
+  # The sender follows what all nodes do, and `levels` are to be believed.
+  leads @12 :Bool;
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -2512,6 +2512,8 @@
   inline bool hasUsageTaken() const;
   inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUsageTaken() const;
 
+  inline bool getLeads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2605,6 +2607,9 @@
   inline void adoptUsageTaken(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownUsageTaken();
 
+  inline bool getLeads();
+  inline void setLeads(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6957,6 +6962,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool NodeHeartbeat::Reader::getLeads() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeHeartbeat::Builder::getLeads() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeHeartbeat::Builder::setLeads(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -270,6 +270,7 @@
     heartbeat.records.push_back(FromWire(record));
   }
   heartbeat.asks_for_levels = reader.getAsksForLevels();
+  heartbeat.leads = reader.getLeads();
   heartbeat.asked_at =
       TimePoint(std::chrono::microseconds(reader.getAskedAtMicros()));
   heartbeat.proof_age = RemainingFromWire(reader.getProofAgeMicros());
@@ -304,6 +305,7 @@
     ToWire(heartbeat.records[i], records[i]);
   }
   builder.setAsksForLevels(heartbeat.asks_for_levels);
+  builder.setLeads(heartbeat.leads);
   builder.setAskedAtMicros(std::chrono::floor<std::chrono::microseconds>(
                                heartbeat.asked_at.time_since_epoch())
                                .count());
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -25,13 +25,16 @@
 constexpr Duration kLowLevelPeriod = std::chrono::milliseconds(100);
 /// Ended windows whose counts of usage are handed to a collector.
 constexpr UsageWindow kWindowsTold = 2;
+/// Windows of which a node knows whether they were handed over: more than it
+/// looks back to for what it must write itself.
+constexpr UsageWindow kWindowsRemembered = 8;
 
 }  // namespace
 
 void ForwardNode::On(const forward_event::HeartbeatReceived& received) {
   const Heartbeat& said = received.heartbeat;
   const MemberRecord& sender = said.records.front();
-  membership_.OnHeartbeat(said.records, now());
+  const bool is_new = membership_.OnHeartbeat(said.records, now());
   const std::optional<Duration> correction =
       calendar_.OnPeer(sender.id.name, said.calendar, now());
   if (correction.has_value()) LogCalendar(*correction);
@@ -42,7 +45,8 @@
     Answer(said);
     return;
   }
-  if (!said.levels.empty()) limits_.TakeLevels(sender.id, said.levels, now());
+  if (is_new) Welcome(sender);
+  if (said.leads) limits_.TakeLevels(sender.id, said.levels, now());
   TakeAnswer(said);
 }
 
@@ -75,9 +79,9 @@
   const std::string& self = membership_.self().id.name;
   const std::vector<const MemberRecord*> chosen = collectors_.Choose(
       membership_.Ranked(CollectorChoice::kCandidates, now()), self, now());
-  is_collector_ = std::any_of(
+  NoteCollecting(std::any_of(
       chosen.begin(), chosen.end(),
-      [&](const MemberRecord* record) { return record->id.name == self; });
+      [&](const MemberRecord* record) { return record->id.name == self; }));
   // A collector follows the levels itself.
   question.asks_for_levels = !is_collector_;
   for (const MemberRecord* collector : chosen) {
@@ -90,6 +94,15 @@
   }
 }
 
+void ForwardNode::NoteCollecting(bool is_collector) {
+  if (is_collector == is_collector_) return;
+  is_collector_ = is_collector;
+  Emit(forward_action::LogDecision{
+      LogLevel::kInfo,
+      is_collector ? "collecting_began" : "collecting_ended",
+      {{"known_nodes", std::to_string(membership_.ShareholderCount(now()))}}});
+}
+
 void ForwardNode::Answer(const Heartbeat& question) {
   const MemberRecord& sender = question.records.front();
   Heartbeat answer = AnswerFor(sender.id.name);
@@ -111,11 +124,26 @@
   answer.records = membership_.PickRecords();
   answer.records.front().tables_version =
       index_ == nullptr ? 0 : index_->tables().version;
+  answer.leads = limits_.Leads(now());
   answer.levels = limits_.LevelsFor(node, now());
   answer.calendar = now_.wall;
   return answer;
 }
 
+void ForwardNode::Welcome(const MemberRecord& sender) {
+  // In a small fleet it hears from this node within a period.
+  if (!membership_.IsSparse()) return;
+  Heartbeat welcome = AnswerFor(sender.id.name);
+  welcome.suspects = suspects_.ReportsToTell(kMaxSuspectReports, now());
+  for (const MemberRecord* record :
+       membership_.Ranked(CollectorChoice::kCandidates, now())) {
+    welcome.records.push_back(*record);
+    welcome.records.back().uses.clear();
+  }
+  Emit(
+      forward_action::SendHeartbeat{{sender.peer_address, std::move(welcome)}});
+}
+
 void ForwardNode::TellLowLevels() {
   if (!is_collector_ || now() - levels_told_at_ < kLowLevelPeriod) return;
   if (!limits_.TakeLevelNews()) return;
@@ -123,7 +151,7 @@
   for (const Member& member : membership_.Others(now())) {
     if (member.status != MemberStatus::kAlive) continue;
     Heartbeat answer = AnswerFor(member.record.id.name);
-    if (answer.levels.empty()) continue;
+    if (!answer.leads) return;
     answer.records.resize(1);
     Emit(forward_action::SendHeartbeat{
         {member.record.peer_address, std::move(answer)}});
@@ -197,7 +225,7 @@
   const UsageWindow present = usage_.WindowOf(now_.wall);
   usage_handed_over_.erase(
       usage_handed_over_.begin(),
-      usage_handed_over_.lower_bound(present - kWindowsTold));
+      usage_handed_over_.lower_bound(present - kWindowsRemembered));
   for (UsageWindow window = present - kWindowsTold; window < present;
        ++window) {
     const bool is_settled = now_.wall >= usage_.SettledAt(window);
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -119,7 +119,8 @@
   if (!options_.metrics_address.empty()) {
     metrics_server_.emplace(loop, options_.metrics_address, AdminHandlers());
   }
-  ArmTimer();
+  // From now on the node knows the time of day.
+  Submit(forward_event::Ticked{});
 }
 
 CallerHandlers ForwardService::AdminHandlers() {
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -184,15 +184,18 @@
   bucket.common_level = std::min(bucket.limit.burst, level.units - uncounted);
 }
 
+bool LimitBuckets::Leads(TimePoint now) const {
+  // What another collector said is not passed on: two that take each other's
+  // word would never hear of the others' use.
+  return !IsLed(now) && heard_most_since_.has_value() &&
+         now - *heard_most_since_ >= kCollectorSettles;
+}
+
 std::vector<LimitLevel> LimitBuckets::LevelsFor(const std::string& node,
                                                 TimePoint now) const {
   std::vector<LimitLevel> levels;
-  // What another collector said is not passed on: two that take each other's
-  // word would never hear of the others' use.
-  const bool settled = !IsLed(now) && heard_most_since_.has_value() &&
-                       now - *heard_most_since_ >= kCollectorSettles;
   const auto peer = peers_.find(node);
-  if (!settled || peer == peers_.end()) return levels;
+  if (!Leads(now) || peer == peers_.end()) return levels;
   levels.reserve(buckets_.size());
   for (const auto& [customer, bucket] : buckets_) {
     const auto use = peer->second.uses.find(customer);
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -80,8 +80,14 @@
   return messages;
 }
 
-void Membership::OnHeartbeat(const std::vector<MemberRecord>& records,
+bool Membership::OnHeartbeat(const std::vector<MemberRecord>& records,
                              TimePoint now) {
+  const NodeId& sender = records.front().id;
+  const auto known_sender = others_.find(sender.name);
+  const bool is_new =
+      sender.name != self_.id.name &&
+      (known_sender == others_.end() ||
+       known_sender->second.record.id.incarnation < sender.incarnation);
   for (const MemberRecord& record : records) {
     if (record.id.name == self_.id.name) continue;
     const auto found = others_.find(record.id.name);
@@ -92,6 +98,7 @@
     if (!IsNewer(record, found->second.record)) continue;
     found->second = {record, now};
   }
+  return is_new;
 }
 
 void Membership::UpdateSelf(const MemberRecord& self) {
--- a/src/libpollenledge/process/usage_reporter.cc
+++ b/src/libpollenledge/process/usage_reporter.cc
@@ -122,12 +122,16 @@
   StoreTransaction transaction;
   transaction.writes.push_back(
       {PartPrefix(window) + process_, Json(part).dump(), kAnyRevision, 0});
-  store_->Commit(transaction,
-                 [this, window, known](const Result<KvTxnReply>& reply) {
-                   writing_.erase(window);
-                   // Written again if unknown: the same value does no harm.
-                   if (Ok(reply)) written_[window] = known;
-                 });
+  store_->Commit(
+      transaction, [this, window, known](const Result<KvTxnReply>& reply) {
+        writing_.erase(window);
+        Log(LogLevel::kInfo, "usage_written",
+            {{"window", std::to_string(window)},
+             {"processes", std::to_string(known)},
+             {"outcome", Ok(reply) ? "done" : ErrorOf(reply).message}});
+        // Written again if unknown: the same value does no harm.
+        if (Ok(reply)) written_[window] = known;
+      });
 }
 
 void UsageReporter::Advance(UsageWindow window) {
