Late streams of all nodes order the fleet; limits hold though collectors are slow

The node that orders upstreams went by its own late streams, four to eight a second in a large fleet: it saw a shortage after seconds, and chance as one. Now each node's counts of streams and late ones travel with what it tells the collectors, and refusals for want of room count as late (LatenessTallyTest). The collectors hold the duties, as they hear all.

Callers of one customer got far more than its limit, others of the fleet waited. Cause: in a flood each node asked both collectors ten times a second, some 3,000 questions a second for each, which then were heard late; nodes meanwhile went on lending from an old level that each refilled at the whole rate, and their own parts were filled again from it four times a second. A test in virtual time with 90 in 100 words lost shows the same (27 M of 18 M) and failed first. Now a word older than 1.4 periods lets a node borrow nothing, a followed level is not refilled here, own parts are filled by a word only, and another collector is believed after 1.2 periods. What was used of a low limit is told without asking; what became low is told in a short message, 2,000 a second at most. The digest of the list is made when it changes, not with each answer.

--- a/src/include/pollenledge/process/duty_lease.h
+++ b/src/include/pollenledge/process/duty_lease.h
@@ -93,6 +93,7 @@
   std::string owner_;
   std::string identity_;  ///< The key's value: owner and incarnation.
   IsCandidate is_candidate_;
+  TimePoint looked_at_;
   DutyTenure tenure_;
   boost::asio::steady_timer timer_;
   std::optional<StoreLease> lease_;
--- a/src/include/pollenledge/process/fleet_keeper.h
+++ b/src/include/pollenledge/process/fleet_keeper.h
@@ -24,8 +24,8 @@
   static constexpr Duration kPeriod = std::chrono::milliseconds(500);
 
   FleetKeeper(boost::asio::io_context& loop, AsyncStore* store,
-              AsyncCloud* cloud, const DutyLease* lease,
-              const ForwardNode* node, std::string prefix);
+              AsyncCloud* cloud, const DutyLease* lease, ForwardNode* node,
+              std::string prefix);
 
   void Start();
 
@@ -50,7 +50,7 @@
   AsyncStore* store_;
   AsyncCloud* cloud_;
   const DutyLease* lease_;
-  const ForwardNode* node_;
+  ForwardNode* node_;
   std::string prefix_;
   boost::asio::steady_timer timer_;
   std::map<std::string, Service> services_;
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -83,8 +83,9 @@
   bool draining() const { return drain_started_at_.has_value(); }
   /// Repeats that this node may save up for each service.
   double retry_share() const { return retry_budget_.options().max_saved; }
-  /// Part of the recent streams of `service` whose first event came late.
-  double LateShare(const std::string& service) const;
+  /// Part of the recent streams of `service` at all nodes that are heard whose
+  /// first event came late, or that found no room.
+  double LateShare(const std::string& service, TimePoint now);
   /// True if the tables must be read from the store now, where they are to be
   /// read each `period` at least. Ask each half period: peers' proofs save
   /// reads in a large fleet, where the collectors read twice as often.
@@ -206,6 +207,7 @@
   bool TryAgain(Request* request, ForwardEnd end);
   void GiveUp(Request* request, ForwardEnd end, const std::string& reason);
   void CountUsage(Request* request, WallTime began);
+  void CountStream(const std::string& service, bool late);
 
   // The end of a request.
   void Refuse(Request* request, NotRun not_run);
@@ -239,6 +241,8 @@
   void Welcome(const MemberRecord& sender);
   /// As a collector, tells all nodes that a limit has become low.
   void TellLowLevels();
+  /// How often it may do so.
+  Duration LowLevelPeriod() const;
   /// Tells the collectors soon what was used of a limit that is low.
   void ReportLowLevel(const std::string& customer);
   /// The tables here were in force at `proven_at`.
@@ -279,6 +283,7 @@
   CollectorChoice collectors_;
   TimePoint asked_at_;
   TimePoint levels_told_at_;
+  TimePoint low_use_told_at_;
   RetryBudget retry_budget_;
   UsageLedger usage_;
   UsageCollection usage_collection_;
@@ -287,8 +292,9 @@
   std::map<std::string, UpstreamLoss> losses_;  ///< By upstream.
   TimePoint suspects_forgotten_at_;
   bool suspects_known_ = false;
-  std::map<std::string, FairQueue> queues_;   ///< By service.
-  std::map<std::string, double> late_share_;  ///< By service.
+  std::map<std::string, FairQueue> queues_;  ///< By service.
+  std::vector<LatenessCount> lateness_;      ///< Of this process.
+  LatenessTally lateness_tally_;
   std::unordered_map<ForwardId, Request> requests_;
   /// When requests have to be looked at next.
   std::multimap<TimePoint, ForwardId> due_;
--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -34,7 +34,8 @@
 ///
 /// In a large fleet no node can hear all others in time. There a few nodes,
 /// the collectors, hear all others directly, follow the common level as above
-/// and tell each node, which takes their word while it is fresh.
+/// and tell each node, which takes their word while it is fresh, and borrows
+/// nothing when it is not.
 ///
 /// A node that is silent is taken to use an equal part of the rate, or as much
 /// as it did before if that is more. A node that does not hear most of the
@@ -85,8 +86,14 @@
   std::vector<LimitLevel> LevelsFor(const std::string& node,
                                     TimePoint now) const;
 
+  /// The same of limits of which little is left.
+  std::vector<LimitLevel> LowLevelsFor(const std::string& node,
+                                       TimePoint now) const;
+
   /// What this node used since its start, for its heartbeats.
   std::vector<CustomerUse> Uses() const;
+  /// The same of limits of which little is left.
+  std::vector<CustomerUse> LowUses() const;
 
   /// Units of the whole system's bucket, as this node follows it.
   double CommonLevel(const std::string& customer) const;
@@ -119,9 +126,14 @@
   static void NoteOwnRate(Bucket* bucket, double elapsed_s);
   void SettleDebt(Bucket* bucket) const;
   void TakeLevel(const LimitLevel& level);
+  /// True if a collector's word is at most so many periods of reports old.
+  bool WordIsWithin(double periods, TimePoint now) const;
+  /// True if this node knows the common level well enough to lend from it.
+  bool MayBorrow(TimePoint now) const;
   void SetPart(Bucket* bucket, int nodes) const;
 
   LimitBucketOptions options_;
+  Duration report_period_;
   Duration silent_after_;  ///< A node's last word that is older is no news.
   std::map<std::string, Bucket> buckets_;
   std::map<std::string, Peer> peers_;
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "pollenledge/process/crash_suspects.h"
+#include "pollenledge/process/lateness_tally.h"
 #include "pollenledge/process/upstream_list.h"
 #include "pollenledge/process/usage_collection.h"
 #include "pollenledge/request/forward_request.h"
@@ -51,6 +52,8 @@
   /// Of limits that are kept by use instead of by demand.
   std::vector<CustomerUse> uses;
 
+  std::vector<LatenessCount> lateness;
+
   static constexpr std::size_t kMaxDemands = 8;
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
--- a/src/include/pollenledge/process/upstream_list.h
+++ b/src/include/pollenledge/process/upstream_list.h
@@ -77,6 +77,7 @@
   /// Removals up to this revision were forgotten.
   std::int64_t forgotten_revision_ = 0;
   std::int64_t revision_ = 0;
+  std::uint64_t digest_ = 0;
   std::optional<TimePoint> proven_at_;
 };
 
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -21,6 +21,9 @@
 # Units used since the node's start, which only grow.
 struct CustomerUse { customer @0 :Text; units @1 :Float64; }
 
+# Streams of a service since the node's start, and how many began late.
+struct LatenessCount { service @0 :Text; streams @1 :UInt64; late @2 :UInt64; }
+
 struct MemberRecord {
   id @0 :NodeId;
   heartbeat @1 :UInt64;
@@ -35,6 +38,7 @@
   uses @10 :List(CustomerUse);
   # Part of a processor core that the node may use, in percent; 0: not known.
   processorPercent @11 :UInt16;
+  lateness @12 :List(LatenessCount);
 }
 
 # What is left of a customer's limit, and what of the receiver's own use is
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(d8077e672d73fc06);
 CAPNP_DECLARE_SCHEMA(b01cde9d90c79d39);
 CAPNP_DECLARE_SCHEMA(8b2f1f9ea8159938);
+CAPNP_DECLARE_SCHEMA(859b39ec2de505f5);
 CAPNP_DECLARE_SCHEMA(8962e57ec3622dad);
 CAPNP_DECLARE_SCHEMA(b0d5a78b3516f0a0);
 CAPNP_DECLARE_SCHEMA(fafbf31e811dbaac);
@@ -193,6 +194,21 @@
   };
 };
 
+struct LatenessCount {
+  LatenessCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(859b39ec2de505f5, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MemberRecord {
   MemberRecord() = delete;
 
@@ -201,7 +217,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8962e57ec3622dad, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(8962e57ec3622dad, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1416,6 +1432,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class LatenessCount::Reader {
+public:
+  typedef LatenessCount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getStreams() const;
+
+  inline  ::uint64_t getLate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LatenessCount::Builder {
+public:
+  typedef LatenessCount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getStreams();
+  inline void setStreams( ::uint64_t value);
+
+  inline  ::uint64_t getLate();
+  inline void setLate( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LatenessCount::Pipeline {
+public:
+  typedef LatenessCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class MemberRecord::Reader {
 public:
   typedef MemberRecord Reads;
@@ -1463,6 +1570,9 @@
 
   inline  ::uint16_t getProcessorPercent() const;
 
+  inline bool hasLateness() const;
+  inline  ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Reader getLateness() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1551,6 +1661,13 @@
   inline  ::uint16_t getProcessorPercent();
   inline void setProcessorPercent( ::uint16_t value);
 
+  inline bool hasLateness();
+  inline  ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Builder getLateness();
+  inline void setLateness( ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Builder initLateness(unsigned int size);
+  inline void adoptLateness(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>> disownLateness();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5584,6 +5701,68 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LatenessCount::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LatenessCount::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LatenessCount::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LatenessCount::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LatenessCount::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LatenessCount::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LatenessCount::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LatenessCount::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LatenessCount::Reader::getStreams() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LatenessCount::Builder::getStreams() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LatenessCount::Builder::setStreams( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LatenessCount::Reader::getLate() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LatenessCount::Builder::getLate() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LatenessCount::Builder::setLate( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MemberRecord::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5877,6 +6056,40 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MemberRecord::Reader::hasLateness() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasLateness() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Reader MemberRecord::Reader::getLateness() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::getLateness() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setLateness( ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::initLateness(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptLateness(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>> MemberRecord::Builder::disownLateness() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool LimitLevel::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -139,6 +139,10 @@
   for (const auto use : reader.getUses()) {
     record.uses.push_back({use.getCustomer(), use.getUnits()});
   }
+  for (const auto count : reader.getLateness()) {
+    record.lateness.push_back(
+        {count.getService(), count.getStreams(), count.getLate()});
+  }
   return record;
 }
 
@@ -164,6 +168,13 @@
     uses[i].setCustomer(record.uses[i].customer);
     uses[i].setUnits(record.uses[i].units);
   }
+  auto lateness =
+      builder.initLateness(static_cast<unsigned>(record.lateness.size()));
+  for (unsigned i = 0; i < lateness.size(); ++i) {
+    lateness[i].setService(record.lateness[i].service);
+    lateness[i].setStreams(record.lateness[i].streams);
+    lateness[i].setLate(record.lateness[i].late);
+  }
 }
 
 HeardLoad FromWire(wire::HeardLoad::Reader reader) {
--- a/src/libpollenledge/process/duty_lease.cc
+++ b/src/libpollenledge/process/duty_lease.cc
@@ -15,6 +15,8 @@
 /// In this time a node that starts has heard of others that hold or are to hold
 /// the duties.
 constexpr Duration kJoinTime = std::chrono::milliseconds(700);
+/// How often a node checks whether it has become a candidate.
+constexpr Duration kCheckPeriod = std::chrono::seconds(1);
 /// A node that is no candidate looks this often whether the duties are held.
 constexpr Duration kStandBy = std::chrono::seconds(20);
 
@@ -48,14 +50,15 @@
       timer_(loop) {}
 
 void DutyLease::Start() {
+  looked_at_ = BootNow();
   After(kJoinTime, [this] { Begin(); });
 }
 
 void DutyLease::Begin() {
-  if (is_candidate_()) {
+  if (is_candidate_() || BootNow() - looked_at_ >= kStandBy) {
     Look();
   } else {
-    After(kStandBy, [this] { Look(); });
+    After(kCheckPeriod, [this] { Begin(); });
   }
 }
 
@@ -75,6 +78,7 @@
 }
 
 void DutyLease::Look() {
+  looked_at_ = BootNow();
   store_->Read(key_, [this](const Result<StoreItem>& item) {
     if (stopped_) return;
     if (!Ok(item)) {
--- a/src/libpollenledge/process/fleet_keeper.cc
+++ b/src/libpollenledge/process/fleet_keeper.cc
@@ -26,7 +26,7 @@
 
 FleetKeeper::FleetKeeper(boost::asio::io_context& loop, AsyncStore* store,
                          AsyncCloud* cloud, const DutyLease* lease,
-                         const ForwardNode* node, std::string prefix)
+                         ForwardNode* node, std::string prefix)
     : store_(store),
       cloud_(cloud),
       lease_(lease),
@@ -74,7 +74,7 @@
   if (!state.stored && !state.busy) ReadReference(service.name);
   if (!state.planner.has_value()) return;
   if (!state.stored) state.planner->RaiseReference(Standing(service.name));
-  const double late_share = node_->LateShare(service.name);
+  const double late_share = node_->LateShare(service.name, BootNow());
   const std::vector<UpstreamOrder> orders =
       state.planner->Plan(service, Upstreams(), late_share, BootNow());
   for (const UpstreamOrder& order : orders) Send(order);
@@ -137,7 +137,8 @@
              {"domain", order.domain},
              {"count", std::to_string(order.count)},
              {"reclaimable", order.reclaimable ? "yes" : "no"},
-             {"late_share", std::to_string(node_->LateShare(order.service))},
+             {"late_share",
+              std::to_string(node_->LateShare(order.service, BootNow()))},
              {"outcome", Ok(status) ? "accepted" : ErrorOf(status).message}});
         Service& state = services_[order.service];
         if (state.planner.has_value()) {
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -19,8 +19,6 @@
 /// A first event counts as late past this part of its latency target, so that
 /// more upstreams are ordered before targets are missed.
 constexpr double kLatePart = 0.7;
-/// Weight of the newest stream in the share of late ones.
-constexpr double kLateGain = 0.05;
 
 Rank RankOfPriority(int priority) {
   if (priority <= 0) return Rank::kUrgent;
@@ -192,8 +190,7 @@
   CountUsage(request, now_.wall);
   const bool late = ToSeconds(now() - request->arrived_at) >
                     kLatePart * ToSeconds(request->route->target);
-  double& share = late_share_[request->service];
-  share += kLateGain * ((late ? 1.0 : 0.0) - share);
+  CountStream(request->service, late);
   if (ForwardUpstream* upstream = upstreams_.Find(request->upstream)) {
     upstreams_.OnAnswerBegun(
         upstream, now() - request->sent_at <= request->route->target, now());
@@ -300,6 +297,8 @@
                        (end == ForwardEnd::kNotSent ||
                         end == ForwardEnd::kRefused || request->attempts == 0);
   if (not_run && !request->answer_begun) {
+    const bool is_stream = request->route->kind == RouteKind::kStreaming;
+    if (is_stream) CountStream(request->service, true);
     Refuse(request, NotRun{503, reason, "no upstream could take the request",
                            kDefaultRetryAfter});
     return;
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -362,9 +362,20 @@
   return !upstreams_.all().empty();
 }
 
-double ForwardNode::LateShare(const std::string& service) const {
-  const auto found = late_share_.find(service);
-  return found == late_share_.end() ? 0 : found->second;
+double ForwardNode::LateShare(const std::string& service, TimePoint now) {
+  return lateness_tally_.Share(service, now).value_or(0);
+}
+
+void ForwardNode::CountStream(const std::string& service, bool late) {
+  auto count = std::find_if(
+      lateness_.begin(), lateness_.end(),
+      [&](const LatenessCount& known) { return known.service == service; });
+  if (count == lateness_.end()) {
+    lateness_.push_back({service, 0, 0});
+    count = std::prev(lateness_.end());
+  }
+  ++count->streams;
+  if (late) ++count->late;
 }
 
 std::optional<Duration> ForwardNode::TablesAge(TimePoint now) const {
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -23,6 +23,9 @@
 /// What was used of a limit that is low is told this soon, and a collector
 /// tells this soon that one has become low.
 constexpr Duration kLowLevelPeriod = std::chrono::milliseconds(100);
+/// Messages that a collector sends a second when limits become low one after
+/// the other.
+constexpr double kMessagesPerSecond = 2000;
 /// Ended windows whose counts of usage are handed to a collector.
 constexpr UsageWindow kWindowsTold = 2;
 /// Windows of which a node knows whether they were handed over: more than it
@@ -38,6 +41,7 @@
   const std::optional<Duration> correction =
       calendar_.OnPeer(sender.id.name, said.calendar, now());
   if (correction.has_value()) LogCalendar(*correction);
+  lateness_tally_.Take(ProcessName(sender.id), sender.lateness, now());
   if (now() - limits_updated_at_ >= kLimitsPeriod) UpdateLimits();
   TakeReports(said.suspects);
   upstreams_.TakeReports(said.loads, now());
@@ -139,29 +143,49 @@
        membership_.Ranked(CollectorChoice::kCandidates, now())) {
     welcome.records.push_back(*record);
     welcome.records.back().uses.clear();
+    welcome.records.back().lateness.clear();
   }
   Emit(
       forward_action::SendHeartbeat{{sender.peer_address, std::move(welcome)}});
 }
 
 void ForwardNode::TellLowLevels() {
-  if (!is_collector_ || now() - levels_told_at_ < kLowLevelPeriod) return;
-  if (!limits_.TakeLevelNews()) return;
+  const Duration period = LowLevelPeriod();
+  if (!is_collector_ || now() - levels_told_at_ < period) return;
+  if (!limits_.Leads(now()) || !limits_.TakeLevelNews()) return;
   levels_told_at_ = now();
   for (const Member& member : membership_.Others(now())) {
     if (member.status != MemberStatus::kAlive) continue;
-    Heartbeat answer = AnswerFor(member.record.id.name);
-    if (!answer.leads) return;
-    answer.records.resize(1);
+    Heartbeat news;
+    news.records = {membership_.self()};
+    news.records.front().uses.clear();
+    news.records.front().lateness.clear();
+    news.leads = true;
+    news.levels = limits_.LowLevelsFor(member.record.id.name, now());
     Emit(forward_action::SendHeartbeat{
-        {member.record.peer_address, std::move(answer)}});
+        {member.record.peer_address, std::move(news)}});
   }
 }
 
+Duration ForwardNode::LowLevelPeriod() const {
+  const int nodes = membership_.ShareholderCount(now());
+  return std::max<Duration>(kLowLevelPeriod,
+                            FromSeconds(nodes / kMessagesPerSecond));
+}
+
 void ForwardNode::ReportLowLevel(const std::string& customer) {
-  const bool is_due = now() - asked_at_ >= kLowLevelPeriod;
-  if (membership_.IsSparse() && is_due && limits_.IsLow(customer)) {
-    AskCollectors();
+  const bool is_due = now() - low_use_told_at_ >= kLowLevelPeriod;
+  if (!FollowsCollectors(now()) || !is_due || !limits_.IsLow(customer)) return;
+  low_use_told_at_ = now();
+  // Asks for nothing, so that many such reports cost the collectors little.
+  Heartbeat report;
+  report.records = {membership_.Announce()};
+  report.records.front().uses = limits_.LowUses();
+  report.records.front().lateness = lateness_;
+  for (const MemberRecord* collector : collectors_.Choose(
+           membership_.Ranked(CollectorChoice::kCandidates, now()),
+           membership_.self().id.name, now())) {
+    Emit(forward_action::SendHeartbeat{{collector->peer_address, report}});
   }
 }
 
@@ -209,13 +233,7 @@
 }
 
 bool ForwardNode::IsDutyCandidate(TimePoint now) const {
-  if (!membership_.IsSparse()) return true;
-  const std::vector<const MemberRecord*> ranked =
-      membership_.Ranked(CollectorChoice::kCandidates, now);
-  return std::any_of(ranked.begin(), ranked.end(),
-                     [this](const MemberRecord* record) {
-                       return record->id.name == membership_.self().id.name;
-                     });
+  return !membership_.IsSparse() || (is_collector_ && limits_.Leads(now));
 }
 
 // Usage.
@@ -262,7 +280,9 @@
   self.active_requests = static_cast<std::uint32_t>(requests_.size());
   self.leaving = draining();
   self.uses = limits_.Uses();
+  self.lateness = lateness_;
   membership_.UpdateSelf(self);
+  lateness_tally_.Take(ProcessName(self.id), lateness_, now());
   std::vector<HeartbeatMessage> messages = membership_.OnTick(now());
   std::vector<SuspectReport> suspects;
   std::vector<HeardLoad> loads;
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -12,6 +12,11 @@
 /// silent, so that one lost datagram changes nothing; at least `kLeastSilent`.
 constexpr double kSilentPeriods = 3.6;
 constexpr Duration kLeastSilent = std::chrono::milliseconds(900);
+constexpr Duration kLeastReportPeriod = std::chrono::milliseconds(250);
+/// A collector's word that is older than so many periods of reports lets a node
+/// borrow nothing; after `kSwitchPeriods` another collector's is taken.
+constexpr double kWordPeriods = 1.4;
+constexpr double kSwitchPeriods = 1.2;
 /// Parts of the burst at which a falling level is told at once: what is lent
 /// out blindly beyond the last one is over the limit.
 constexpr std::array<double, 3> kLevelSteps = {0.6, 0.3, 0};
@@ -43,9 +48,12 @@
 }  // namespace
 
 LimitBuckets::LimitBuckets(LimitBucketOptions options)
-    : options_(options), silent_after_(kLeastSilent) {}
+    : options_(options),
+      report_period_(kLeastReportPeriod),
+      silent_after_(kLeastSilent) {}
 
 void LimitBuckets::SetReportPeriod(Duration period) {
+  report_period_ = std::max(period, kLeastReportPeriod);
   silent_after_ = std::max<Duration>(
       kLeastSilent, FromSeconds(kSilentPeriods * ToSeconds(period)));
 }
@@ -89,10 +97,13 @@
   const double elapsed_s =
       refilled_at_.has_value() ? ToSeconds(now - *refilled_at_) : 0;
   refilled_at_ = now;
+  // What comes in while a collector is followed is the collector's to tell.
+  const bool led = IsLed(now);
   for (auto& [name, bucket] : buckets_) {
     const double units = bucket.limit.units_per_s * elapsed_s;
+    const double common_units = led ? 0 : units;
     bucket.common_level =
-        std::min(bucket.limit.burst, bucket.common_level + units);
+        std::min(bucket.limit.burst, bucket.common_level + common_units);
     bucket.own_level = std::min(bucket.limit.burst * bucket.own_part,
                                 bucket.own_level + units * bucket.own_part);
   }
@@ -134,7 +145,6 @@
     NoteOwnRate(&bucket, elapsed_s);
     bucket.peer_rates.clear();
     bucket.own_part = equal;
-    SettleDebt(&bucket);
   }
 }
 
@@ -167,7 +177,9 @@
 void LimitBuckets::TakeLevels(const NodeId& collector,
                               const std::vector<LimitLevel>& levels,
                               TimePoint now) {
-  if (IsLed(now) && collector != collector_) return;
+  const bool other_is_heard =
+      collector != collector_ && WordIsWithin(kSwitchPeriods, now);
+  if (other_is_heard) return;
   Refill(now);
   collector_ = collector;
   levels_at_ = now;
@@ -182,6 +194,16 @@
   // What the collector counted of an earlier process here is nothing to add.
   const double uncounted = std::max(0.0, bucket.used - level.counted_use);
   bucket.common_level = std::min(bucket.limit.burst, level.units - uncounted);
+  SettleDebt(&bucket);
+}
+
+bool LimitBuckets::WordIsWithin(double periods, TimePoint now) const {
+  return levels_at_.has_value() &&
+         ToSeconds(now - *levels_at_) <= periods * ToSeconds(report_period_);
+}
+
+bool LimitBuckets::MayBorrow(TimePoint now) const {
+  return hears_most_ && (!IsLed(now) || WordIsWithin(kWordPeriods, now));
 }
 
 bool LimitBuckets::Leads(TimePoint now) const {
@@ -259,8 +281,8 @@
   const bool own_room =
       !overdrawn && bucket.own_level >= std::min(units, own_size);
   const bool may_borrow =
-      hears_most_ && bucket.common_level * kBorrowPart >=
-                         std::min(units, bucket.limit.burst * kBorrowPart);
+      MayBorrow(now) && bucket.common_level * kBorrowPart >=
+                            std::min(units, bucket.limit.burst * kBorrowPart);
   if (!own_room && !may_borrow) {
     const double missing = std::min(units, own_size) - bucket.own_level;
     const double rate =
@@ -282,6 +304,22 @@
   found->second.common_level += units;
 }
 
+std::vector<LimitLevel> LimitBuckets::LowLevelsFor(const std::string& node,
+                                                   TimePoint now) const {
+  std::vector<LimitLevel> levels = LevelsFor(node, now);
+  std::erase_if(levels, [this](const LimitLevel& level) {
+    return !IsLow(level.customer);
+  });
+  return levels;
+}
+
+std::vector<CustomerUse> LimitBuckets::LowUses() const {
+  std::vector<CustomerUse> uses = Uses();
+  std::erase_if(
+      uses, [this](const CustomerUse& use) { return !IsLow(use.customer); });
+  return uses;
+}
+
 std::vector<CustomerUse> LimitBuckets::Uses() const {
   std::vector<CustomerUse> uses;
   for (const auto& [name, bucket] : buckets_) {
--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -195,6 +195,9 @@
     }
   }
 
+  /// From now on this part of what collectors say is lost.
+  void Lose(double part) { loss_ = part; }
+
   double admitted() const { return admitted_; }
   double central() const { return central_; }
   double worst_window() const { return worst_window_; }
@@ -247,6 +250,7 @@
   }
 
   void Tell(std::size_t collector, std::size_t node) {
+    if (std::uniform_real_distribution<>(0, 1)(losses_) < loss_) return;
     const auto levels =
         limits_[collector]->LevelsFor("n" + std::to_string(node), At(now_));
     if (levels.empty()) return;
@@ -273,6 +277,8 @@
   std::vector<std::vector<CustomerUse>> uses_;
   std::vector<Duration> heard_at_;
   std::array<Duration, kCollectors> told_at_{};
+  double loss_ = 0;
+  std::mt19937_64 losses_{1};
   Duration now_{0};
   double rate_;
   Duration period_;
@@ -421,6 +427,18 @@
   }
 }
 
+// Guards against collectors that are too busy to be heard while a customer
+// floods (QUOTA on the large site, scale-2: 48.7 M of 18.2 M): a node must not
+// go on lending from an old level.
+TEST_P(LimitBucketsSeeds, AFloodKeepsTheLimitThoughCollectorsAreHardlyHeard) {
+  constexpr double kLargeRate = 1'800'000;
+  CollectedFleet fleet(295, kLargeRate, std::chrono::milliseconds(740));
+  fleet.Run(kLargeRate * 0.55, std::chrono::seconds(10), &random_);
+  fleet.Lose(0.9);
+  fleet.Run(kLargeRate * 4.2, std::chrono::seconds(12), &random_);
+  EXPECT_LT(fleet.worst_window(), AllowedInWindow(kLargeRate));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, LimitBucketsSeeds, ::testing::Range(1, 9));
 
 TEST(LimitBucketsTest, ALowerLimitHoldsAtOnce) {
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -235,7 +235,10 @@
     ++next;
   }
   if (options_.sparse_period > Duration::zero() && IsSparse()) {
-    for (MemberRecord& record : records) record.uses.clear();
+    for (MemberRecord& record : records) {
+      record.uses.clear();
+      record.lateness.clear();
+    }
   }
   return records;
 }
--- a/src/libpollenledge/process/upstream_list.cc
+++ b/src/libpollenledge/process/upstream_list.cc
@@ -46,6 +46,7 @@
   }
   upstreams_ = std::move(replaced);
   revision_ = revision;
+  digest_ = Digest();
   if (read_at.has_value()) Prove(*read_at);
 }
 
@@ -85,7 +86,7 @@
       told.removed.push_back({*change.removed, change.revision});
     }
   }
-  told.digest = Digest();
+  told.digest = digest_;
   if (complete && proven_at_.has_value()) told.age = now - *proven_at_;
   return told;
 }
@@ -105,7 +106,8 @@
     Remove(removed.name, removed.revision);
   }
   revision_ = changes.to;
-  if (changes.age.has_value() && changes.digest == Digest()) {
+  digest_ = Digest();
+  if (changes.age.has_value() && changes.digest == digest_) {
     Prove(asked_at - *changes.age);
   }
   return !changes.changed.empty() || !changes.removed.empty();
