--- a/src/include/pollenledge/connection/heartbeat_link.h
+++ b/src/include/pollenledge/connection/heartbeat_link.h
@@ -8,9 +8,15 @@
 #include <vector>
 
 #include "pollenledge/process/membership.h"
+#include "pollenledge/result.h"
 
 namespace pollenledge {
 
+/// The bytes of a heartbeat's datagram.
+std::string EncodeHeartbeat(const Heartbeat& heartbeat);
+/// Whatever bytes came; an error if they are no heartbeat of a named sender.
+Result<Heartbeat> DecodeHeartbeat(const char* bytes, std::size_t size);
+
 /// Sends and receives heartbeats as datagrams of Cap'n Proto messages.
 ///
 /// A lost heartbeat is made good by the next. Not thread-safe; used on the
--- a/src/libpollenledge/connection/heartbeat_link.cc
+++ b/src/libpollenledge/connection/heartbeat_link.cc
@@ -18,7 +18,17 @@
 using boost::asio::ip::udp;
 using SystemError = boost::system::error_code;
 
-Result<Heartbeat> Decode(const char* bytes, std::size_t size) {
+}  // namespace
+
+std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
+  capnp::MallocMessageBuilder builder;
+  ToWire(heartbeat, builder.initRoot<wire::NodeHeartbeat>());
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+  const kj::ArrayPtr<const char> bytes = words.asChars();
+  return {bytes.begin(), bytes.size()};
+}
+
+Result<Heartbeat> DecodeHeartbeat(const char* bytes, std::size_t size) {
   // Cap'n Proto reads whole, aligned words.
   auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
   std::memcpy(words.begin(), bytes, words.size() * sizeof(capnp::word));
@@ -37,8 +47,6 @@
   return heartbeat;
 }
 
-}  // namespace
-
 HeartbeatLink::HeartbeatLink(boost::asio::io_context& loop,
                              const std::string& address, Callback on_heartbeat)
     : socket_(loop), on_heartbeat_(std::move(on_heartbeat)) {
@@ -57,13 +65,9 @@
         {{"error", ErrorOf(endpoint).message}});
     return;
   }
-  capnp::MallocMessageBuilder builder;
-  ToWire(message.heartbeat, builder.initRoot<wire::NodeHeartbeat>());
-  const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
-  const kj::ArrayPtr<const kj::byte> bytes = words.asBytes();
+  const std::string bytes = EncodeHeartbeat(message.heartbeat);
   SystemError ignored;  // A lost heartbeat is made good by the next.
-  socket_.send_to(boost::asio::buffer(bytes.begin(), bytes.size()),
-                  Value(endpoint), 0, ignored);
+  socket_.send_to(boost::asio::buffer(bytes), Value(endpoint), 0, ignored);
 }
 
 void HeartbeatLink::Receive() {
@@ -72,7 +76,7 @@
       [this](const SystemError& error, std::size_t size) {
         if (error == boost::asio::error::operation_aborted) return;
         if (!error) {
-          Result<Heartbeat> heartbeat = Decode(buffer_.data(), size);
+          Result<Heartbeat> heartbeat = DecodeHeartbeat(buffer_.data(), size);
           if (Ok(heartbeat)) {
             on_heartbeat_(std::move(Value(heartbeat)));
           } else {
--- /dev/null
+++ b/src/libpollenledge/connection/heartbeat_link_test.cc
@@ -0,0 +1,91 @@
+#include "pollenledge/connection/heartbeat_link.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "pollenledge/process/forward_node.h"
+
+namespace pollenledge {
+namespace {
+
+Heartbeat FullHeartbeat() {
+  Heartbeat heartbeat;
+  MemberRecord record;
+  record.id = {"n1", 7};
+  record.heartbeat = 3;
+  record.domain = "a";
+  record.peer_address = "10.0.0.1:7600";
+  record.admin_address = "10.0.0.1:8229";
+  record.tables_version = 4;
+  record.active_requests = 5;
+  record.processor_percent = 50;
+  record.uses = {{"c", 12.5}};
+  record.lateness = {{"s", 9, 2}};
+  heartbeat.records = {record};
+  heartbeat.asks_for_levels = true;
+  heartbeat.leads = true;
+  heartbeat.levels = {{"c", 100, 3}};
+  heartbeat.asked_at = TimePoint(std::chrono::seconds(5));
+  heartbeat.proof_age = std::chrono::milliseconds(30);
+  heartbeat.calendar = WallTime(std::chrono::hours(1000));
+  heartbeat.loads = {
+      {{"u", 2}, {1, 2, 6, 250}, std::chrono::milliseconds(40)}};
+  heartbeat.upstreams_revision = 11;
+  ForwardUpstreamInfo upstream;
+  upstream.id = {"u", 2};
+  upstream.address = "10.0.0.9:80";
+  upstream.service = "s";
+  upstream.domain = "a";
+  upstream.slots = 6;
+  upstream.leaving = true;
+  upstream.reclaimable = true;
+  upstream.leaves_in = std::chrono::seconds(2);
+  upstream.warmup_left = std::chrono::seconds(1);
+  upstream.revision = 10;
+  heartbeat.upstream_changes = UpstreamChanges{
+      12, {upstream}, {{"gone", 12}}, 99, std::chrono::milliseconds(7)};
+  heartbeat.usage = {{352, {{"c", 4}}}};
+  heartbeat.usage_taken = {351};
+  return heartbeat;
+}
+
+TEST(HeartbeatCodec, NothingIsLostOnTheWay) {
+  const Heartbeat sent = FullHeartbeat();
+  const std::string bytes = EncodeHeartbeat(sent);
+  const Result<Heartbeat> received =
+      DecodeHeartbeat(bytes.data(), bytes.size());
+  ASSERT_TRUE(Ok(received)) << ErrorOf(received).message;
+  EXPECT_EQ(Value(received), sent);
+}
+
+// Guards against a malformed message that ends a process: whatever the bytes
+// are, they are an error or a heartbeat that a node can take.
+TEST(HeartbeatCodec, NoBytesEndANode) {
+  constexpr int kMessages = 20'000;
+  std::mt19937_64 random(1);
+  const std::string whole = EncodeHeartbeat(FullHeartbeat());
+  ForwardOptions options;
+  options.self.id = {"n0", 1};
+  ForwardNode node(options);
+  TimePoint now(std::chrono::seconds(100));
+  int taken = 0;
+  for (int i = 0; i < kMessages; ++i) {
+    std::string bytes = whole;
+    for (std::uint64_t flips = random() % 8; flips > 0; --flips) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    if (random() % 4 == 0) bytes.resize(random() % bytes.size());
+    Result<Heartbeat> heartbeat = DecodeHeartbeat(bytes.data(), bytes.size());
+    if (!Ok(heartbeat)) continue;
+    ++taken;
+    now += std::chrono::milliseconds(1);
+    node.Handle(forward_event::HeartbeatReceived{std::move(Value(heartbeat))},
+                {now, WallTime()});
+    node.Handle(forward_event::Ticked{}, {now, WallTime()});
+  }
+  EXPECT_GT(taken, 0);
+}
+
+}  // namespace
+}  // namespace pollenledge
