--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -24,7 +24,7 @@
     )
     print(run.stdout)
     results = re.findall(
-        r"Test\s+#\d+: (\S+) \.+\s*(Passed|\S.*?)\s+[\d.]+ sec", run.stdout
+        r"Test\s+#\d+: (.+?) \.+\s*(Passed|\S.*?)\s+[\d.]+ sec", run.stdout
     )
     red = known_red()
     passed = [name for name, result in results if result == "Passed"]
