Read-through: no walk over all nodes on each event; one copy of what stood twice

No behaviour changes but one delay, see the first point.

- When to ask a collector next was worked out by a walk over all known nodes each time the timer was armed, so after every event of every stream.
The period is now kept and made anew with each update of the limits (at most a second old).
- All members were copied twice when a limit became low; the list is handed on.
- The least loaded upstream was sought for plain requests too, which do not use it.
- The tables' version, records without counts, the choice of collectors, the time since an update, and a report of load were each written twice or three times; the two ways of following the store in the adapter were copies.
- The check of a list's revision stood beside the same check in UpstreamList::Replace, which now says whether it took the list.
- Two methods of UsageReporter had one name, Advance.
- The two worlds of limit_buckets_test kept the same books; Admissions keeps them.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -227,8 +227,8 @@
   void UpdateLimits();
   /// What upstreams said here since peers were last told.
   std::vector<HeardLoad> LoadsToTell();
-  /// How often each collector is asked.
-  Duration QuestionPeriod() const;
+  /// The collectors as this node sees them; it may be among them.
+  std::vector<const MemberRecord*> ChooseCollectors();
   /// Tells the collectors what was used here, and asks for what they know.
   void AskCollectors();
   /// Notes whether this node is a collector from now on.
@@ -240,7 +240,7 @@
   /// Tells a node that has just started whom to ask in a large fleet.
   void Welcome(const MemberRecord& sender);
   /// As a collector, tells all nodes that a limit has become low.
-  void TellLowLevels();
+  void TellLowLevels(const std::vector<Member>& others);
   /// How often it may do so.
   Duration LowLevelPeriod() const;
   /// Tells the collectors soon what was used of a limit that is low.
@@ -256,6 +256,8 @@
                                      const std::vector<UsageReport>& reports);
   void LogCalendar(Duration correction);
 
+  /// Of the tables in force; 0 if there are none.
+  std::uint64_t TablesVersion() const;
   void AdoptTables(const std::shared_ptr<const ForwardingIndex>& tables,
                    const char* source);
   void LogRequest(LogLevel level, const char* event, const Request& request,
@@ -282,6 +284,7 @@
   TimePoint loads_told_at_;
   CollectorChoice collectors_;
   TimePoint asked_at_;
+  Duration question_period_ = kHeartbeatPeriod;  ///< To each collector.
   TimePoint levels_told_at_;
   TimePoint low_use_told_at_;
   RetryBudget retry_budget_;
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -54,6 +54,9 @@
 
   std::vector<LatenessCount> lateness;
 
+  /// Who and where the node is, without what it used and counted.
+  MemberRecord WithoutCounts() const;
+
   static constexpr std::size_t kMaxDemands = 8;
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
--- a/src/include/pollenledge/process/upstream_list.h
+++ b/src/include/pollenledge/process/upstream_list.h
@@ -49,9 +49,9 @@
   /// Upstreams that one message tells of at most.
   static constexpr std::size_t kMostChanges = 48;
 
-  /// The list as it was read, no earlier than `read_at`. An older revision
-  /// than the present one changes nothing.
-  void Replace(std::vector<ForwardUpstreamInfo> list, std::int64_t revision,
+  /// The list as it was read, no earlier than `read_at`. Returns false if an
+  /// older revision than the present one was read, which changes nothing.
+  bool Replace(std::vector<ForwardUpstreamInfo> list, std::int64_t revision,
                std::optional<TimePoint> read_at);
 
   /// What a node that knows the list up to `revision` is to be told. Nothing
--- a/src/include/pollenledge/process/usage_reporter.h
+++ b/src/include/pollenledge/process/usage_reporter.h
@@ -64,7 +64,7 @@
   };
 
   void Tick();
-  void Advance(WallTime now);
+  void AdvanceAll(WallTime now);
   /// True if it is time to write what this node knows of `window`.
   bool IsDue(UsageWindow window, WallTime now) const;
   void WriteOwn(UsageWindow window);
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -219,6 +219,10 @@
   AdoptTables(heard.tables, "watch");
 }
 
+std::uint64_t ForwardNode::TablesVersion() const {
+  return index_ == nullptr ? 0 : index_->tables().version;
+}
+
 void ForwardNode::AdoptTables(
     const std::shared_ptr<const ForwardingIndex>& tables, const char* source) {
   // Versions only grow: a late answer or a stale read changes nothing.
@@ -237,9 +241,10 @@
 }
 
 void ForwardNode::On(const forward_event::UpstreamsListed& listed) {
-  if (listed.revision < upstream_list_.revision()) return;
-  upstream_list_.Replace(listed.upstreams, listed.revision, listed.read_at);
-  UseUpstreams();
+  if (upstream_list_.Replace(listed.upstreams, listed.revision,
+                             listed.read_at)) {
+    UseUpstreams();
+  }
 }
 
 void ForwardNode::UseUpstreams() {
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -18,7 +18,6 @@
 constexpr double kProofPart = 0.7;
 /// Questions to a collector are spread so that it answers this many a second.
 constexpr double kQuestionsPerSecond = 400;
-constexpr Duration kShortestQuestionPeriod = std::chrono::milliseconds(250);
 constexpr Duration kLongestQuestionPeriod = std::chrono::seconds(1);
 /// What was used of a limit that is low is told this soon, and a collector
 /// tells this soon that one has become low.
@@ -65,10 +64,10 @@
 
 // Collectors.
 
-Duration ForwardNode::QuestionPeriod() const {
-  const int nodes = membership_.ShareholderCount(now());
-  return std::clamp(FromSeconds(nodes / kQuestionsPerSecond),
-                    kShortestQuestionPeriod, kLongestQuestionPeriod);
+std::vector<const MemberRecord*> ForwardNode::ChooseCollectors() {
+  return collectors_.Choose(
+      membership_.Ranked(CollectorChoice::kCandidates, now()),
+      membership_.self().id.name, now());
 }
 
 void ForwardNode::AskCollectors() {
@@ -81,8 +80,7 @@
   question.suspects = suspects_.ReportsToTell(kMaxSuspectReports, now());
   question.loads = LoadsToTell();
   const std::string& self = membership_.self().id.name;
-  const std::vector<const MemberRecord*> chosen = collectors_.Choose(
-      membership_.Ranked(CollectorChoice::kCandidates, now()), self, now());
+  const std::vector<const MemberRecord*> chosen = ChooseCollectors();
   NoteCollecting(std::any_of(
       chosen.begin(), chosen.end(),
       [&](const MemberRecord* record) { return record->id.name == self; }));
@@ -126,8 +124,7 @@
   membership_.Announce();
   Heartbeat answer;
   answer.records = membership_.PickRecords();
-  answer.records.front().tables_version =
-      index_ == nullptr ? 0 : index_->tables().version;
+  answer.records.front().tables_version = TablesVersion();
   answer.leads = limits_.Leads(now());
   answer.levels = limits_.LevelsFor(node, now());
   answer.calendar = now_.wall;
@@ -141,25 +138,21 @@
   welcome.suspects = suspects_.ReportsToTell(kMaxSuspectReports, now());
   for (const MemberRecord* record :
        membership_.Ranked(CollectorChoice::kCandidates, now())) {
-    welcome.records.push_back(*record);
-    welcome.records.back().uses.clear();
-    welcome.records.back().lateness.clear();
+    welcome.records.push_back(record->WithoutCounts());
   }
   Emit(
       forward_action::SendHeartbeat{{sender.peer_address, std::move(welcome)}});
 }
 
-void ForwardNode::TellLowLevels() {
+void ForwardNode::TellLowLevels(const std::vector<Member>& others) {
   const Duration period = LowLevelPeriod();
   if (!is_collector_ || now() - levels_told_at_ < period) return;
   if (!limits_.Leads(now()) || !limits_.TakeLevelNews()) return;
   levels_told_at_ = now();
-  for (const Member& member : membership_.Others(now())) {
+  for (const Member& member : others) {
     if (member.status != MemberStatus::kAlive) continue;
     Heartbeat news;
-    news.records = {membership_.self()};
-    news.records.front().uses.clear();
-    news.records.front().lateness.clear();
+    news.records = {membership_.self().WithoutCounts()};
     news.leads = true;
     news.levels = limits_.LowLevelsFor(member.record.id.name, now());
     Emit(forward_action::SendHeartbeat{
@@ -182,9 +175,7 @@
   report.records = {membership_.Announce()};
   report.records.front().uses = limits_.LowUses();
   report.records.front().lateness = lateness_;
-  for (const MemberRecord* collector : collectors_.Choose(
-           membership_.Ranked(CollectorChoice::kCandidates, now()),
-           membership_.self().id.name, now())) {
+  for (const MemberRecord* collector : ChooseCollectors()) {
     Emit(forward_action::SendHeartbeat{{collector->peer_address, report}});
   }
 }
@@ -273,10 +264,10 @@
 void ForwardNode::SendHeartbeats() {
   membership_.SetLed(limits_.IsLed(now()) || is_collector_);
   const bool asks =
-      membership_.IsSparse() && now() - asked_at_ >= QuestionPeriod();
+      membership_.IsSparse() && now() - asked_at_ >= question_period_;
   if (!asks && !membership_.IsDue(now())) return;
   MemberRecord self = membership_.self();
-  self.tables_version = index_ == nullptr ? 0 : index_->tables().version;
+  self.tables_version = TablesVersion();
   self.active_requests = static_cast<std::uint32_t>(requests_.size());
   self.leaving = draining();
   self.uses = limits_.Uses();
@@ -308,7 +299,7 @@
 
 TimePoint ForwardNode::HeartbeatsDue(TimePoint now) const {
   TimePoint due = membership_.NextDue(now);
-  if (membership_.IsSparse()) due = std::min(due, asked_at_ + QuestionPeriod());
+  if (membership_.IsSparse()) due = std::min(due, asked_at_ + question_period_);
   return due;
 }
 
@@ -317,13 +308,16 @@
 void ForwardNode::UpdateLimits() {
   limits_updated_at_ = now();
   const int known = membership_.ShareholderCount(now());
-  limits_.SetReportPeriod(membership_.IsSparse() ? QuestionPeriod()
+  question_period_ = std::clamp(FromSeconds(known / kQuestionsPerSecond),
+                                kHeartbeatPeriod, kLongestQuestionPeriod);
+  limits_.SetReportPeriod(membership_.IsSparse() ? question_period_
                                                  : kHeartbeatPeriod);
   if (limits_.IsLed(now())) {
     limits_.Follow(known, now());
   } else {
-    limits_.Update(membership_.Others(now()), now());
-    TellLowLevels();
+    const std::vector<Member> others = membership_.Others(now());
+    limits_.Update(others, now());
+    TellLowLevels(others);
   }
   const int nodes = std::max(expected_nodes_, known);
   retry_budget_.SetMaxSaved(options_.retry_slack / nodes);
--- a/src/libpollenledge/process/forward_upstreams.cc
+++ b/src/libpollenledge/process/forward_upstreams.cc
@@ -72,6 +72,11 @@
          (1 + kLoadCost * std::min(1.0, load) + waiting);
 }
 
+/// What `upstream` said last; it must have said something.
+HeardLoad HeardFrom(const ForwardUpstream& upstream, TimePoint now) {
+  return {upstream.info.id, *upstream.report, now - upstream.reported_at};
+}
+
 std::uint64_t RendezvousWeight(const std::string& name,
                                std::uint64_t affinity) {
   return XXH64(name.data(), name.size(), affinity);
@@ -170,6 +175,9 @@
   RemoveAvoided(query, &candidates);
   // Ties fall differently at each node and time.
   std::shuffle(candidates.begin(), candidates.end(), random_);
+  if (!query.least_loaded && !query.affinity.has_value()) {
+    return FirstToEnd(query, candidates, now);
+  }
   const auto relative_load = [now](const ForwardUpstream* upstream) {
     return upstream->EstimatedLoad(now) / std::max(1, upstream->info.slots);
   };
@@ -180,7 +188,6 @@
   ForwardUpstream* least =
       *std::min_element(candidates.begin(), candidates.end(), less_loaded);
   if (query.least_loaded) return least;
-  if (!query.affinity.has_value()) return FirstToEnd(query, candidates, now);
   double total = 0;
   for (const ForwardUpstream* candidate : candidates) {
     total += candidate->EstimatedLoad(now);
@@ -343,8 +350,7 @@
   for (const auto& [name, upstream] : upstreams_) {
     if (!upstream.heard_here || upstream.reported_at <= since) continue;
     if (now - upstream.reported_at > kReportLife) continue;
-    reports.push_back(
-        {upstream.info.id, *upstream.report, now - upstream.reported_at});
+    reports.push_back(HeardFrom(upstream, now));
   }
   return reports;
 }
@@ -356,8 +362,7 @@
     const bool is_fresh =
         upstream.report.has_value() && now - upstream.reported_at < kReportLife;
     if (!is_fresh) continue;
-    reports.push_back(
-        {upstream.info.id, *upstream.report, now - upstream.reported_at});
+    reports.push_back(HeardFrom(upstream, now));
   }
   const auto busier = [](const HeardLoad& a, const HeardLoad& b) {
     const auto per_slot = [](const ReportedLoad& load) {
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -38,6 +38,13 @@
   return 1 - std::exp(-elapsed_s / ToSeconds(kRateMemory));
 }
 
+/// Seconds since `*since`, which becomes `now`; 0 the first time.
+double TakeElapsed(std::optional<TimePoint>* since, TimePoint now) {
+  const TimePoint before = since->value_or(now);
+  *since = now;
+  return ToSeconds(now - before);
+}
+
 /// How many steps `level` is down.
 int StepOf(double level, double burst) {
   return static_cast<int>(
@@ -94,9 +101,7 @@
 }
 
 void LimitBuckets::Refill(TimePoint now) {
-  const double elapsed_s =
-      refilled_at_.has_value() ? ToSeconds(now - *refilled_at_) : 0;
-  refilled_at_ = now;
+  const double elapsed_s = TakeElapsed(&refilled_at_, now);
   // What comes in while a collector is followed is the collector's to tell.
   const bool led = IsLed(now);
   for (auto& [name, bucket] : buckets_) {
@@ -129,9 +134,7 @@
       updated_at_.has_value() && now - *updated_at_ > silent_after_;
   if (was_away) ForgetOthers(now);
   Refill(now);
-  const double elapsed_s =
-      updated_at_.has_value() ? ToSeconds(now - *updated_at_) : 0;
-  updated_at_ = now;
+  const double elapsed_s = TakeElapsed(&updated_at_, now);
   const bool led = IsLed(now);
   nodes_ = 1;
   int silent = 0;
@@ -152,9 +155,7 @@
 
 void LimitBuckets::Follow(int nodes, TimePoint now) {
   Refill(now);
-  const double elapsed_s =
-      updated_at_.has_value() ? ToSeconds(now - *updated_at_) : 0;
-  updated_at_ = now;
+  const double elapsed_s = TakeElapsed(&updated_at_, now);
   nodes_ = nodes;
   // Whatever they use until they are followed again is counted elsewhere.
   peers_.clear();
--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -21,12 +21,54 @@
   return TimePoint(std::chrono::seconds(100)) + since;
 }
 
+/// What was admitted of one customer's requests, beside a central bucket that
+/// sees the same ones.
+class Admissions {
+ public:
+  explicit Admissions(double rate) : rate_(rate), central_level_(rate) {}
+
+  void Refill() {
+    central_level_ = std::min(rate_, central_level_ + rate_ * ToSeconds(kStep));
+  }
+  void Note(double units, bool is_admitted, Duration now) {
+    if (is_admitted) {
+      admitted_ += units;
+      window_.push_back({now, units});
+      window_sum_ += units;
+      worst_window_ = std::max(worst_window_, window_sum_);
+    }
+    if (central_level_ >= std::min(units, rate_)) {
+      central_level_ -= units;
+      central_ += units;
+    }
+  }
+  void Expire(Duration now) {
+    while (!window_.empty() && window_.front().first <= now - kWindow) {
+      window_sum_ -= window_.front().second;
+      window_.pop_front();
+    }
+  }
+
+  double admitted() const { return admitted_; }
+  double central() const { return central_; }
+  double worst_window() const { return worst_window_; }
+
+ private:
+  double rate_;
+  double central_level_;
+  double admitted_ = 0;
+  double central_ = 0;
+  std::deque<std::pair<Duration, double>> window_;
+  double window_sum_ = 0;
+  double worst_window_ = 0;
+};
+
 /// Several nodes that share one customer's limit, and a central bucket that
 /// sees the same requests.
 class LimitWorld {
  public:
   explicit LimitWorld(int nodes, double rate = kRate)
-      : rate_(rate), burst_(rate), central_level_(rate) {
+      : rate_(rate), admissions_(rate) {
     for (int i = 0; i < nodes; ++i) {
       Start(i);
       connected_.push_back(true);
@@ -36,7 +78,7 @@
 
   void Start(int node) {
     auto limits = std::make_unique<LimitBuckets>(LimitBucketOptions{});
-    limits->Configure({{"c", rate_, burst_}}, At(now_));
+    limits->Configure({{"c", rate_, rate_}}, At(now_));
     const auto index = static_cast<std::size_t>(node);
     if (index < limits_.size()) {
       limits_[index] = std::move(limits);
@@ -62,39 +104,24 @@
     std::bernoulli_distribution arrives(chance);
     for (Duration end = now_ + time; now_ < end; now_ += kStep) {
       if (now_.count() % kBeat.count() == 0) Beat();
-      central_level_ =
-          std::min(burst_, central_level_ + rate_ * ToSeconds(kStep));
+      admissions_.Refill();
       if (arrives(*random)) Offer(cost(*random), random);
-      Expire();
+      admissions_.Expire(now_);
     }
   }
 
-  double admitted() const { return admitted_; }
-  double central() const { return central_; }
-  double worst_window() const { return worst_window_; }
+  double admitted() const { return admissions_.admitted(); }
+  double central() const { return admissions_.central(); }
+  double worst_window() const { return admissions_.worst_window(); }
 
  private:
   void Offer(double units, std::mt19937_64* random) {
     // Two nodes get half of all requests.
     const std::size_t any = (*random)() % limits_.size();
     const std::size_t node = (*random)() % 2 == 0 ? any : any % 2;
-    if (!limits_[node]->Take("c", units, At(now_)).has_value()) {
-      admitted_ += units;
-      window_.push_back({now_, units});
-      window_sum_ += units;
-      worst_window_ = std::max(worst_window_, window_sum_);
-    }
-    if (central_level_ >= std::min(units, burst_)) {
-      central_level_ -= units;
-      central_ += units;
-    }
-  }
-
-  void Expire() {
-    while (!window_.empty() && window_.front().first <= now_ - kWindow) {
-      window_sum_ -= window_.front().second;
-      window_.pop_front();
-    }
+    const bool is_admitted =
+        !limits_[node]->Take("c", units, At(now_)).has_value();
+    admissions_.Note(units, is_admitted, now_);
   }
 
   void Beat() {
@@ -146,13 +173,7 @@
   int collectors_ = 0;  ///< 0: every node hears every other in time.
   Duration now_{0};
   double rate_;
-  double burst_;
-  double central_level_;
-  double admitted_ = 0;
-  double central_ = 0;
-  std::deque<std::pair<Duration, double>> window_;
-  double window_sum_ = 0;
-  double worst_window_ = 0;
+  Admissions admissions_;
 };
 
 /// A large fleet that shares one customer's limit by two collectors, as the
@@ -161,7 +182,7 @@
 class CollectedFleet {
  public:
   CollectedFleet(int nodes, double rate, Duration period)
-      : rate_(rate), period_(period), central_level_(rate) {
+      : rate_(rate), period_(period), admissions_(rate) {
     const auto count = static_cast<std::size_t>(nodes);
     for (std::size_t i = 0; i < count; ++i) {
       limits_.push_back(std::make_unique<LimitBuckets>(LimitBucketOptions{}));
@@ -184,13 +205,9 @@
         if (now_ - asked_at_[i] >= period_) Ask(i);
       }
       if (now_ % kCollectorPeriod == Duration(0)) Collect();
-      central_level_ =
-          std::min(rate_, central_level_ + rate_ * ToSeconds(kStep));
+      admissions_.Refill();
       for (int n = arrivals(*random); n > 0; --n) Offer(cost(*random), random);
-      while (!window_.empty() && window_.front().first <= now_ - kWindow) {
-        window_sum_ -= window_.front().second;
-        window_.pop_front();
-      }
+      admissions_.Expire(now_);
     }
   }
 
@@ -202,9 +219,9 @@
   /// From now on this part of what collectors say is lost.
   void Lose(double part) { loss_ = part; }
 
-  double admitted() const { return admitted_; }
-  double central() const { return central_; }
-  double worst_window() const { return worst_window_; }
+  double admitted() const { return admissions_.admitted(); }
+  double central() const { return admissions_.central(); }
+  double worst_window() const { return admissions_.worst_window(); }
 
  private:
   /// What a collector heard of a node last.
@@ -220,18 +237,11 @@
   void Offer(double units, std::mt19937_64* random) {
     const std::size_t node =
         kCollectors + (*random)() % (limits_.size() - kCollectors);
-    if (!limits_[node]->Take("c", units, At(now_)).has_value()) {
-      admitted_ += units;
-      window_.push_back({now_, units});
-      window_sum_ += units;
-      worst_window_ = std::max(worst_window_, window_sum_);
-      const bool is_due = now_ - asked_at_[node] >= kLowPeriod;
-      if (is_due && limits_[node]->IsLow("c")) Ask(node);
-    }
-    if (central_level_ >= std::min(units, rate_)) {
-      central_level_ -= units;
-      central_ += units;
-    }
+    const bool is_admitted =
+        !limits_[node]->Take("c", units, At(now_)).has_value();
+    admissions_.Note(units, is_admitted, now_);
+    const bool is_due = now_ - asked_at_[node] >= kLowPeriod;
+    if (is_admitted && is_due && limits_[node]->IsLow("c")) Ask(node);
   }
 
   bool IsSuspended(std::size_t node) const {
@@ -302,12 +312,7 @@
   Duration now_{0};
   double rate_;
   Duration period_;
-  double central_level_;
-  double admitted_ = 0;
-  double central_ = 0;
-  std::deque<std::pair<Duration, double>> window_;
-  double window_sum_ = 0;
-  double worst_window_ = 0;
+  Admissions admissions_;
 };
 
 /// What the users allow in eight seconds: a tenth over the limit, and a slack.
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -33,6 +33,13 @@
   return "?";
 }
 
+MemberRecord MemberRecord::WithoutCounts() const {
+  MemberRecord record = *this;
+  record.uses.clear();
+  record.lateness.clear();
+  return record;
+}
+
 Membership::Membership(MemberRecord self, std::vector<std::string> seeds,
                        std::uint64_t seed, HeartbeatOptions options)
     : options_(options),
@@ -235,10 +242,7 @@
     ++next;
   }
   if (options_.sparse_period > Duration::zero() && IsSparse()) {
-    for (MemberRecord& record : records) {
-      record.uses.clear();
-      record.lateness.clear();
-    }
+    for (MemberRecord& record : records) record = record.WithoutCounts();
   }
   return records;
 }
--- a/src/libpollenledge/process/upstream_list.cc
+++ b/src/libpollenledge/process/upstream_list.cc
@@ -31,10 +31,10 @@
 
 }  // namespace
 
-void UpstreamList::Replace(std::vector<ForwardUpstreamInfo> list,
+bool UpstreamList::Replace(std::vector<ForwardUpstreamInfo> list,
                            std::int64_t revision,
                            std::optional<TimePoint> read_at) {
-  if (revision < revision_) return;
+  if (revision < revision_) return false;
   std::map<std::string, ForwardUpstreamInfo> replaced;
   for (ForwardUpstreamInfo& info : list) {
     const std::string name = info.id.name;
@@ -48,6 +48,7 @@
   revision_ = revision;
   digest_ = Digest();
   if (read_at.has_value()) Prove(*read_at);
+  return true;
 }
 
 void UpstreamList::Remove(const std::string& name, std::int64_t revision) {
--- a/src/libpollenledge/process/usage_reporter.cc
+++ b/src/libpollenledge/process/usage_reporter.cc
@@ -51,7 +51,7 @@
 }
 
 void UsageReporter::Tick() {
-  if (hooks_.calendar_is_known()) Advance(hooks_.now());
+  if (hooks_.calendar_is_known()) AdvanceAll(hooks_.now());
   timer_.expires_after(kTickPeriod);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Tick();
@@ -78,7 +78,7 @@
   return prefix_ + "sum/" + std::to_string(window);
 }
 
-void UsageReporter::Advance(WallTime now) {
+void UsageReporter::AdvanceAll(WallTime now) {
   const UsageWindow present = ledger_->WindowOf(now);
   // The calendar was ahead when the process started.
   first_window_ = std::min(first_window_, present);
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -85,15 +85,11 @@
         config_(
             loop_, &store_, kOperatorConfigKey,
             PollPeriod(settings.tables_bound), DecodeTables,
-            {[this](Duration period, TimePoint now) {
-               return service_.node().NeedsTablesRead(period, now);
-             },
-             [this] { return service_.node().WatchesStore(BootNow()); },
-             [this] { return service_.node().is_collector(); }},
+            Following(&ForwardNode::NeedsTablesRead),
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         upstreams_(
             loop_, &store_, kUpstreamPrefix, PollPeriod(settings.leaving_bound),
-            DecodeUpstream, StoreNeeds(),
+            DecodeUpstream, Following(&ForwardNode::NeedsUpstreamsRead),
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         suspects_(
             loop_, &store_, kSuspectsKey,
@@ -144,12 +140,15 @@
         [&node] { return node.calendar().IsKnown(BootNow()); }};
   }
 
-  StoreFollowing StoreNeeds() {
-    return {[this](Duration period, TimePoint now) {
-              return service_.node().NeedsUpstreamsRead(period, now);
+  /// How far the store must be read for what `needs_read` tells of.
+  StoreFollowing Following(bool (ForwardNode::*needs_read)(Duration, TimePoint)
+                               const) {
+    const ForwardNode& node = service_.node();
+    return {[&node, needs_read](Duration period, TimePoint now) {
+              return (node.*needs_read)(period, now);
             },
-            [this] { return service_.node().WatchesStore(BootNow()); },
-            [this] { return service_.node().is_collector(); }};
+            [&node] { return node.WatchesStore(BootNow()); },
+            [&node] { return node.is_collector(); }};
   }
 
   ForwardServiceOptions WithStore(ForwardServiceOptions options) {
