Log what limit on requests an upstream states

Change: one type for what an upstream states about itself (UpstreamSignals), decoded once in the adapter; malformed limits are logged and counted and change nothing. UpstreamRateLimits keeps them by incarnation, with the order of responses that overtake each other. A line upstream_limit when one begins, changes or ends, and the gauge limited_upstreams. Nothing else reads them yet.

--- a/src/include/pollenledge/connection/forwarding_codec.h
+++ b/src/include/pollenledge/connection/forwarding_codec.h
@@ -7,6 +7,7 @@
 
 #include "pollenledge/connection/http_reader.h"
 #include "pollenledge/request/forward_request.h"
+#include "pollenledge/request/upstream_signals.h"
 #include "pollenledge/result.h"
 
 namespace pollenledge {
@@ -30,9 +31,7 @@
   /// The response has a content encoding, so that its body is not the
   /// upstream's own bytes.
   bool is_encoded = false;
-  std::optional<ReportedLoad> load;
-  /// The upstream reported its load in a form that could not be parsed.
-  bool load_is_unreadable = false;
+  UpstreamSignals signals;
 
   friend bool operator==(const ResponseInfo&, const ResponseInfo&) = default;
 };
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -9,6 +9,7 @@
 #include "pollenledge/process/log.h"
 #include "pollenledge/process/membership.h"
 #include "pollenledge/request/forward_request.h"
+#include "pollenledge/request/upstream_signals.h"
 #include "pollenledge/version/forwarding_tables.h"
 
 namespace pollenledge {
@@ -25,6 +26,11 @@
 struct CallerDisconnected {
   ForwardId id = 0;
 };
+/// The current attempt received the head of its response.
+struct ResponseHeadReceived {
+  ForwardId id = 0;
+  UpstreamSignals signals;
+};
 /// The current attempt received its first stream event.
 struct FirstEventReceived {
   ForwardId id = 0;
@@ -85,12 +91,13 @@
 
 using ForwardEvent = std::variant<
     forward_event::RequestArrived, forward_event::CallerDisconnected,
-    forward_event::FirstEventReceived, forward_event::EventsForwarded,
-    forward_event::AttemptEnded, forward_event::TablesRead,
-    forward_event::TablesWatchUpdate, forward_event::UpstreamsListed,
-    forward_event::HeartbeatReceived, forward_event::SuspectsRead,
-    forward_event::SuspectLifted, forward_event::FleetSizeRead,
-    forward_event::DrainStarted, forward_event::Ticked>;
+    forward_event::ResponseHeadReceived, forward_event::FirstEventReceived,
+    forward_event::EventsForwarded, forward_event::AttemptEnded,
+    forward_event::TablesRead, forward_event::TablesWatchUpdate,
+    forward_event::UpstreamsListed, forward_event::HeartbeatReceived,
+    forward_event::SuspectsRead, forward_event::SuspectLifted,
+    forward_event::FleetSizeRead, forward_event::DrainStarted,
+    forward_event::Ticked>;
 
 /// Actions that a forwarding node requests in response to an event.
 namespace forward_action {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -18,6 +18,7 @@
 #include "pollenledge/process/retry_budget.h"
 #include "pollenledge/process/upstream_balancer.h"
 #include "pollenledge/process/upstream_list.h"
+#include "pollenledge/process/upstream_rate_limits.h"
 #include "pollenledge/process/usage_ledger.h"
 #include "pollenledge/process/wall_clock_estimate.h"
 
@@ -84,6 +85,7 @@
   const Membership& membership() const { return membership_; }
   const UpstreamBalancer& upstreams() const { return upstreams_; }
   const CrashSuspects& suspects() const { return suspects_; }
+  const UpstreamRateLimits& rate_limits() const { return rate_limits_; }
   const UsageLedger& usage() const { return usage_; }
   UsageLedger& usage() { return usage_; }
   /// Usage counts that other nodes reported to this one as a collector.
@@ -153,6 +155,7 @@
     int possible_runs = 0;                     ///< Attempts that may have run.
     std::vector<std::string> tried_upstreams;  ///< Upstreams it was sent to.
     std::string current_upstream;  ///< Of the current attempt; empty: none.
+    std::uint64_t current_incarnation = 0;   ///< Of `current_upstream`.
     std::int64_t pending_prompt_tokens = 0;  ///< Of the current attempt.
     TimePoint sent_at;
     TimePoint last_event_at;
@@ -169,6 +172,7 @@
 
   void On(const forward_event::RequestArrived& arrived);
   void On(const forward_event::CallerDisconnected& disconnected);
+  void On(const forward_event::ResponseHeadReceived& received);
   void On(const forward_event::FirstEventReceived& first);
   void On(const forward_event::EventsForwarded& forwarded);
   void On(const forward_event::AttemptEnded& ended);
@@ -262,6 +266,11 @@
   void SendSuspectReports();
   void ExpireSuspects();
 
+  // Rate limits of upstreams.
+  /// `source` tells from where this node learned of the change.
+  void LogRateLimit(const UpstreamId& upstream, RateLimitChange change,
+                    const std::string& source);
+
   // Attempts.
   /// The upstream processed the prompt, or the attempt ended before that.
   void RecordPromptProcessed(Request* request);
@@ -353,6 +362,7 @@
   WallClockEstimate wall_clock_;
   UpstreamList upstream_list_;
   UpstreamBalancer upstreams_;
+  UpstreamRateLimits rate_limits_;
   Membership membership_;
   LimitBuckets limits_;
   /// Minimum number of nodes among which limits and retries are shared.
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -104,6 +104,9 @@
   void Execute(const forward_action::WriteLogLine& line);
 
   bool OnResponseHead(ForwardId id, const HttpHead& head);
+  /// Logs and counts what an upstream stated in a malformed way.
+  void ReportUnreadableSignals(const Exchange& exchange,
+                               const UpstreamSignals& signals);
   void OnResponseBody(ForwardId id, const std::string& bytes);
   void OnAttemptEnd(ForwardId id, ClientExchangeResult end);
   /// Aborts an attempt whose response exceeds a size limit.
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -77,6 +77,7 @@
   if (request->attempts == 0) retry_budget_.OnFirstAttempt(request->service);
   ++request->attempts;
   request->current_upstream = upstream->info.id.name;
+  request->current_incarnation = upstream->info.id.incarnation;
   request->tried_upstreams.push_back(request->current_upstream);
   request->sent_at = now();
   request->last_event_at = now();
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -220,6 +220,8 @@
                     static_cast<double>(node_.suspects().size()));
   metrics_.SetGauge("rejected_suspects",
                     static_cast<double>(node_.suspects().CountRejected(now)));
+  metrics_.SetGauge("limited_upstreams",
+                    static_cast<double>(node_.rate_limits().Limited().size()));
   metrics_.SetGauge("known_nodes", node_.membership().KnownNodeCount(now));
   metrics_.SetGauge("retry_share", node_.max_saved_retries());
   metrics_.SetGauge("upstream_connections_opened",
@@ -309,12 +311,7 @@
         {{"request", exchange->spec.trace_id}, {"answer_to", *info.trace_id}});
     return false;
   }
-  if (info.load_is_unreadable) {
-    metrics_.IncrementCounter("loads_unreadable_total");
-    Log(LogLevel::kWarn, "load_unreadable",
-        {{"request", exchange->spec.trace_id},
-         {"upstream", exchange->upstream_connection->address()}});
-  }
+  ReportUnreadableSignals(*exchange, info.signals);
   exchange->response_head = head;
   exchange->response_info = std::move(info);
   exchange->forwarding_events = exchange->expects_stream &&
@@ -322,7 +319,23 @@
                                 exchange->response_info.is_signed &&
                                 exchange->response_info.trace_id.has_value() &&
                                 !exchange->response_info.is_encoded;
-  return true;
+  Submit(
+      forward_event::ResponseHeadReceived{id, exchange->response_info.signals});
+  return FindExchange(id) != nullptr;
+}
+
+void ForwardService::ReportUnreadableSignals(const Exchange& exchange,
+                                             const UpstreamSignals& signals) {
+  const auto report = [&](const char* counter, const char* event) {
+    metrics_.IncrementCounter(counter);
+    Log(LogLevel::kWarn, event,
+        {{"request", exchange.spec.trace_id},
+         {"upstream", exchange.upstream_connection->address()}});
+  };
+  if (signals.load_is_unreadable)
+    report("loads_unreadable_total", "load_unreadable");
+  if (signals.limit_is_unreadable)
+    report("upstream_limits_unreadable_total", "upstream_limit_unreadable");
 }
 
 void ForwardService::OnResponseBody(ForwardId id, const std::string& bytes) {
@@ -371,7 +384,7 @@
   DiscardBufferedResponse(exchange);
   Submit(forward_event::AttemptEnded{id, ForwardOutcome::kInvalidResponse,
                                      exchange->response_head.status,
-                                     exchange->response_info.load});
+                                     exchange->response_info.signals.load});
 }
 
 void ForwardService::DiscardBufferedResponse(Exchange* exchange) {
@@ -394,7 +407,7 @@
   const ForwardOutcome forward_end = ClassifyEnd(*exchange, end);
   Submit(forward_event::AttemptEnded{id, forward_end,
                                      exchange->response_head.status,
-                                     exchange->response_info.load});
+                                     exchange->response_info.signals.load});
 }
 
 ForwardOutcome ForwardService::ClassifyEnd(const Exchange& exchange,
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <string_view>
 
@@ -31,6 +32,10 @@
 constexpr char kNotRun[] = "Not-Executed";
 // Requests in progress at the upstream; see `DecodeLoad`.
 constexpr char kLoad[] = "Server-Load";
+// Requests per second that the upstream accepts from all nodes together.
+constexpr char kRateLimit[] = "Server-Limit";
+/// A higher limit is never reached, so that it is none.
+constexpr double kMaxRateLimit = 10000;
 // The request reached another upstream than the target and was not run.
 constexpr int kStatusMisdirected = 421;
 
@@ -68,6 +73,18 @@
   return number;
 }
 
+/// As `ParseNumber`, for a decimal number. "nan" and "inf" are no numbers.
+std::optional<double> ParseDecimal(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  const bool is_number = !text.empty() && parsed.ec == std::errc() &&
+                         parsed.ptr == end && std::isfinite(number);
+  return is_number ? std::optional(number) : std::nullopt;
+}
+
 std::vector<std::string_view> SplitAtCommas(std::string_view text) {
   std::vector<std::string_view> parts;
   while (!text.empty()) {
@@ -191,6 +208,35 @@
   return load;
 }
 
+/// Decodes a rate limit into `signals`. An upstream that repeats the field
+/// means the lowest of its values.
+void DecodeRateLimit(const std::string& text, UpstreamSignals* signals) {
+  for (const std::string_view part : SplitAtCommas(text)) {
+    const std::optional<double> limit = ParseDecimal(part);
+    if (!limit || *limit < 0) {
+      signals->limit_is_unreadable = true;
+      continue;
+    }
+    if (*limit > kMaxRateLimit) continue;
+    signals->max_requests_per_s =
+        std::min(*limit, signals->max_requests_per_s.value_or(*limit));
+  }
+  if (text.empty()) signals->limit_is_unreadable = true;
+}
+
+UpstreamSignals DecodeSignals(const HttpHead& response) {
+  UpstreamSignals signals;
+  if (const std::string* load = response.Find(kLoad)) {
+    signals.load = DecodeLoad(*load);
+    signals.load_is_unreadable = !signals.load.has_value();
+  }
+  for (const HttpField& field : response.fields) {
+    if (EqualsIgnoreCase(field.name, kRateLimit))
+      DecodeRateLimit(field.value, &signals);
+  }
+  return signals;
+}
+
 ResponseInfo DecodeResponse(const HttpHead& response) {
   ResponseInfo info;
   if (const std::string* id = response.Find(kTraceId)) info.trace_id = *id;
@@ -198,10 +244,7 @@
   info.not_run = response.Find(kNotRun) != nullptr ||
                  response.status == kStatusMisdirected;
   info.is_encoded = response.Find("Content-Encoding") != nullptr;
-  if (const std::string* load = response.Find(kLoad)) {
-    info.load = DecodeLoad(*load);
-    info.load_is_unreadable = !info.load.has_value();
-  }
+  info.signals = DecodeSignals(response);
   return info;
 }
 
--- a/src/platform/platform_test.cc
+++ b/src/platform/platform_test.cc
@@ -129,7 +129,7 @@
   const ResponseInfo ran = codec.decode_response(response);
   EXPECT_TRUE(ran.is_signed);
   EXPECT_FALSE(ran.not_run);
-  EXPECT_EQ(ran.load, (ReportedLoad{3, 1, 8}));
+  EXPECT_EQ(ran.signals.load, (ReportedLoad{3, 1, 8}));
   response.status = 421;
   EXPECT_TRUE(codec.decode_response(response).not_run);
   response.status = 503;
@@ -146,7 +146,7 @@
     HttpHead response;
     response.status = 200;
     response.fields = {{"Server-Load", load}};
-    return codec.decode_response(response);
+    return codec.decode_response(response).signals;
   };
   EXPECT_EQ(decode("3,1,8").load, (ReportedLoad{3, 1, 8, 100}));
   EXPECT_EQ(decode("3,1,8,250").load, (ReportedLoad{3, 1, 8, 250}));
@@ -155,7 +155,35 @@
     EXPECT_EQ(decode(malformed).load, std::nullopt) << malformed;
     EXPECT_TRUE(decode(malformed).load_is_unreadable) << malformed;
   }
-  EXPECT_FALSE(codec.decode_response(HttpHead()).load_is_unreadable);
+  EXPECT_FALSE(codec.decode_response(HttpHead()).signals.load_is_unreadable);
+}
+
+// Guards against a malformed limit of an upstream that stops all requests to
+// it, or that ends the limit that holds.
+TEST(PlatformHeadersTest, RateLimitOfAnUpstream) {
+  const ForwardingCodec codec = PlatformHeaderCodec();
+  const auto decode = [&codec](const std::vector<std::string>& values) {
+    HttpHead response;
+    response.status = 200;
+    for (const std::string& value : values) {
+      response.fields.push_back({"Server-Limit", value});
+    }
+    return codec.decode_response(response).signals;
+  };
+  EXPECT_EQ(decode({"1.7"}).max_requests_per_s, 1.7);
+  EXPECT_EQ(decode({" 2 "}).max_requests_per_s, 2);
+  EXPECT_EQ(decode({"0"}).max_requests_per_s, 0);
+  EXPECT_EQ(decode({"3", "1.5"}).max_requests_per_s, 1.5);
+  EXPECT_EQ(decode({}).max_requests_per_s, std::nullopt);
+  // No fleet sends so much to one upstream.
+  EXPECT_EQ(decode({"1e9"}).max_requests_per_s, std::nullopt);
+  EXPECT_FALSE(decode({"1e9"}).limit_is_unreadable);
+  for (const char* malformed :
+       {"", "x", "-1", "nan", "inf", "1.7 a second", "1e999"}) {
+    EXPECT_EQ(decode({malformed}).max_requests_per_s, std::nullopt)
+        << malformed;
+    EXPECT_TRUE(decode({malformed}).limit_is_unreadable) << malformed;
+  }
 }
 
 }  // namespace
