Failing test: upstreams that state a limit get many times that (LIMIT)

What callers saw: nothing; the upstreams were overloaded. A fleet of 4 to 91 nodes in virtual time before 12 upstreams, 300 requests a second, three upstreams state a limit of 0 to 8 requests a second.

Seen: 104 to 131 requests in 4 s at each of the three, 5 to 53 allowed, in all eight cases.

--- /dev/null
+++ b/src/libpollenledge/process/forward_rate_limits_test.cc
@@ -0,0 +1,126 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ostream>
+#include <random>
+#include <string>
+
+#include "forward_fleet.h"
+
+namespace pollenledge {
+namespace {
+
+using testing::ForwardFleet;
+
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+constexpr Duration kSecond = std::chrono::seconds(1);
+/// The platform's bound: in a window, an upstream may receive one and a half
+/// times its limit and `kSlack` requests more, once it has stated its limit for
+/// `kPropagationTime`.
+constexpr Duration kWindow = 4 * kSecond;
+constexpr double kTolerance = 1.5;
+constexpr double kSlack = 5;
+constexpr Duration kPropagationTime = 3 * kSecond;
+/// Minimum share of the requests that must be served while other upstreams have
+/// capacity for all of them.
+constexpr double kMinServedShare = 0.97;
+
+/// Upstreams of a fleet that state a limit, and the load on it.
+struct LimitedLoad {
+  std::size_t nodes = 6;
+  std::size_t limited = 3;
+  double requests_per_s = 2;  ///< The stated limit.
+  Duration interval{3300};    ///< Between two requests to the fleet.
+  std::string route = "read";
+  std::uint64_t seed = 1;
+};
+
+void PrintTo(const LimitedLoad& load, std::ostream* out) {
+  *out << load.route << '-' << load.nodes << "-limit-" << load.requests_per_s
+       << "-seed-" << load.seed;
+}
+
+/// Sends requests to the nodes of a fleet at random.
+class Traffic {
+ public:
+  Traffic(ForwardFleet* fleet, const LimitedLoad& load)
+      : fleet_(fleet), load_(load), random_(load.seed) {}
+
+  void Run(Duration time) {
+    const TimePoint end = fleet_->now() + time;
+    while (fleet_->now() < end) {
+      fleet_->SubmitRequest(random_() % fleet_->size(), load_.route,
+                            "x" + std::to_string(random_()));
+      fleet_->RunFor(load_.interval);
+    }
+  }
+
+  /// Sets the limit that the limited upstreams state.
+  void StateLimits(std::optional<double> requests_per_s) {
+    stated_at_ = fleet_->now();
+    for (std::size_t i = 0; i < load_.limited; ++i) {
+      fleet_->StateLimit(i, requests_per_s);
+    }
+  }
+
+  /// Expects the platform's bound to hold for all nodes together since the
+  /// limits were stated.
+  void ExpectWithinLimit(double requests_per_s, bool only_told = false) const {
+    const double allowed =
+        kTolerance * requests_per_s * ToSeconds(kWindow) + kSlack;
+    for (std::size_t i = 0; i < load_.limited; ++i) {
+      EXPECT_LE(static_cast<double>(fleet_->MostArrivals(
+                    i, stated_at_ + kPropagationTime, kWindow, only_told)),
+                allowed)
+          << "upstream " << i;
+    }
+  }
+
+  /// Returns the share of the responses since `TakeServedShare` was last called
+  /// that were delivered.
+  double TakeServedShare() {
+    double total = 0;
+    for (const auto& [kind, count] : fleet_->response_counts) total += count;
+    const double served = fleet_->response_counts["delivered"] / total;
+    fleet_->response_counts.clear();
+    return served;
+  }
+
+ private:
+  ForwardFleet* fleet_;
+  LimitedLoad load_;
+  std::mt19937_64 random_;
+  TimePoint stated_at_;
+};
+
+class LimitedUpstreams : public ::testing::TestWithParam<LimitedLoad> {};
+
+// Guards against upstreams that receive many times the rate that they stated,
+// because no node regards it, or each node regards it alone (incident LIMIT).
+TEST_P(LimitedUpstreams, ReceiveNoMoreThanTheyStatedFromAllNodesTogether) {
+  const LimitedLoad load = GetParam();
+  ForwardFleet fleet(load.nodes, load.seed);
+  Traffic traffic(&fleet, load);
+  traffic.Run(3 * kSecond);
+  traffic.StateLimits(load.requests_per_s);
+  traffic.TakeServedShare();
+  traffic.Run(12 * kSecond);
+  traffic.ExpectWithinLimit(load.requests_per_s);
+  EXPECT_GE(traffic.TakeServedShare(), kMinServedShare);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads, LimitedUpstreams,
+    ::testing::Values(LimitedLoad{}, LimitedLoad{.requests_per_s = 1.4},
+                      LimitedLoad{.requests_per_s = 0, .seed = 2},
+                      LimitedLoad{.requests_per_s = 8, .seed = 3},
+                      LimitedLoad{.nodes = 4, .route = "draft", .seed = 4},
+                      LimitedLoad{.nodes = 7, .route = "order", .seed = 5},
+                      LimitedLoad{.nodes = 91, .seed = 6},
+                      LimitedLoad{.nodes = 91,
+                                  .requests_per_s = 1.4,
+                                  .route = "draft",
+                                  .seed = 7}));
+
+}  // namespace
+}  // namespace pollenledge
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -32,7 +32,7 @@
   ForwardFleet(std::size_t nodes, std::uint64_t seed, double retry_slack = 1000)
       : retry_slack_(retry_slack), random_(seed) {
     for (std::size_t i = 0; i < kUpstreamCount; ++i) {
-      upstreams_.push_back({"u" + std::to_string(i), 1, TimePoint()});
+      upstreams_.push_back({.name = "u" + std::to_string(i)});
     }
     for (std::size_t i = 0; i < nodes; ++i) AddNode();
     RunFor(2 * kSecond);
@@ -52,6 +52,7 @@
     std::erase_if(attempts_, [node](const auto& entry) {
       return entry.second.node == node;
     });
+    for (FakeUpstream& upstream : upstreams_) upstream.told_at.erase(node);
     ForwardNodeOptions options;
     options.self.id = {"n" + std::to_string(node), ++incarnation_};
     options.self.peer_address = std::to_string(node);
@@ -129,6 +130,47 @@
     });
   }
 
+  /// Sets the requests per second that an upstream states in its responses from
+  /// now on; empty: it states no limit.
+  void StateLimit(std::size_t upstream, std::optional<double> requests_per_s) {
+    upstreams_[upstream].requests_per_s = requests_per_s;
+  }
+
+  /// Sets the number of requests that each upstream runs concurrently.
+  void SetSlots(int slots) {
+    slots_ = slots;
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      Submit(node, ListUpstreams());
+    }
+  }
+
+  /// A request that an upstream received.
+  struct Arrival {
+    TimePoint at;
+    std::size_t node = 0;
+    /// The node had received the upstream's limit at least `kToldTime` before.
+    bool node_was_told = false;
+  };
+  static constexpr Duration kToldTime = std::chrono::milliseconds(500);
+
+  /// Returns the largest number of requests that the upstream received within
+  /// `window` after `from`, from all nodes or from those that were told.
+  std::size_t MostArrivals(std::size_t upstream, TimePoint from,
+                           Duration window, bool only_told) const {
+    std::vector<TimePoint> times;
+    for (const Arrival& arrival : upstreams_[upstream].arrivals) {
+      if (arrival.at < from || (only_told && !arrival.node_was_told)) continue;
+      times.push_back(arrival.at);
+    }
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+      while (times[last] - times[first] >= window) ++first;
+      most = std::max(most, last + 1 - first);
+    }
+    return most;
+  }
+
   /// Number of crashes later than `propagation_time` after the third crash. By
   /// then every node should reject the crash-causing request.
   std::size_t CrashesAfterThird(Duration propagation_time) const {
@@ -176,6 +218,9 @@
     std::string name;
     std::uint64_t incarnation = 1;
     TimePoint down_until;
+    std::optional<double> requests_per_s;  // The limit that it states.
+    std::vector<Arrival> arrivals;
+    std::map<std::size_t, TimePoint> told_at;  // By node, of this limit.
   };
   struct Attempt {
     std::size_t node = 0;
@@ -235,7 +280,7 @@
       info.address = upstream.name;
       info.service = "s";
       info.domain = "d";
-      info.slots = 64;
+      info.slots = slots_;
       listed.upstreams.push_back(info);
     }
     return listed;
@@ -260,6 +305,7 @@
         static_cast<std::size_t>(std::stoul(send.upstream.name.substr(1)));
     Schedule(kMillisecond, [this, id = send.id, number, index] {
       if (!IsRunning(id, number)) return;
+      RecordArrival(attempts_.at(id).node, index);
       if (now_ < upstreams_[index].down_until) {
         EndAttempt(id, ForwardOutcome::kNotSent);
       } else if (upstreams_fail) {
@@ -279,7 +325,9 @@
                  [this, id, number] { WriteEvent(id, number, 1); });
       } else {
         Schedule(kServiceTime, [this, id, number] {
-          if (IsRunning(id, number)) EndAttempt(id, ForwardOutcome::kCompleted);
+          if (!IsRunning(id, number)) return;
+          SubmitHead(id);
+          EndAttempt(id, ForwardOutcome::kCompleted);
         });
       }
     });
@@ -330,6 +378,7 @@
   void WriteEvent(ForwardId id, int number, int event) {
     if (!IsRunning(id, number)) return;
     const std::size_t node = attempts_.at(id).node;
+    if (event == 1) SubmitHead(id);
     Submit(node, forward_event::FirstEventReceived{id});
     Submit(node, forward_event::EventsForwarded{id, event});
     Schedule(kEventInterval, [this, id, number, event] {
@@ -342,6 +391,29 @@
     });
   }
 
+  void RecordArrival(std::size_t node, std::size_t upstream_index) {
+    FakeUpstream& upstream = upstreams_[upstream_index];
+    const auto told = upstream.told_at.find(node);
+    const bool was_told =
+        told != upstream.told_at.end() && now_ - told->second >= kToldTime;
+    upstream.arrivals.push_back({now_, node, was_told});
+  }
+
+  // Delivers the head of the response to a running attempt.
+  void SubmitHead(ForwardId id) {
+    const Attempt& attempt = attempts_.at(id);
+    FakeUpstream& upstream = upstreams_[static_cast<std::size_t>(
+        std::stoul(attempt.upstream.substr(1)))];
+    UpstreamSignals signals;
+    signals.max_requests_per_s = upstream.requests_per_s;
+    if (signals.max_requests_per_s.has_value()) {
+      upstream.told_at.try_emplace(attempt.node, now_);
+    } else {
+      upstream.told_at.erase(attempt.node);
+    }
+    Submit(attempt.node, forward_event::ResponseHeadReceived{id, signals});
+  }
+
   // Whether this attempt is still the current one of its request.
   bool IsRunning(ForwardId id, int number) const {
     const auto found = attempts_.find(id);
@@ -368,6 +440,7 @@
 
   TimePoint now_{std::chrono::seconds(1000)};
   double retry_slack_;
+  int slots_ = 64;
   std::uint64_t incarnation_ = 0;
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<ForwardNode>> nodes_;
