--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -15,6 +15,7 @@
 #include "pollenledge/process/forward_events.h"
 #include "pollenledge/process/limit_buckets.h"
 #include "pollenledge/process/membership.h"
+#include "pollenledge/process/rate_limit_permits.h"
 #include "pollenledge/process/retry_budget.h"
 #include "pollenledge/process/upstream_balancer.h"
 #include "pollenledge/process/upstream_list.h"
@@ -86,6 +87,7 @@
   const UpstreamBalancer& upstreams() const { return upstreams_; }
   const CrashSuspects& suspects() const { return suspects_; }
   const UpstreamRateLimits& rate_limits() const { return rate_limits_; }
+  const RateLimitPermits& permits() const { return permits_; }
   const UsageLedger& usage() const { return usage_; }
   UsageLedger& usage() { return usage_; }
   /// Usage counts that other nodes reported to this one as a collector.
@@ -267,9 +269,38 @@
   void ExpireSuspects();
 
   // Rate limits of upstreams.
-  /// `source` tells from where this node learned of the change.
-  void LogRateLimit(const UpstreamId& upstream, RateLimitChange change,
-                    const std::string& source);
+  void MergeRateLimits(const std::vector<RateLimitReport>& reports,
+                       const std::string& sender);
+  /// `source` names the request or the peer from which this node learned of the
+  /// change.
+  void OnRateLimitChange(const UpstreamId& upstream, RateLimitChange change,
+                         const std::string& source);
+  std::vector<RateLimitReport> NextRateLimitReports();
+  void BroadcastRateLimits();
+  /// Returns the usable upstreams of `service` that have a limit.
+  std::vector<UpstreamId> LimitedUpstreams(const std::string& service) const;
+  /// Makes `query` exclude the limited upstreams for which this node has no
+  /// permit.
+  void ApplyRateLimits(const Request& request, UpstreamCriteria* query);
+  /// Requests permits for `count` queued requests from one coordinator. Returns
+  /// true if this is the node itself and has granted some.
+  bool RequestPermits(const std::string& service, std::size_t count);
+  /// Grants permits for the upstreams that this node coordinates, together at
+  /// most the largest requested number.
+  std::vector<PermitCount> GrantPermits(
+      const std::vector<PermitCount>& requested);
+  /// Grants this node permits for upstreams that it coordinates. Returns false
+  /// if there are none.
+  bool GrantToSelf(const std::vector<PermitCount>& requested);
+  void RespondToPermitRequest(const Heartbeat& request);
+  void ApplyPermits(const Heartbeat& response);
+  /// Forgets outdated limits and reviews the coordinators when that is due.
+  void UpdateRateLimits();
+  void ReviewCoordinators();
+  /// Returns how long a request waits for permits behind `requests_ahead`
+  /// others at this node. Empty unless all upstreams of `service` are limited.
+  std::optional<Duration> WaitForLimitedUpstreams(
+      const std::string& service, std::size_t requests_ahead) const;
 
   // Attempts.
   /// The upstream processed the prompt, or the attempt ended before that.
@@ -281,7 +312,8 @@
   /// upstream has capacity.
   bool Retry(Request* request, ForwardOutcome end);
   /// Rejects the request if it did not run, otherwise fails it.
-  void GiveUp(Request* request, ForwardOutcome end, const std::string& reason);
+  void GiveUp(Request* request, ForwardOutcome end, const std::string& reason,
+              Duration retry_after = kDefaultRetryAfter);
   void CountUsage(Request* request, WallTime started_at);
   void CountStream(const std::string& service, bool late);
 
@@ -363,6 +395,8 @@
   UpstreamList upstream_list_;
   UpstreamBalancer upstreams_;
   UpstreamRateLimits rate_limits_;
+  RateLimitPermits permits_;
+  TimePoint coordinators_reviewed_at_;
   Membership membership_;
   LimitBuckets limits_;
   /// Minimum number of nodes among which limits and retries are shared.
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -9,7 +9,9 @@
 
 #include "pollenledge/process/crash_suspects.h"
 #include "pollenledge/process/late_stream_tracker.h"
+#include "pollenledge/process/rate_limit_permits.h"
 #include "pollenledge/process/upstream_list.h"
+#include "pollenledge/process/upstream_rate_limits.h"
 #include "pollenledge/process/usage_collection.h"
 #include "pollenledge/request/forward_request.h"
 #include "pollenledge/request/request.h"
@@ -139,6 +141,14 @@
   std::vector<UsageReport> usage_reports;
   /// In a response, the windows whose usage counts were accepted.
   std::vector<UsageWindow> accepted_usage_windows;
+  std::vector<RateLimitReport> rate_limit_reports;
+  /// Permits that the sender requests from the receiver.
+  std::vector<PermitCount> requested_permits;
+  /// Permits that the sender grants to the receiver.
+  std::vector<PermitCount> granted_permits;
+  /// With requested permits the sender's clock, with granted permits the
+  /// receiver's clock as it was in its request.
+  TimePoint permits_requested_at;
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/src/include/pollenledge/process/upstream_balancer.h
+++ b/src/include/pollenledge/process/upstream_balancer.h
@@ -57,6 +57,8 @@
   std::vector<std::string> exclude;
   /// Names of upstreams to choose only if there is no other.
   std::vector<std::string> avoid;
+  /// Names of upstreams to choose first.
+  std::vector<std::string> prefer;
   /// Choose by load alone, regardless of affinity and domain.
   bool least_loaded = false;
 };
@@ -136,6 +138,11 @@
 
   /// Returns the number of upstreams of `service` that may be sent requests.
   int UsableCount(const std::string& service) const;
+  /// Returns true if this incarnation of the upstream is in the current list.
+  bool IsListed(const UpstreamId& id) const;
+  /// Returns true if this incarnation serves `service` and may be sent
+  /// requests.
+  bool MayUse(const UpstreamId& id, const std::string& service) const;
 
   const std::map<std::string, ForwardUpstream>& all() const {
     return upstreams_;
@@ -146,6 +153,11 @@
   /// skipped after failures.
   std::vector<ForwardUpstream*> Candidates(const UpstreamCriteria& criteria,
                                            TimePoint now);
+  /// Returns the first candidate to choose before all others; null if there is
+  /// none.
+  static ForwardUpstream* Preferred(
+      const UpstreamCriteria& criteria,
+      const std::vector<ForwardUpstream*>& candidates);
   /// Removes the upstreams to avoid, unless no others remain.
   static void RemoveAvoided(const UpstreamCriteria& criteria,
                             std::vector<ForwardUpstream*>* candidates);
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -100,6 +100,18 @@
 # What a node counted in one window of usage.
 struct UsageReport { window @0 :Int64; counts @1 :List(CustomerCount); }
 
+# Requests per second that an upstream accepts from all nodes together.
+struct RateLimitReport {
+  upstream @0 :UpstreamId;
+  requestsPerSecond @1 :Float64;
+  # The upstream states no limit any more.
+  ended @2 :Bool;
+  ageMicros @3 :Int64;
+}
+
+# Permits for requests to an upstream with such a limit.
+struct PermitCount { upstream @0 :UpstreamId; count @1 :Int32; }
+
 # A datagram between forwarding nodes. The first record is the sender's.
 struct NodeHeartbeat {
   records @0 :List(MemberRecord);
@@ -124,6 +136,11 @@
   usageTaken @11 :List(Int64);
   # The sender follows what all nodes do, and `levels` are to be believed.
   leads @12 :Bool;
+  rateLimits @13 :List(RateLimitReport);
+  permitsRequested @14 :List(PermitCount);
+  permitsGranted @15 :List(PermitCount);
+  # In a request the sender's clock, with permits the same figure again.
+  permitsRequestedAtMicros @16 :Int64;
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -37,6 +37,8 @@
 CAPNP_DECLARE_SCHEMA(dfce740bcbd79dcc);
 CAPNP_DECLARE_SCHEMA(8b7608c59b776fc1);
 CAPNP_DECLARE_SCHEMA(a31baedb614bd4e8);
+CAPNP_DECLARE_SCHEMA(f447a58b4fbd5525);
+CAPNP_DECLARE_SCHEMA(efab2fe536ada5e3);
 CAPNP_DECLARE_SCHEMA(f49ff5c110e7e6d9);
 CAPNP_DECLARE_SCHEMA(cc43680172605054);
 enum class UpstreamState_cc43680172605054: uint16_t {
@@ -359,6 +361,36 @@
   };
 };
 
+struct RateLimitReport {
+  RateLimitReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f447a58b4fbd5525, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitCount {
+  PermitCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(efab2fe536ada5e3, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeHeartbeat {
   NodeHeartbeat() = delete;
 
@@ -367,7 +399,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 6, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2586,6 +2618,190 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateLimitReport::Reader {
+public:
+  typedef RateLimitReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::pollenledge::wire::UpstreamId::Reader getUpstream() const;
+
+  inline double getRequestsPerSecond() const;
+
+  inline bool getEnded() const;
+
+  inline  ::int64_t getAgeMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimitReport::Builder {
+public:
+  typedef RateLimitReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::pollenledge::wire::UpstreamId::Builder getUpstream();
+  inline void setUpstream( ::pollenledge::wire::UpstreamId::Reader value);
+  inline  ::pollenledge::wire::UpstreamId::Builder initUpstream();
+  inline void adoptUpstream(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownUpstream();
+
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
+
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
+  inline  ::int64_t getAgeMicros();
+  inline void setAgeMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimitReport::Pipeline {
+public:
+  typedef RateLimitReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pollenledge::wire::UpstreamId::Pipeline getUpstream();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitCount::Reader {
+public:
+  typedef PermitCount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::pollenledge::wire::UpstreamId::Reader getUpstream() const;
+
+  inline  ::int32_t getCount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitCount::Builder {
+public:
+  typedef PermitCount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::pollenledge::wire::UpstreamId::Builder getUpstream();
+  inline void setUpstream( ::pollenledge::wire::UpstreamId::Reader value);
+  inline  ::pollenledge::wire::UpstreamId::Builder initUpstream();
+  inline void adoptUpstream(::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> disownUpstream();
+
+  inline  ::int32_t getCount();
+  inline void setCount( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitCount::Pipeline {
+public:
+  typedef PermitCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pollenledge::wire::UpstreamId::Pipeline getUpstream();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeHeartbeat::Reader {
 public:
   typedef NodeHeartbeat Reads;
@@ -2636,6 +2852,17 @@
 
   inline bool getLeads() const;
 
+  inline bool hasRateLimits() const;
+  inline  ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+
+  inline bool hasPermitsRequested() const;
+  inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Reader getPermitsRequested() const;
+
+  inline bool hasPermitsGranted() const;
+  inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Reader getPermitsGranted() const;
+
+  inline  ::int64_t getPermitsRequestedAtMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2732,6 +2959,30 @@
   inline bool getLeads();
   inline void setLeads(bool value);
 
+  inline bool hasRateLimits();
+  inline  ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
+  inline void setRateLimits( ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
+  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>> disownRateLimits();
+
+  inline bool hasPermitsRequested();
+  inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Builder getPermitsRequested();
+  inline void setPermitsRequested( ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Builder initPermitsRequested(unsigned int size);
+  inline void adoptPermitsRequested(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>> disownPermitsRequested();
+
+  inline bool hasPermitsGranted();
+  inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Builder getPermitsGranted();
+  inline void setPermitsGranted( ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Builder initPermitsGranted(unsigned int size);
+  inline void adoptPermitsGranted(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>> disownPermitsGranted();
+
+  inline  ::int64_t getPermitsRequestedAtMicros();
+  inline void setPermitsRequestedAtMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6877,6 +7128,140 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool RateLimitReport::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateLimitReport::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::UpstreamId::Reader RateLimitReport::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::UpstreamId::Builder RateLimitReport::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::UpstreamId::Pipeline RateLimitReport::Pipeline::getUpstream() {
+  return  ::pollenledge::wire::UpstreamId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RateLimitReport::Builder::setUpstream( ::pollenledge::wire::UpstreamId::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::UpstreamId::Builder RateLimitReport::Builder::initUpstream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateLimitReport::Builder::adoptUpstream(
+    ::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> RateLimitReport::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double RateLimitReport::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double RateLimitReport::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitReport::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateLimitReport::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateLimitReport::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitReport::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RateLimitReport::Reader::getAgeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RateLimitReport::Builder::getAgeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitReport::Builder::setAgeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitCount::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitCount::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::UpstreamId::Reader PermitCount::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::UpstreamId::Builder PermitCount::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::UpstreamId::Pipeline PermitCount::Pipeline::getUpstream() {
+  return  ::pollenledge::wire::UpstreamId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PermitCount::Builder::setUpstream( ::pollenledge::wire::UpstreamId::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::UpstreamId::Builder PermitCount::Builder::initUpstream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitCount::Builder::adoptUpstream(
+    ::capnp::Orphan< ::pollenledge::wire::UpstreamId>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::UpstreamId> PermitCount::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::UpstreamId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t PermitCount::Reader::getCount() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t PermitCount::Builder::getCount() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitCount::Builder::setCount( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeHeartbeat::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7208,6 +7593,122 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeHeartbeat::Reader::hasRateLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasRateLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>::Reader NodeHeartbeat::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::setRateLimits( ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void NodeHeartbeat::Builder::adoptRateLimits(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>> NodeHeartbeat::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::RateLimitReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool NodeHeartbeat::Reader::hasPermitsRequested() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasPermitsRequested() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Reader NodeHeartbeat::Reader::getPermitsRequested() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::getPermitsRequested() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::setPermitsRequested( ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::initPermitsRequested(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void NodeHeartbeat::Builder::adoptPermitsRequested(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>> NodeHeartbeat::Builder::disownPermitsRequested() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool NodeHeartbeat::Reader::hasPermitsGranted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasPermitsGranted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Reader NodeHeartbeat::Reader::getPermitsGranted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::getPermitsGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::setPermitsGranted( ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::initPermitsGranted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void NodeHeartbeat::Builder::adoptPermitsGranted(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>> NodeHeartbeat::Builder::disownPermitsGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::PermitCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t NodeHeartbeat::Reader::getPermitsRequestedAtMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t NodeHeartbeat::Builder::getPermitsRequestedAtMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void NodeHeartbeat::Builder::setPermitsRequestedAtMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -280,6 +280,38 @@
   }
 }
 
+RateLimitReport FromWire(wire::RateLimitReport::Reader reader) {
+  return {FromWire(reader.getUpstream()), reader.getRequestsPerSecond(),
+          reader.getEnded(),
+          Duration(std::max<std::int64_t>(0, reader.getAgeMicros()))};
+}
+
+void ToWire(const RateLimitReport& report,
+            wire::RateLimitReport::Builder builder) {
+  ToWire(report.upstream, builder.initUpstream());
+  builder.setRequestsPerSecond(report.requests_per_s);
+  builder.setEnded(report.ended);
+  builder.setAgeMicros(report.age.count());
+}
+
+PermitCount FromWire(wire::PermitCount::Reader reader) {
+  return {FromWire(reader.getUpstream()), reader.getCount()};
+}
+
+void ToWire(const PermitCount& permits, wire::PermitCount::Builder builder) {
+  ToWire(permits.upstream, builder.initUpstream());
+  builder.setCount(permits.count);
+}
+
+std::int64_t ClockToWire(TimePoint at) {
+  return std::chrono::floor<std::chrono::microseconds>(at.time_since_epoch())
+      .count();
+}
+
+TimePoint ClockFromWire(std::int64_t micros) {
+  return TimePoint(std::chrono::microseconds(micros));
+}
+
 Heartbeat FromWire(wire::NodeHeartbeat::Reader reader) {
   Heartbeat heartbeat;
   for (const auto record : reader.getRecords()) {
@@ -287,8 +319,7 @@
   }
   heartbeat.requests_levels = reader.getAsksForLevels();
   heartbeat.levels_authoritative = reader.getLeads();
-  heartbeat.queried_at =
-      TimePoint(std::chrono::microseconds(reader.getAskedAtMicros()));
+  heartbeat.queried_at = ClockFromWire(reader.getAskedAtMicros());
   heartbeat.tables_confirmation_age =
       RemainingFromWire(reader.getProofAgeMicros());
   for (const auto report : reader.getSuspects()) {
@@ -308,6 +339,17 @@
   for (const auto window : reader.getUsageTaken()) {
     heartbeat.accepted_usage_windows.push_back(window);
   }
+  for (const auto report : reader.getRateLimits()) {
+    heartbeat.rate_limit_reports.push_back(FromWire(report));
+  }
+  for (const auto permits : reader.getPermitsRequested()) {
+    heartbeat.requested_permits.push_back(FromWire(permits));
+  }
+  for (const auto permits : reader.getPermitsGranted()) {
+    heartbeat.granted_permits.push_back(FromWire(permits));
+  }
+  heartbeat.permits_requested_at =
+      ClockFromWire(reader.getPermitsRequestedAtMicros());
   heartbeat.upstreams_revision = reader.getUpstreamsRevision();
   if (reader.hasUpstreamChanges()) {
     heartbeat.upstream_changes = FromWire(reader.getUpstreamChanges());
@@ -323,9 +365,7 @@
   }
   builder.setAsksForLevels(heartbeat.requests_levels);
   builder.setLeads(heartbeat.levels_authoritative);
-  builder.setAskedAtMicros(std::chrono::floor<std::chrono::microseconds>(
-                               heartbeat.queried_at.time_since_epoch())
-                               .count());
+  builder.setAskedAtMicros(ClockToWire(heartbeat.queried_at));
   builder.setProofAgeMicros(RemainingToWire(heartbeat.tables_confirmation_age));
   auto suspects = builder.initSuspects(
       static_cast<unsigned>(heartbeat.suspect_reports.size()));
@@ -356,6 +396,23 @@
   for (unsigned i = 0; i < taken.size(); ++i) {
     taken.set(i, heartbeat.accepted_usage_windows[i]);
   }
+  auto rate_limits = builder.initRateLimits(
+      static_cast<unsigned>(heartbeat.rate_limit_reports.size()));
+  for (unsigned i = 0; i < rate_limits.size(); ++i) {
+    ToWire(heartbeat.rate_limit_reports[i], rate_limits[i]);
+  }
+  auto requested = builder.initPermitsRequested(
+      static_cast<unsigned>(heartbeat.requested_permits.size()));
+  for (unsigned i = 0; i < requested.size(); ++i) {
+    ToWire(heartbeat.requested_permits[i], requested[i]);
+  }
+  auto granted = builder.initPermitsGranted(
+      static_cast<unsigned>(heartbeat.granted_permits.size()));
+  for (unsigned i = 0; i < granted.size(); ++i) {
+    ToWire(heartbeat.granted_permits[i], granted[i]);
+  }
+  builder.setPermitsRequestedAtMicros(
+      ClockToWire(heartbeat.permits_requested_at));
   builder.setUpstreamsRevision(heartbeat.upstreams_revision);
   if (heartbeat.upstream_changes.has_value()) {
     ToWire(*heartbeat.upstream_changes, builder.initUpstreamChanges());
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -69,6 +69,7 @@
   query.exclude = request.tried_upstreams;
   if (request.route->prefix_affinity) SetSharedPrompt(request.spec, &query);
   IsolateSuspects(request, &query);
+  ApplyRateLimits(request, &query);
   return upstreams_.Choose(query, now());
 }
 
@@ -85,6 +86,8 @@
   request->proven_sound = false;
   request->pending_prompt_tokens = request->spec.prompt_tokens;
   upstreams_.OnSent(upstream, request->pending_prompt_tokens, now());
+  const std::optional<double> limit = rate_limits_.LimitOf(upstream->info.id);
+  if (limit.has_value()) permits_.Consume(upstream->info.id, now());
   LogRequest(
       LogLevel::kInfo, "sent", *request,
       {{"upstream", request->current_upstream},
@@ -93,6 +96,7 @@
         previous_end.has_value() ? ToString(*previous_end) : "none"},
        {"limit_units", std::to_string(std::llround(request->acquired_units))},
        {"load", std::to_string(upstream->EstimatedLoad(now()))},
+       {"upstream_limit", limit.has_value() ? std::to_string(*limit) : "none"},
        {"report_age_ms", upstream->load_report.has_value()
                              ? FormatMilliseconds(now() - upstream->reported_at)
                              : "none"}});
@@ -138,6 +142,13 @@
     GiveUp(request, ForwardOutcome::kNotSent, "no-upstream");
     return;
   }
+  const std::optional<Duration> limited_wait =
+      WaitForLimitedUpstreams(request->service, it->second.size());
+  if (limited_wait.has_value() && *limited_wait > wait) {
+    GiveUp(request, ForwardOutcome::kNotSent, "upstreams-limited",
+           *limited_wait);
+    return;
+  }
   // Reject immediately if the request would wait too long.
   if (it->second.EstimateWait(queued.customer, queued.rank, queued.cost, 0) >
       wait) {
@@ -148,6 +159,8 @@
   LogRequest(LogLevel::kInfo, "queued", *request,
              {{"ahead", std::to_string(it->second.size())}});
   it->second.Push(queued);
+  const std::string service = request->service;
+  if (RequestPermits(service, it->second.size())) DispatchQueued(service);
 }
 
 void ForwardNode::DispatchQueued(const std::string& service) {
@@ -158,7 +171,9 @@
     Request* request = FindRequest(expired.id.sequence);
     if (request == nullptr) continue;
     request->queued = false;
-    GiveUp(request, ForwardOutcome::kNotSent, "no-room");
+    GiveUp(request, ForwardOutcome::kNotSent, "no-room",
+           WaitForLimitedUpstreams(service, queue.size() + 1)
+               .value_or(kDefaultRetryAfter));
   }
   while (const std::optional<QueuedRequest> next = queue.Peek(now())) {
     Request* request = FindRequest(next->id.sequence);
@@ -167,7 +182,10 @@
       continue;
     }
     ForwardUpstream* upstream = ChooseUpstream(*request);
-    if (upstream == nullptr) return;
+    if (upstream == nullptr) {
+      if (!RequestPermits(service, queue.size())) return;
+      continue;
+    }
     queue.Pop(now());
     request->queued = false;
     if (request->customer != nullptr && !AreKeysFresh(now())) {
@@ -317,7 +335,7 @@
 }
 
 void ForwardNode::GiveUp(Request* request, ForwardOutcome end,
-                         const std::string& reason) {
+                         const std::string& reason, Duration retry_after) {
   const bool not_run =
       !request->may_have_run &&
       (end == ForwardOutcome::kNotSent || end == ForwardOutcome::kRejected ||
@@ -326,7 +344,7 @@
     const bool is_stream = request->route->kind == RouteKind::kStreaming;
     if (is_stream) CountStream(request->service, true);
     Reject(request, NotRun{503, reason, "no upstream could accept the request",
-                           kDefaultRetryAfter});
+                           retry_after});
     return;
   }
   Fail(request, 502, reason);
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -304,6 +304,7 @@
     // Skip the request if its check was rescheduled.
     if (request != nullptr && request->next_check_at == at) OnCheckDue(request);
   }
+  UpdateRateLimits();
   DispatchAllQueued();
   SendHeartbeats();
   if (now() - limits_updated_at_ >= kHeartbeatPeriod) UpdateLimits();
--- a/src/libpollenledge/process/forward_rate_limits_test.cc
+++ b/src/libpollenledge/process/forward_rate_limits_test.cc
@@ -109,6 +109,47 @@
   EXPECT_GE(traffic.TakeServedShare(), kMinServedShare);
 }
 
+// Guards against a limit that is exceeded, or callers that are rejected, while
+// the nodes that know of it are killed.
+TEST_P(LimitedUpstreams, StayWithinTheLimitWhenNodesAreKilled) {
+  const LimitedLoad load = GetParam();
+  ForwardFleet fleet(load.nodes, load.seed);
+  Traffic traffic(&fleet, load);
+  traffic.StateLimits(load.requests_per_s);
+  traffic.Run(6 * kSecond);
+  {
+    SCOPED_TRACE("one node after the other, at most seven");
+    for (std::size_t node = 0; node < std::min<std::size_t>(7, load.nodes);
+         ++node) {
+      fleet.StartNode(node);
+      traffic.Run(kSecond);
+    }
+    traffic.Run(3 * kSecond);
+    traffic.ExpectWithinLimit(load.requests_per_s);
+  }
+  {
+    SCOPED_TRACE("all nodes at once");
+    traffic.TakeServedShare();
+    for (std::size_t node = 0; node < load.nodes; ++node) fleet.StartNode(node);
+    traffic.Run(12 * kSecond);
+    traffic.ExpectWithinLimit(load.requests_per_s, true);
+    EXPECT_GE(traffic.TakeServedShare(), kMinServedShare);
+  }
+}
+
+// Guards against a limit that is exceeded because messages between nodes are
+// lost.
+TEST_P(LimitedUpstreams, StayWithinTheLimitWhenMessagesAreLost) {
+  const LimitedLoad load = GetParam();
+  ForwardFleet fleet(load.nodes, load.seed);
+  Traffic traffic(&fleet, load);
+  fleet.datagram_loss = 0.3;
+  traffic.StateLimits(load.requests_per_s);
+  traffic.Run(15 * kSecond);
+  traffic.ExpectWithinLimit(load.requests_per_s);
+  EXPECT_GE(traffic.TakeServedShare(), kMinServedShare);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Loads, LimitedUpstreams,
     ::testing::Values(LimitedLoad{}, LimitedLoad{.requests_per_s = 1.4},
@@ -122,5 +163,91 @@
                                   .route = "draft",
                                   .seed = 7}));
 
+/// A limit on every upstream of the service, below the demand.
+LimitedLoad EveryUpstreamLimited(std::size_t nodes, double requests_per_s) {
+  return {.nodes = nodes,
+          .limited = ForwardFleet::kUpstreamCount,
+          .requests_per_s = requests_per_s,
+          .interval = 10 * kMillisecond,
+          .seed = 11};
+}
+
+class EveryUpstream : public ::testing::TestWithParam<std::size_t> {};
+
+// Guards against upstreams that are left alone although they accept some
+// requests, and against callers that wait for them in vain.
+TEST_P(EveryUpstream, ThatIsLimitedIsUsedForWhatItAccepts) {
+  const LimitedLoad load = EveryUpstreamLimited(GetParam(), 3);
+  ForwardFleet fleet(load.nodes, load.seed);
+  Traffic traffic(&fleet, load);
+  traffic.StateLimits(load.requests_per_s);
+  traffic.Run(5 * kSecond);
+  traffic.TakeServedShare();
+  traffic.Run(10 * kSecond);
+  traffic.ExpectWithinLimit(load.requests_per_s);
+  // Demand is 100 a second, the upstreams accept 36.
+  EXPECT_GE(traffic.TakeServedShare(), 0.36 * 0.8);
+  EXPECT_LE(fleet.longest_wait_of_rejected, 850 * kMillisecond);
+}
+
+INSTANTIATE_TEST_SUITE_P(Nodes, EveryUpstream,
+                         ::testing::Values(1, 4, 6, 7, 91));
+
+// Guards against a limit that outlasts its end because nobody sends the
+// upstream a request that would tell.
+TEST(RateLimitEnds, UpstreamsAreUsedAgainWhenTheyStateNoLimit) {
+  for (const std::size_t nodes : {4, 6, 91}) {
+    SCOPED_TRACE(nodes);
+    const LimitedLoad load{.nodes = nodes, .seed = nodes};
+    ForwardFleet fleet(nodes, load.seed);
+    Traffic traffic(&fleet, load);
+    traffic.StateLimits(0);
+    traffic.Run(6 * kSecond);
+    traffic.StateLimits({});
+    traffic.Run(8 * kSecond);
+    const TimePoint settled = fleet.now();
+    traffic.Run(4 * kSecond);
+    for (std::size_t i = 0; i < load.limited; ++i) {
+      EXPECT_GE(fleet.MostArrivals(i, settled, kWindow, false), 50U)
+          << "upstream " << i;
+    }
+  }
+}
+
+// Guards against a restarted upstream that is held to the limit of the process
+// before it.
+TEST(RateLimitEnds, ARestartedUpstreamHasNoLimit) {
+  const LimitedLoad load{.limited = 1};
+  ForwardFleet fleet(load.nodes, load.seed);
+  Traffic traffic(&fleet, load);
+  traffic.StateLimits(0);
+  traffic.Run(5 * kSecond);
+  traffic.StateLimits({});
+  fleet.CrashUpstream(0);
+  traffic.Run(3 * kSecond);
+  const TimePoint restarted = fleet.now();
+  traffic.Run(4 * kSecond);
+  EXPECT_GE(fleet.MostArrivals(0, restarted, kWindow, false), 50U);
+}
+
+// Guards against the two sides of a partition that each use the whole limit.
+TEST(RateLimitInPartition, BothSidesTogetherStayWithinTheLimit) {
+  for (const double requests_per_s : {0.0, 2.0, 8.0}) {
+    SCOPED_TRACE(requests_per_s);
+    LimitedLoad load = EveryUpstreamLimited(6, requests_per_s);
+    ForwardFleet fleet(load.nodes, load.seed);
+    Traffic traffic(&fleet, load);
+    traffic.StateLimits(requests_per_s);
+    traffic.Run(5 * kSecond);
+    fleet.is_partitioned = [](std::size_t a, std::size_t b) {
+      return (a < 3) != (b < 3);
+    };
+    traffic.Run(10 * kSecond);
+    fleet.is_partitioned = nullptr;
+    traffic.Run(8 * kSecond);
+    traffic.ExpectWithinLimit(requests_per_s);
+  }
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/upstream_balancer.cc
+++ b/src/libpollenledge/process/upstream_balancer.cc
@@ -187,6 +187,8 @@
   std::vector<ForwardUpstream*> candidates = Candidates(criteria, now);
   if (candidates.empty()) return nullptr;
   RemoveAvoided(criteria, &candidates);
+  if (ForwardUpstream* preferred = Preferred(criteria, candidates))
+    return preferred;
   // A random order breaks ties differently at each node and each time.
   std::shuffle(candidates.begin(), candidates.end(), random_);
   if (!criteria.least_loaded && !criteria.affinity.has_value()) {
@@ -219,6 +221,19 @@
                               : SmallestPromptBacklog(criteria, within_bound);
 }
 
+ForwardUpstream* UpstreamBalancer::Preferred(
+    const UpstreamCriteria& criteria,
+    const std::vector<ForwardUpstream*>& candidates) {
+  for (const std::string& name : criteria.prefer) {
+    const auto found = std::find_if(candidates.begin(), candidates.end(),
+                                    [&name](const ForwardUpstream* candidate) {
+                                      return candidate->info.id.name == name;
+                                    });
+    if (found != candidates.end()) return *found;
+  }
+  return nullptr;
+}
+
 ForwardUpstream* UpstreamBalancer::EarliestCompletion(
     const UpstreamCriteria& criteria,
     const std::vector<ForwardUpstream*>& candidates, TimePoint now) {
@@ -437,4 +452,16 @@
       }));
 }
 
+bool UpstreamBalancer::IsListed(const UpstreamId& id) const {
+  const auto found = upstreams_.find(id.name);
+  return found != upstreams_.end() && found->second.listed &&
+         found->second.info.id.incarnation == id.incarnation;
+}
+
+bool UpstreamBalancer::MayUse(const UpstreamId& id,
+                              const std::string& service) const {
+  return IsListed(id) && IsUsable(upstreams_.at(id.name)) &&
+         upstreams_.at(id.name).info.service == service;
+}
+
 }  // namespace pollenledge
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -88,6 +88,7 @@
     spec.content_fingerprint = ComputeFingerprint({route, content});
     contents_[id] = content;
     routes_[id] = route;
+    submitted_at_[id] = now_;
     Submit(node, forward_event::RequestArrived{id, spec});
     return id;
   }
@@ -202,6 +203,8 @@
   std::set<std::string> rejected_suspect_contents;
   // Number of responses to callers: "refused", "failed" or "delivered".
   std::map<std::string, int> response_counts;
+  // The longest time from the arrival of a request to its rejection.
+  Duration longest_wait_of_rejected{0};
   // Times of the first attempts and of the retries.
   std::vector<TimePoint> first_send_times;
   std::vector<TimePoint> retry_times;
@@ -334,6 +337,8 @@
   }
   void Execute(std::size_t, const forward_action::Reject& refuse) {
     ++response_counts["refused"];
+    longest_wait_of_rejected = std::max<Duration>(
+        longest_wait_of_rejected, now_ - submitted_at_.at(refuse.id));
     responses[refuse.id] = refuse.not_run.problem_type;
     const std::string& reason = refuse.not_run.problem_type;
     if (reason == "ends-upstreams" || reason == "tried-alone") {
@@ -449,6 +454,7 @@
   std::map<ForwardId, Attempt> attempts_;
   std::map<ForwardId, std::string> contents_;
   std::map<ForwardId, std::string> routes_;
+  std::map<ForwardId, TimePoint> submitted_at_;
   std::map<ForwardId, bool> crashes_on_start_;
   // By request or prompt segment and crash.
   std::map<std::pair<Fingerprint, CrashId>, PersistedCrash> persisted_crashes_;
