--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -204,6 +204,9 @@
         self.start_count = 0
         self.executed_requests = []  # (attempt id, head, body) of each request that ran
         self.caller_disconnected = threading.Event()  # set once a caller has disconnected
+        self.signals = {}  # header fields that it adds to its responses
+        self.arrivals = []  # (time, attempt id) of each request, also of those not run
+        self.signalled = {}  # time of the first response with `signals`, by attempt id
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.shed = set()
@@ -271,6 +274,7 @@
 
     def respond(self, connection, head, body):
         attempt = header(head, "Attempt-Id")
+        self.arrivals.append((time.monotonic(), attempt))
         action = head.split(" ")[1].split("?")[0].rsplit("/", 1)[-1]
         if header(head, "Target-Instance") != self.name:
             connection.sendall(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
@@ -295,7 +299,20 @@
 
     def complete_response(self, attempt, text=b"done", status="200 OK"):
         return (f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nServer-Signature: s.{self.name}\r\n"
-                f"Content-Length: {len(text)}\r\n\r\n").encode() + text
+                f"{self.signal_fields(attempt)}Content-Length: {len(text)}\r\n\r\n").encode() + text
+
+    def signal_fields(self, attempt):
+        """The header fields by which the runner states something about itself."""
+        signals = dict(self.signals)
+        if signals:
+            self.signalled.setdefault(attempt, time.monotonic())
+        return "".join(f"{name}: {value}\r\n" for name, value in signals.items())
+
+    def signal(self, **signals):
+        """Sets these fields; underscores stand for hyphens."""
+        self.arrivals.clear()
+        self.signalled.clear()
+        self.signals = {name.replace("_", "-"): value for name, value in signals.items()}
 
     def do_ok(self, connection, attempt):
         connection.sendall(self.complete_response(attempt))
@@ -411,6 +428,7 @@
         """Streams the events `first` to `last`, then the end of the stream if `end` is set,
         else half an event. Returns whether the connection stays open."""
         connection.sendall((f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n"
+                            f"{self.signal_fields(attempt)}"
                             "Transfer-Encoding: chunked\r\n\r\n").encode())
         for i in range(first, last + 1):
             event = f"id: {i}\ndata: e{i}\n\n".encode()
