--- a/src/include/pollenledge/connection/http.h
+++ b/src/include/pollenledge/connection/http.h
@@ -3,7 +3,9 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "pollenledge/connection/http_reader.h"
 #include "pollenledge/result.h"
 #include "pollenledge/time.h"
 
@@ -14,6 +16,8 @@
   int status = 0;
   std::string content_type;
   std::string body;
+  /// The header fields; only `HttpClient` fills them in.
+  std::vector<HttpField> fields;
 
   friend bool operator==(const HttpResponse&, const HttpResponse&) = default;
 };
--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -62,6 +62,7 @@
     if (const std::string* type = head.Find("Content-Type")) {
       pending->response.content_type = *type;
     }
+    pending->response.fields = head.fields;
     return true;
   };
   handlers.on_body = [pending](const std::string& part) {
--- a/src/platform/platform_store.cc
+++ b/src/platform/platform_store.cc
@@ -4,10 +4,13 @@
 #include <Poco/Base64Encoder.h>
 #include <Poco/URI.h>
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
 
+#include "pollenledge/process/log.h"
+
 namespace pollenledge {
 namespace {
 
@@ -18,6 +21,8 @@
 constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
 /// A watch times out if no response has arrived this long after its wait.
 constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(1500);
+/// Grows by one each time the store is restored from an older copy.
+constexpr char kEra[] = "Store-Era";
 constexpr int kStatusOk = 200;
 /// The lease or key does not exist.
 constexpr int kStatusNoLeaseOrKey = 404;
@@ -121,6 +126,19 @@
   return call;
 }
 
+/// Returns the era that a response names; 0 if it names none.
+std::int64_t EraOf(const HttpResponse& response) {
+  for (const HttpField& field : response.fields) {
+    if (!EqualsIgnoreCase(field.name, kEra)) continue;
+    std::int64_t era = 0;
+    const char* end = field.value.data() + field.value.size();
+    const auto parsed = std::from_chars(field.value.data(), end, era);
+    if (parsed.ec == std::errc() && parsed.ptr == end && era > 0) return era;
+    Log(LogLevel::kWarn, "store_era_unreadable", {{"text", field.value}});
+  }
+  return 0;
+}
+
 /// The outcome of a call as it is named in the metrics. Statuses that are part
 /// of the store's API count as "ok".
 const char* OutcomeName(const Result<HttpResponse>& response) {
@@ -149,11 +167,25 @@
   call.address = address_;
   client_.Call(call, [this, kind, callback = std::move(callback)](
                          Result<HttpResponse> response) {
+    if (Ok(response)) UpdateEra(kind, Value(response));
     call_observer_(kind, OutcomeName(response));
     callback(std::move(response));
   });
 }
 
+bool PlatformStore::UpdateEra(const char* kind, const HttpResponse& response) {
+  const std::int64_t era = EraOf(response);
+  if (era == 0 || era == era_) return true;
+  if (era < era_) return false;
+  Log(era_ == 0 ? LogLevel::kInfo : LogLevel::kWarn,
+      era_ == 0 ? "store_era" : "store_restored",
+      {{"era", std::to_string(era)},
+       {"earlier_era", std::to_string(era_)},
+       {"call", kind}});
+  era_ = era;
+  return true;
+}
+
 void PlatformStore::Read(const std::string& key, Callback<StoreItem> callback) {
   Call(
       "read", MakeGet("/-/kv-key?key=" + EscapeQueryValue(key)),
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -11,6 +11,9 @@
 
 /// Implements `AsyncStore` with the HTTP API of the platform's metadata store.
 ///
+/// The store may be restored from an older copy. It then begins a new era,
+/// which all its responses name.
+///
 /// A call that is not a watch times out after 900 ms, a watch 1.5 s after its
 /// wait has passed. Not thread-safe: use it on the thread of `loop`.
 class PlatformStore : public AsyncStore {
@@ -36,7 +39,13 @@
   void RenewLease(std::int64_t lease, Callback<StoreLease> callback) override;
   void RevokeLease(std::int64_t lease) override;
 
+  /// The newest era that a response named; 0 if none did.
+  std::int64_t era() const { return era_; }
+
  private:
+  /// Reads the store's era from a response. Returns false if the response is of
+  /// an earlier era than one that is known.
+  bool UpdateEra(const char* kind, const HttpResponse& response);
   /// Sends `call` and reports its outcome under `kind` to the observer.
   void Call(const char* kind, HttpCall call, HttpClient::Callback callback);
   /// Reads the entries after `after_key` (empty: from the first), adds them to
@@ -47,6 +56,7 @@
   std::string address_;
   HttpClient client_;
   CallObserver call_observer_;
+  std::int64_t era_ = 0;
 };
 
 }  // namespace pollenledge
