Failing test: a store that is restored from an older copy (CONFIG)

testsuite/platform_restored_store: two real nodes, a stand-in store that is restored from a copy and gives revisions out again. A third version with the revision of the second is not in force within 4 s; a runner whose entry says that it leaves, at a revision that the nodes know, gets 22 requests in a second.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -43,13 +43,15 @@
 
 
 class Store:
-    """The metadata store with ranges, watches, transactions and leases."""
+    """The metadata store with ranges, watches, transactions and leases. It can be restored
+    from an older copy, which begins a new era."""
 
     def __init__(self):
         self.lock = threading.Condition()
         self.items = {}  # key: (value, revision)
         self.events = []
         self.revision = 1
+        self.era = 1
         self.down = False  # while set, GET requests get status 503
         store = self
 
@@ -74,6 +76,7 @@
                 data = json.dumps(body).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
+                self.send_header("Store-Era", str(store.era))
                 self.end_headers()
                 self.wfile.write(data)
 
@@ -81,6 +84,25 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         self.address = f"127.0.0.1:{self.server.server_port}"
 
+    def copy(self):
+        """A copy to restore the store from."""
+        with self.lock:
+            return dict(self.items), self.revision
+
+    def restore(self, copy, later=()):
+        """Restores the store from an older copy. `later` are entries (key, value, revision)
+        that are written again, in order."""
+        with self.lock:
+            self.items, self.revision = dict(copy[0]), copy[1]
+            self.events = []
+            self.era += 1
+            for key, value, revision in later:
+                assert revision > self.revision
+                self.items[key] = (value, revision)
+                self.events.append(key)
+                self.revision = revision
+            self.lock.notify_all()
+
     def put(self, key, value):
         with self.lock:
             self.revision += 1
@@ -112,8 +134,13 @@
                 keys = sorted(k for k in self.items if k.startswith(query["prefix"]))
                 return 200, {"entries": [self.item(k) for k in keys],
                              "has_more": False, "as_of": self.revision}
-            after = int(query["after"])
-            self.lock.wait_for(lambda: self.revision > after, int(query["wait_ms"]) / 1000)
+            after, era = int(query["after"]), self.era
+            if after > self.revision:
+                return 410, {}
+            self.lock.wait_for(lambda: self.revision > after or self.era > era,
+                               int(query["wait_ms"]) / 1000)
+            if self.era > era and after > self.revision:
+                return 410, {}
             changed = [self.item(k) for k in sorted(self.items)
                        if k.startswith(query["prefix"]) and self.items[k][1] > after]
             gone = [{"key": k, "revision": self.revision, "deleted": True}
