--- a/src/include/pollenledge/connection/async_store.h
+++ b/src/include/pollenledge/connection/async_store.h
@@ -3,9 +3,11 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pollenledge/connection/kv_client.h"
+#include "pollenledge/connection/store_position.h"
 #include "pollenledge/result.h"
 #include "pollenledge/time.h"
 
@@ -63,6 +65,13 @@
 /// Asynchronous interface to the platform's key-value store, for use on an
 /// event loop.
 ///
+/// All revisions, in results and in arguments, are positions (see
+/// `store_position`). Those of an earlier era than the store's are out of date:
+/// a watch from there has lost its history, and a transaction that expects one
+/// fails. Results of an earlier era that arrive late are errors. When the store
+/// begins a new era, what the system wrote since the copy was made is lost, and
+/// so are its leases; an id of such a lease may be given out again.
+///
 /// Each call returns immediately and invokes its callback exactly once, on the
 /// event loop's thread. Errors:
 ///  - `kUnavailable`: the call had no effect.
@@ -77,6 +86,13 @@
 
   virtual ~AsyncStore() = default;
 
+  /// Adds a callback for each time that the store is found to have been
+  /// restored from an older copy. It is called before the callback of the call
+  /// that found it.
+  void OnRestored(std::function<void()> callback) {
+    restore_callbacks_.push_back(std::move(callback));
+  }
+
   /// Reads one key. The read is linearizable.
   virtual void Read(const std::string& key, Callback<StoreItem> callback) = 0;
   /// Reads all entries under `prefix`, page by page. Each page is a
@@ -98,6 +114,14 @@
                           Callback<StoreLease> callback) = 0;
   /// Revokes the lease. Nothing reports whether the call succeeded.
   virtual void RevokeLease(std::int64_t lease) = 0;
+
+ protected:
+  void NotifyRestored() {
+    for (const std::function<void()>& callback : restore_callbacks_) callback();
+  }
+
+ private:
+  std::vector<std::function<void()>> restore_callbacks_;
 };
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -43,6 +43,8 @@
   void ReadIfDue();
   void ScheduleCheck(Duration delay);
   void Read();
+  /// Revisions of the running watch are out of date; the next read continues.
+  void OnRestored();
   void OnRead(TimePoint started, const Result<StoreItem>& item);
   void OnChanges(const StoreChanges& changes);
   /// Decodes the entry, or returns the cached index if the entry has the newest
--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -19,7 +19,11 @@
 /// after it recovers. An upstream whose entry is missing is therefore kept
 /// while the store fails. It is also kept for `kReregistrationTimeout` after
 /// the first listing that succeeds again, if most entries of its service are
-/// missing. At any other time it is removed at once.
+/// missing or the store was restored from an older copy. At any other time it
+/// is removed at once. A restored store may also list an upstream as it was
+/// earlier; one incarnation that was leaving stays so, and one that was removed
+/// stays removed until its entry is written at a later revision than its
+/// removal.
 ///
 /// Deterministic: a function of the listings and changes that it is given. Not
 /// thread-safe.
@@ -41,6 +45,9 @@
   void OnChanged(const StoreChange& change);
   /// Records that a call to the store failed.
   void OnStoreError();
+  /// Records that the store was restored from an older copy. Upstreams write
+  /// again what it lost, as after a failure.
+  void OnRestored();
 
   /// Returns the current upstreams. Call it after each event and at `NextDue`.
   std::vector<ForwardUpstreamInfo> Upstreams(TimePoint now);
@@ -55,11 +62,28 @@
     bool missing = false;  ///< The entry was removed or not listed.
   };
 
+  /// An upstream that was removed from the list.
+  struct RemovedEntry {
+    std::uint64_t incarnation = 0;
+    std::int64_t last_revision = 0;  ///< Of its entry.
+  };
+  /// Number of removed upstreams that are remembered.
+  static constexpr std::size_t kMaxRemovedEntries = 1024;
+
   void ApplyEntry(const KvEntry& entry);
+  /// Returns true if the entry is the copy of one that was removed before the
+  /// store was restored.
+  bool IsCopyOfRemoved(const KvEntry& entry,
+                       const ForwardUpstreamInfo& info) const;
+  void RememberRemoval(const std::string& key, const KnownEntry& known);
 
   Decode decode_;
-  std::map<std::string, KnownEntry> known_entries_;  ///< By key.
+  std::map<std::string, KnownEntry> known_entries_;      ///< By key.
+  std::map<std::string, RemovedEntry> removed_entries_;  ///< By key.
   bool store_failing_ = false;
+  /// The store was restored, and upstreams may not yet have written again what
+  /// it lost.
+  bool store_restored_ = false;
   /// When the store last recovered from a failure.
   std::optional<TimePoint> store_recovered_at_;
 };
@@ -94,6 +118,7 @@
   void List();
   void OnListed(TimePoint started, const Result<StoreListing>& listing);
   void OnChanges(const StoreChanges& changes);
+  void OnRestored();
   void OnWatchError(const Error& error);
   /// Submits the upstreams if they changed or if a listing just completed.
   /// `read_at` is when that listing started; not set for changes from the
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -32,7 +32,9 @@
       watch_(
           loop, store, key_, kWatchPollDelay, read_policy_.needs_watch,
           [this](const StoreChanges& changes) { OnChanges(changes); },
-          [](const Error&) {}) {}
+          [](const Error&) {}) {
+  store->OnRestored([this] { OnRestored(); });
+}
 
 void ConfigSync::Start() { Read(); }
 
@@ -51,6 +53,11 @@
   });
 }
 
+void ConfigSync::OnRestored() {
+  watch_.OnReadFailed();
+  ReadNow();
+}
+
 void ConfigSync::ReadNow() {
   if (!read_in_progress_) Read();
 }
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -51,6 +51,35 @@
 
 void UpstreamDirectory::OnStoreError() { store_failing_ = true; }
 
+void UpstreamDirectory::OnRestored() {
+  store_failing_ = true;
+  store_restored_ = true;
+}
+
+bool UpstreamDirectory::IsCopyOfRemoved(const KvEntry& entry,
+                                        const ForwardUpstreamInfo& info) const {
+  const auto found = removed_entries_.find(entry.key);
+  if (found == removed_entries_.end()) return false;
+  const RemovedEntry& removed = found->second;
+  return removed.incarnation == info.id.incarnation &&
+         store_position::EraOf(entry.mod_revision) >
+             store_position::EraOf(removed.last_revision) &&
+         store_position::RevisionOf(entry.mod_revision) <=
+             store_position::RevisionOf(removed.last_revision);
+}
+
+void UpstreamDirectory::RememberRemoval(const std::string& key,
+                                        const KnownEntry& known) {
+  if (!known.info.has_value()) return;
+  removed_entries_[key] = {known.info->id.incarnation, known.revision};
+  if (removed_entries_.size() <= kMaxRemovedEntries) return;
+  removed_entries_.erase(
+      std::min_element(removed_entries_.begin(), removed_entries_.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.last_revision < b.second.last_revision;
+                       }));
+}
+
 void UpstreamDirectory::ApplyEntry(const KvEntry& entry) {
   KnownEntry& known = known_entries_[entry.key];
   if (entry.mod_revision < known.revision) return;
@@ -58,8 +87,15 @@
   if (entry.mod_revision == known.revision) return;
   known.revision = entry.mod_revision;
   Result<ForwardUpstreamInfo> info = decode_(entry);
+  if (Ok(info) && IsCopyOfRemoved(entry, Value(info))) {
+    known_entries_.erase(entry.key);
+    return;
+  }
   if (Ok(info)) {
+    const bool was_leaving = known.info.has_value() && known.info->leaving &&
+                             known.info->id == Value(info).id;
     known.info = std::move(Value(info));
+    known.info->leaving = known.info->leaving || was_leaving;
     known.info->store_revision = entry.mod_revision;
     return;
   }
@@ -75,8 +111,10 @@
                           now >= *store_recovered_at_ + kReregistrationTimeout);
   for (auto it = known_entries_.begin(); it != known_entries_.end();) {
     const bool expired = it->second.missing && removes_missing;
+    if (expired) RememberRemoval(it->first, it->second);
     it = expired ? known_entries_.erase(it) : std::next(it);
   }
+  if (removes_missing) store_restored_ = false;
   // Number of present entries minus number of missing ones, by service.
   std::map<std::string, int> present_minus_missing;
   for (const auto& [key, known] : known_entries_) {
@@ -90,7 +128,8 @@
     // If at least half of the service's entries are present, the store probably
     // did not lose the missing ones: the upstream left, and only this node
     // missed the change.
-    const bool probably_left = !store_failing_ && known.missing &&
+    const bool probably_left = !store_failing_ && !store_restored_ &&
+                               known.missing &&
                                present_minus_missing[known.info->service] >= 0;
     if (!probably_left) upstreams.push_back(*known.info);
   }
@@ -120,7 +159,9 @@
           loop, store, prefix_, list_period / kWatchPollsPerPeriod,
           read_policy_.needs_watch,
           [this](const StoreChanges& changes) { OnChanges(changes); },
-          [this](const Error& error) { OnWatchError(error); }) {}
+          [this](const Error& error) { OnWatchError(error); }) {
+  store->OnRestored([this] { OnRestored(); });
+}
 
 void UpstreamSync::Start() { List(); }
 
@@ -173,6 +214,12 @@
   Publish(std::nullopt);
 }
 
+void UpstreamSync::OnRestored() {
+  directory_.OnRestored();
+  watch_.OnReadFailed();
+  ScheduleCheck(Duration::zero());
+}
+
 void UpstreamSync::OnWatchError(const Error& error) {
   // A watch fails with `kNotFound` when the store has discarded the history.
   // This is not a failure of the store: the next listing catches up.
--- a/src/libpollenledge/process/upstream_sync_test.cc
+++ b/src/libpollenledge/process/upstream_sync_test.cc
@@ -86,5 +86,63 @@
   EXPECT_EQ(Count(0), 1U);
 }
 
+/// The position of a revision in an era of the store.
+std::int64_t In(std::int64_t era, std::int64_t revision) {
+  return store_position::Make(era, revision);
+}
+
+// Guards against a node that takes what a restored store says for known,
+// because it knows the revision from before (incident CONFIG).
+TEST_F(UpstreamDirectoryTest, RestoredStoreGivesRevisionsOutAgain) {
+  directory_.OnListed(Listing({{"a", "", In(1, 5)}}, In(1, 5)), At(0));
+  directory_.OnRestored();
+  {
+    SCOPED_TRACE("the same revision, for other content");
+    directory_.OnListed(Listing({{"a", "leaving", In(2, 5)}}, In(2, 5)), At(1));
+    EXPECT_TRUE(directory_.Upstreams(At(1)).at(0).leaving);
+  }
+  {
+    SCOPED_TRACE("a response of the earlier era that arrives late");
+    directory_.OnChanged({{"a", "", In(1, 9)}, false});
+    EXPECT_TRUE(directory_.Upstreams(At(1)).at(0).leaving);
+  }
+}
+
+// Guards against requests to an upstream that left before the store was
+// restored, because the copy is older than that.
+TEST_F(UpstreamDirectoryTest, RestoredStoreListsUpstreamsThatHaveLeft) {
+  directory_.OnListed(
+      Listing({{"a", "", In(1, 1)}, {"b", "", In(1, 2)}, {"c", "", In(1, 3)}},
+              In(1, 3)),
+      At(0));
+  directory_.OnChanged({{"a", "leaving", In(1, 4)}, false});
+  directory_.OnChanged({{"b", "", In(1, 5)}, true});
+  EXPECT_EQ(Count(0), 2U);
+  directory_.OnRestored();
+  directory_.OnListed(
+      Listing({{"a", "", In(2, 1)}, {"b", "", In(2, 2)}, {"c", "", In(2, 3)}},
+              In(2, 3)),
+      At(5));
+  EXPECT_EQ(Count(5), 2U);
+  EXPECT_TRUE(directory_.Upstreams(At(5)).at(0).leaving);
+  // An entry that is written again names an upstream that lives.
+  directory_.OnChanged({{"b", "", In(2, 7)}, false});
+  EXPECT_EQ(Count(5), 3U);
+}
+
+// Guards against upstreams that are dropped for the second in which they have
+// not yet written again what the store lost.
+TEST_F(UpstreamDirectoryTest, EntriesThatARestoredStoreLostAreKeptForAWhile) {
+  directory_.OnListed(
+      Listing({{"a", "", In(1, 1)}, {"b", "", In(1, 2)}, {"c", "", In(1, 3)}},
+              In(1, 3)),
+      At(0));
+  directory_.OnRestored();
+  directory_.OnListed(
+      Listing({{"a", "", In(2, 1)}, {"b", "", In(2, 2)}}, In(2, 2)), At(5));
+  EXPECT_EQ(Count(5), 3U);
+  EXPECT_EQ(Count(7.3), 2U);
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/platform/platform_store.cc
+++ b/src/platform/platform_store.cc
@@ -4,6 +4,7 @@
 #include <Poco/Base64Encoder.h>
 #include <Poco/URI.h>
 
+#include <boost/asio/post.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -54,21 +55,6 @@
   return out.str();
 }
 
-KvEntry ToEntry(const Json& json) {
-  KvEntry entry;
-  entry.key = json.at("key").get<std::string>();
-  entry.value = DecodeBase64(json.value("value", std::string()));
-  entry.mod_revision = json.value("revision", std::int64_t{0});
-  return entry;
-}
-
-std::vector<KvEntry> ToEntries(const Json& list) {
-  std::vector<KvEntry> entries;
-  entries.reserve(list.size());
-  for (const Json& item : list) entries.push_back(ToEntry(item));
-  return entries;
-}
-
 Error UnexpectedStatus(const HttpResponse& response) {
   return {ErrorCode::kUnavailable,
           "the store responded with status " + std::to_string(response.status)};
@@ -100,6 +86,10 @@
   return std::nullopt;
 }
 
+Error HistoryLost() {
+  return {ErrorCode::kNotFound, "the store was restored from an older copy"};
+}
+
 /// `id` is the lease's id if the response does not state it.
 Result<StoreLease> ToLease(const Result<HttpResponse>& response,
                            std::int64_t id) {
@@ -158,7 +148,8 @@
 
 PlatformStore::PlatformStore(boost::asio::io_context& loop, std::string address,
                              CallObserver observer)
-    : address_(std::move(address)),
+    : loop_(loop),
+      address_(std::move(address)),
       client_(loop),
       call_observer_(std::move(observer)) {}
 
@@ -167,12 +158,46 @@
   call.address = address_;
   client_.Call(call, [this, kind, callback = std::move(callback)](
                          Result<HttpResponse> response) {
-    if (Ok(response)) UpdateEra(kind, Value(response));
     call_observer_(kind, OutcomeName(response));
+    if (Ok(response) && !UpdateEra(kind, Value(response))) {
+      response = Error{ErrorCode::kUnknownOutcome,
+                       "the response is of an earlier era of the store"};
+    }
     callback(std::move(response));
   });
 }
 
+bool PlatformStore::IsCurrent(std::int64_t position) const {
+  return position <= 0 || store_position::EraOf(position) == era_;
+}
+
+std::int64_t PlatformStore::ToPosition(std::int64_t revision) const {
+  return revision <= 0 ? revision : store_position::Make(era_, revision);
+}
+
+KvEntry PlatformStore::ToEntry(const Json& json) const {
+  KvEntry entry;
+  entry.key = json.at("key").get<std::string>();
+  entry.value = DecodeBase64(json.value("value", std::string()));
+  entry.mod_revision = ToPosition(json.value("revision", std::int64_t{0}));
+  return entry;
+}
+
+std::vector<KvEntry> PlatformStore::ToEntries(const Json& list) const {
+  std::vector<KvEntry> entries;
+  entries.reserve(list.size());
+  for (const Json& item : list) entries.push_back(ToEntry(item));
+  return entries;
+}
+
+template <typename T>
+void PlatformStore::Post(Callback<T> callback, Result<T> result) {
+  boost::asio::post(loop_, [callback = std::move(callback),
+                            result = std::move(result)]() mutable {
+    callback(std::move(result));
+  });
+}
+
 bool PlatformStore::UpdateEra(const char* kind, const HttpResponse& response) {
   const std::int64_t era = EraOf(response);
   if (era == 0 || era == era_) return true;
@@ -182,26 +207,29 @@
       {{"era", std::to_string(era)},
        {"earlier_era", std::to_string(era_)},
        {"call", kind}});
+  const bool is_restored = era_ != 0;
   era_ = era;
+  if (is_restored) NotifyRestored();
   return true;
 }
 
 void PlatformStore::Read(const std::string& key, Callback<StoreItem> callback) {
-  Call(
-      "read", MakeGet("/-/kv-key?key=" + EscapeQueryValue(key)),
-      [callback = std::move(callback)](Result<HttpResponse> response) {
-        if (Ok(response) && Value(response).status == kStatusNoLeaseOrKey) {
-          callback(StoreItem{});
-          return;
-        }
-        if (auto error = CheckResponse<StoreItem>(response)) {
-          callback(*error);
-          return;
-        }
-        callback(ParseBody<StoreItem>(Value(response), [](const Json& json) {
-          return StoreItem{ToEntry(json), json.value("as_of", std::int64_t{0})};
-        }));
-      });
+  Call("read", MakeGet("/-/kv-key?key=" + EscapeQueryValue(key)),
+       [this, callback = std::move(callback)](Result<HttpResponse> response) {
+         if (Ok(response) && Value(response).status == kStatusNoLeaseOrKey) {
+           callback(StoreItem{});
+           return;
+         }
+         if (auto error = CheckResponse<StoreItem>(response)) {
+           callback(*error);
+           return;
+         }
+         callback(
+             ParseBody<StoreItem>(Value(response), [this](const Json& json) {
+               return StoreItem{ToEntry(json), ToPosition(json.value(
+                                                   "as_of", std::int64_t{0}))};
+             }));
+       });
 }
 
 void PlatformStore::List(const std::string& prefix,
@@ -224,15 +252,21 @@
          }
          bool has_more = false;
          Result<StoreListing> page = ParseBody<StoreListing>(
-             Value(response), [&has_more](const Json& json) {
+             Value(response), [this, &has_more](const Json& json) {
                has_more = json.value("has_more", false);
-               return StoreListing{ToEntries(json.at("entries")),
-                                   json.at("as_of").get<std::int64_t>()};
+               return StoreListing{
+                   ToEntries(json.at("entries")),
+                   ToPosition(json.at("as_of").get<std::int64_t>())};
              });
          if (!Ok(page)) {
            callback(std::move(page));
            return;
          }
+         if (!IsCurrent(collected.store_revision)) {
+           callback(Error{ErrorCode::kUnavailable,
+                          "the store was restored between two pages"});
+           return;
+         }
          // A watch from the first page's revision also brings the changes made
          // while the other pages were read.
          if (collected.store_revision == 0) {
@@ -253,27 +287,40 @@
 void PlatformStore::Watch(const std::string& prefix,
                           std::int64_t after_revision, Duration wait,
                           Callback<StoreChanges> callback) {
-  HttpCall call = MakeGet("/-/kv-watch?prefix=" + EscapeQueryValue(prefix) +
-                          "&after=" + std::to_string(after_revision) +
-                          "&wait_ms=" + std::to_string(wait.count() / 1000));
+  if (!IsCurrent(after_revision)) {
+    Post<StoreChanges>(std::move(callback), HistoryLost());
+    return;
+  }
+  HttpCall call =
+      MakeGet("/-/kv-watch?prefix=" + EscapeQueryValue(prefix) + "&after=" +
+              std::to_string(store_position::RevisionOf(after_revision)) +
+              "&wait_ms=" + std::to_string(wait.count() / 1000));
   call.timeout = wait + kWatchTimeoutMargin;
-  Call(
-      "watch", std::move(call),
-      [callback = std::move(callback)](Result<HttpResponse> response) {
-        if (auto error = CheckResponse<StoreChanges>(response)) {
-          callback(*error);
-          return;
-        }
-        callback(ParseBody<StoreChanges>(Value(response), [](const Json& json) {
-          StoreChanges result;
-          for (const Json& item : json.at("events")) {
-            result.changes.push_back(
-                {ToEntry(item), item.value("deleted", false)});
-          }
-          result.store_revision = json.at("as_of").get<std::int64_t>();
-          return result;
-        }));
-      });
+  Call("watch", std::move(call),
+       [this, after_revision,
+        callback = std::move(callback)](Result<HttpResponse> response) {
+         if (auto error = CheckResponse<StoreChanges>(response)) {
+           callback(*error);
+           return;
+         }
+         // Changes since a revision of an earlier era are changes since another
+         // point of the history.
+         if (!IsCurrent(after_revision)) {
+           callback(HistoryLost());
+           return;
+         }
+         callback(
+             ParseBody<StoreChanges>(Value(response), [this](const Json& json) {
+               StoreChanges result;
+               for (const Json& item : json.at("events")) {
+                 result.changes.push_back(
+                     {ToEntry(item), item.value("deleted", false)});
+               }
+               result.store_revision =
+                   ToPosition(json.at("as_of").get<std::int64_t>());
+               return result;
+             }));
+       });
 }
 
 void PlatformStore::Commit(const StoreTransaction& transaction,
@@ -281,9 +328,14 @@
   Json expected = Json::array();
   Json put = Json::array();
   for (const KvWrite& write : transaction.writes) {
+    if (!IsCurrent(write.expected_revision)) {
+      Post<KvTxnReply>(std::move(callback), KvTxnReply{});
+      return;
+    }
     if (write.expected_revision >= 0) {
       expected.push_back(
-          {{"key", write.key}, {"revision", write.expected_revision}});
+          {{"key", write.key},
+           {"revision", store_position::RevisionOf(write.expected_revision)}});
     }
     Json item = {{"key", write.key}, {"value", EncodeBase64(write.value)}};
     if (write.lease != 0) item["lease"] = write.lease;
@@ -292,23 +344,25 @@
   const Json body = {{"expected_rev", std::move(expected)},
                      {"put", std::move(put)},
                      {"remove", transaction.removals}};
-  Call(
-      "commit", MakePost("/-/kv-txn", body),
-      [callback = std::move(callback)](Result<HttpResponse> response) {
-        if (Ok(response) && Value(response).status == kStatusConditionFailed) {
-          callback(ParseBody<KvTxnReply>(Value(response), [](const Json& json) {
-            return KvTxnReply{false, 0, ToEntries(json.at("entries"))};
-          }));
-          return;
-        }
-        if (auto error = CheckResponse<KvTxnReply>(response)) {
-          callback(*error);
-          return;
-        }
-        callback(ParseBody<KvTxnReply>(Value(response), [](const Json& json) {
-          return KvTxnReply{true, json.at("revision").get<std::int64_t>(), {}};
-        }));
-      });
+  Call("commit", MakePost("/-/kv-txn", body),
+       [this, callback = std::move(callback)](Result<HttpResponse> response) {
+         if (Ok(response) && Value(response).status == kStatusConditionFailed) {
+           callback(
+               ParseBody<KvTxnReply>(Value(response), [this](const Json& json) {
+                 return KvTxnReply{false, 0, ToEntries(json.at("entries"))};
+               }));
+           return;
+         }
+         if (auto error = CheckResponse<KvTxnReply>(response)) {
+           callback(*error);
+           return;
+         }
+         callback(ParseBody<KvTxnReply>(Value(response), [this](
+                                                             const Json& json) {
+           return KvTxnReply{
+               true, ToPosition(json.at("revision").get<std::int64_t>()), {}};
+         }));
+       });
 }
 
 void PlatformStore::GrantLease(Duration time_to_live,
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -2,7 +2,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <vector>
 
 #include "pollenledge/connection/async_store.h"
 #include "pollenledge/connection/http_client.h"
@@ -46,13 +48,24 @@
   /// Reads the store's era from a response. Returns false if the response is of
   /// an earlier era than one that is known.
   bool UpdateEra(const char* kind, const HttpResponse& response);
-  /// Sends `call` and reports its outcome under `kind` to the observer.
+  /// Returns true if `position` is of the current era, or one of the values
+  /// that mean none.
+  bool IsCurrent(std::int64_t position) const;
+  std::int64_t ToPosition(std::int64_t revision) const;
+  KvEntry ToEntry(const nlohmann::json& json) const;
+  std::vector<KvEntry> ToEntries(const nlohmann::json& list) const;
+  /// Invokes `callback` with `result` after this call has returned.
+  template <typename T>
+  void Post(Callback<T> callback, Result<T> result);
+  /// Sends `call` and reports its outcome under `kind` to the observer. A
+  /// response of an earlier era becomes an error.
   void Call(const char* kind, HttpCall call, HttpClient::Callback callback);
   /// Reads the entries after `after_key` (empty: from the first), adds them to
   /// `collected` and continues until no entries are left.
   void ListPage(const std::string& prefix, const std::string& after_key,
                 StoreListing collected, Callback<StoreListing> callback);
 
+  boost::asio::io_context& loop_;
   std::string address_;
   HttpClient client_;
   CallObserver call_observer_;
