--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -52,6 +52,8 @@
         self.events = []
         self.revision = 1
         self.era = 1
+        self.leases = {}  # id: (end, time to live in seconds)
+        self.lease_of = {}  # key: id
         self.down = False  # while set, GET requests get status 503
         store = self
 
@@ -70,6 +72,7 @@
                 self.reply(*store.post(self.path, json.loads(body or "{}")))
 
             def do_DELETE(self):
+                store.end_lease(int(self.path.rsplit("/", 1)[1]))
                 self.reply(200, {})
 
             def reply(self, status, body):
@@ -83,6 +86,23 @@
         self.server = Server(("127.0.0.1", 0), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         self.address = f"127.0.0.1:{self.server.server_port}"
+        threading.Thread(target=self.expire_leases, daemon=True).start()
+
+    def expire_leases(self):
+        while True:
+            time.sleep(0.05)
+            with self.lock:
+                ended = [lease for lease, (end, _) in self.leases.items() if end < time.monotonic()]
+            for lease in ended:
+                self.end_lease(lease)
+
+    def end_lease(self, lease):
+        with self.lock:
+            self.leases.pop(lease, None)
+            keys = [key for key, owner in self.lease_of.items() if owner == lease]
+            for key in keys:
+                del self.lease_of[key]
+                self.remove(key)
 
     def copy(self):
         """A copy to restore the store from."""
@@ -94,6 +114,8 @@
         that are written again, in order."""
         with self.lock:
             self.items, self.revision = dict(copy[0]), copy[1]
+            self.leases.clear()
+            self.lease_of.clear()
             self.events = []
             self.era += 1
             for key, value, revision in later:
@@ -150,26 +172,42 @@
 
     def post(self, path, body):
         if path == "/-/kv-lease":
-            return 200, {"lease": 7, "ttl_ms": body["ttl_ms"]}
+            with self.lock:
+                lease = max(self.leases, default=0) + 1
+                seconds = body["ttl_ms"] / 1000
+                self.leases[lease] = (time.monotonic() + seconds, seconds)
+            return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
         if path.startswith("/-/kv-keep/"):
-            return 200, {"ttl_ms": 4000}
+            with self.lock:
+                lease = int(path.rsplit("/", 1)[1])
+                if lease not in self.leases:
+                    return 404, {}
+                seconds = self.leases[lease][1]
+                self.leases[lease] = (time.monotonic() + seconds, seconds)
+            return 200, {"ttl_ms": int(seconds * 1000)}
         with self.lock:
+            if any(item.get("lease", 0) not in (0, *self.leases) for item in body["put"]):
+                return 404, {}
             for row in body["expected_rev"]:
                 current_revision = self.items.get(row["key"], (None, 0))[1]
                 if current_revision != row["revision"]:
                     return 412, {"entries": []}
         for item in body["put"]:
             self.put(item["key"], base64.b64decode(item["value"]).decode())
+            self.lease_of.pop(item["key"], None)
+            if item.get("lease", 0) != 0:
+                self.lease_of[item["key"]] = item["lease"]
         for key in body["remove"]:
             self.remove(key)
         return 200, {"revision": self.revision}
 
 
 class Cloud:
-    """The cloud API. Records every call (path, fencing token, body)."""
+    """The cloud API. Records every call (path, fencing token, body), and by whom."""
 
     def __init__(self):
         self.calls = []
+        self.owners = []  # the node that made each call
         cloud = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -180,6 +218,7 @@
 
             def do_POST(self):
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                cloud.owners.append(self.headers["Duty-Owner"])
                 cloud.calls.append((self.path, int(self.headers["Fencing-Token"]), body))
                 self.send_response(200)
                 self.send_header("Content-Length", "0")
@@ -554,6 +593,8 @@
     """A forwarding node as a real process. Each node has its own loopback address; all
     use the same peer port."""
 
+    usage_window_ms = 1000
+
     def __init__(self, name, host, peer_port, peers, store, cloud):
         def address():
             return f"{host}:{free_port(host=host)}"
@@ -567,7 +608,8 @@
             f"readiness_address: {self.readiness}\nadmin_address: {self.admin}\n"
             f"peer_address: {host}:{peer_port}\npeer_hosts: {json.dumps(peers)}\n"
             f"store_address: {store.address}\ncloud_address: \"{cloud.address}\"\n"
-            "key_freshness_ms: 5000\nretry_slack: 100\ngrace_ms: 8000\nusage_window_ms: 1000\n")
+            "key_freshness_ms: 5000\nretry_slack: 100\ngrace_ms: 8000\n"
+            f"usage_window_ms: {self.usage_window_ms}\n")
         self.log = open(Path(self.directory.name) / "node.log", "w+")
         self.start()
 
