A restored store makes the holder of the duties give them up, and its successor wait

What callers saw: nothing; two nodes may order upstreams and report usage at once. Cause: the store loses the lease of a holder that believes in it by its own clock, and grants it to another node at once; the record that the duties were held before can be lost as well, and then the successor doesn't wait at all. The id of a lost lease may be given out again.

Change: a holder gives the duties up when it sees a later era. A successor waits until any lease of before would have ended, and then the usual delay; it takes nobody for the first holder in a later era.

HolderWaitsForALeaseThatTheStoreLost shows the wait; OnLeasesLost is new, so the test has no earlier code to fail on.

--- a/src/include/pollenledge/connection/async_store.h
+++ b/src/include/pollenledge/connection/async_store.h
@@ -86,6 +86,9 @@
 
   virtual ~AsyncStore() = default;
 
+  /// Returns the newest era that the store named; 0 if it named none.
+  virtual std::int64_t era() const { return 0; }
+
   /// Adds a callback for each time that the store is found to have been
   /// restored from an older copy. It is called before the callback of the call
   /// that found it.
--- a/src/include/pollenledge/connection/store_position.h
+++ b/src/include/pollenledge/connection/store_position.h
@@ -19,6 +19,9 @@
 constexpr int kRevisionBits = 40;
 constexpr std::int64_t kRevisionMask = (std::int64_t{1} << kRevisionBits) - 1;
 
+/// The era of a store that was never restored; 0 if it names none.
+constexpr std::int64_t kFirstEra = 1;
+
 constexpr std::int64_t Make(std::int64_t era, std::int64_t revision) {
   return (era << kRevisionBits) | (revision & kRevisionMask);
 }
--- a/src/include/pollenledge/process/duty_lease.h
+++ b/src/include/pollenledge/process/duty_lease.h
@@ -33,6 +33,9 @@
   /// skipped.
   void OnAcquired(std::int64_t fence, TimePoint sent_at, Duration time_to_live,
                   bool is_first, TimePoint now);
+  /// Records that the store may have lost another node's lease at `at` or
+  /// earlier. Its holder may act until that would have ended.
+  void OnLeasesLost(TimePoint at, Duration time_to_live);
   /// Records that the lease was renewed by a call sent at `sent_at`.
   void OnRenewed(TimePoint sent_at, Duration time_to_live);
   void OnLost() { fence_.reset(); }
@@ -49,12 +52,15 @@
   Duration takeover_delay_;
   std::optional<std::int64_t> fence_;
   TimePoint may_act_from_;
+  TimePoint other_holder_until_;  ///< See `OnLeasesLost`.
   TimePoint expires_at_;
 };
 
 /// Competes with the other nodes for the fleet-wide duties through a leased key
 /// in the store. The fencing token is the store revision at which the key was
-/// created, so it only grows. Runs on the event loop. Not thread-safe.
+/// created, so it only grows. If the store is restored from an older copy, the
+/// holder gives the duties up and the next one waits until any lease of before
+/// would have ended. Runs on the event loop. Not thread-safe.
 class DutyLease {
  public:
   /// Time after the last renewal at which the store deletes the key.
@@ -99,6 +105,7 @@
   /// if due.
   void WatchKey(std::int64_t after_revision);
   void Renew();
+  void OnRestored();
   void OnAcquired(std::int64_t fence, const StoreLease& lease,
                   TimePoint sent_at, bool as_first);
   /// Key of the record that the duties have been held.
@@ -112,6 +119,8 @@
   std::string identity_;  ///< Value of the key: owner and incarnation.
   IsCandidate is_candidate_;
   TimePoint last_read_at_;
+  TimePoint started_at_;
+  int restores_seen_ = 0;
   DutyLeaseValidity validity_;
   boost::asio::steady_timer timer_;
   std::optional<StoreLease> lease_;
--- a/src/libpollenledge/process/duty_lease_test.cc
+++ b/src/libpollenledge/process/duty_lease_test.cc
@@ -47,5 +47,24 @@
   EXPECT_TRUE(validity.MayAct(At(5)));
 }
 
+// Guards against two holders at once: the store lost the lease of one that
+// still believes in it, and grants another one at once (incident CONFIG).
+TEST(DutyLeaseValidityTest, HolderWaitsForALeaseThatTheStoreLost) {
+  DutyLeaseValidity earlier(kTakeoverDelay);
+  earlier.OnAcquired(7, At(0), kTimeToLive, true, At(0));
+  earlier.OnRenewed(At(9.9), kTimeToLive);
+  DutyLeaseValidity later(kTakeoverDelay);
+  later.OnLeasesLost(At(10), kTimeToLive);
+  later.OnAcquired(9, At(10.1), kTimeToLive, false, At(10.1));
+  EXPECT_FALSE(later.MayAct(At(12)));
+  for (int step = 0; step < 100; ++step) {
+    const double at = 10.1 + 0.1 * step;
+    later.OnRenewed(At(at), kTimeToLive);
+    // Calls that the earlier holder sent last have arrived by then.
+    EXPECT_FALSE(later.MayAct(At(at)) && earlier.MayAct(At(at - 2.9))) << at;
+  }
+  EXPECT_TRUE(later.MayAct(At(20)));
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -41,8 +41,7 @@
   void RenewLease(std::int64_t lease, Callback<StoreLease> callback) override;
   void RevokeLease(std::int64_t lease) override;
 
-  /// The newest era that a response named; 0 if none did.
-  std::int64_t era() const { return era_; }
+  std::int64_t era() const override { return era_; }
 
  private:
   /// Reads the store's era from a response. Returns false if the response is of
