--- a/src/include/pollenledge/process/usage_reporter.h
+++ b/src/include/pollenledge/process/usage_reporter.h
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -21,7 +22,10 @@
 /// them to a collector, which writes them with its own. What one node writes is
 /// called a part. The holder of the duty lease adds them up and writes the sum
 /// on the condition that no sum exists yet. Only a stored sum is reported, so
-/// every holder reports the same sum. Runs on the event loop. Not thread-safe.
+/// every holder reports the same sum. If the store lost sums because it was
+/// restored from an older copy, the windows that may have been reported are
+/// abandoned: a missing report costs less than a second one with other counts.
+/// Runs on the event loop. Not thread-safe.
 class UsageReporter {
  public:
   /// After the end of a window a collector waits at most this long for the
@@ -44,6 +48,10 @@
     std::function<bool(UsageWindow)> is_acknowledged;
     /// False while the wall clock may be far off.
     std::function<bool()> wall_clock_is_known;
+    /// False while it is not known whether the store lost sums.
+    std::function<bool()> restore_is_known;
+    /// Sums that were stored before this time may be lost; empty: none are.
+    std::function<std::optional<WallTime>()> restored_at;
   };
 
   UsageReporter(boost::asio::io_context& loop, AsyncStore* store,
@@ -83,6 +91,10 @@
                  std::vector<std::string> parts);
   void ReadSum(UsageWindow window);
   void ReportSum(UsageWindow window);
+  void OnRestored();
+  /// Returns true if the window may have been reported with a sum that the
+  /// store has lost.
+  bool MayHaveLostSum(UsageWindow window) const;
   std::string PartPrefix(UsageWindow window) const;
   std::string SumKey(UsageWindow window) const;
 
--- a/src/libpollenledge/process/usage_reporter.cc
+++ b/src/libpollenledge/process/usage_reporter.cc
@@ -44,7 +44,25 @@
       prefix_(std::move(prefix)),
       process_name_(std::move(process)),
       hooks_(std::move(hooks)),
-      timer_(loop) {}
+      timer_(loop) {
+  store->OnRestored([this] { OnRestored(); });
+}
+
+void UsageReporter::OnRestored() {
+  // Parts of these windows may be lost, and are still needed.
+  std::erase_if(written_process_counts_, [this](const auto& written) {
+    return !MayHaveLostSum(written.first);
+  });
+  for (auto& [window, state] : windows_) {
+    if (state.stage == Stage::kCollecting) state.stage = Stage::kReadingSum;
+  }
+}
+
+bool UsageReporter::MayHaveLostSum(UsageWindow window) const {
+  const std::optional<WallTime> restored_at = hooks_.restored_at();
+  return restored_at.has_value() &&
+         ledger_->WindowEnd(window) + kMinCollectDelay <= *restored_at;
+}
 
 void UsageReporter::Start() {
   first_window_ = ledger_->WindowAt(hooks_.now());
@@ -88,7 +106,7 @@
        window < current; ++window) {
     if (IsWriteDue(window, now)) WriteCounts(window);
   }
-  if (lease_->MayAct(BootClockNow())) {
+  if (lease_->MayAct(BootClockNow()) && hooks_.restore_is_known()) {
     for (UsageWindow window = current - kLookbackWindowCount; window < current;
          ++window) {
       if (now >= ledger_->WindowEnd(window) + kMinCollectDelay)
@@ -171,7 +189,13 @@
     state.call_in_progress = false;
     if (!Ok(item)) return;
     if (!Value(item).entry.has_value()) {
-      state.stage = Stage::kCollecting;
+      const bool is_lost = MayHaveLostSum(window);
+      state.stage = is_lost ? Stage::kReported : Stage::kCollecting;
+      if (is_lost) {
+        Log(LogLevel::kWarn, "usage_abandoned",
+            {{"window", std::to_string(window)},
+             {"reason", "the store may have lost a sum that was reported"}});
+      }
       return;
     }
     Result<UsageCounts> sum = Decode<UsageCounts>(*Value(item).entry);
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -18,6 +18,7 @@
 #include "pollenledge/process/fleet_size_sync.h"
 #include "pollenledge/process/forward_service.h"
 #include "pollenledge/process/log.h"
+#include "pollenledge/process/restore_record.h"
 #include "pollenledge/process/suspect_sync.h"
 #include "pollenledge/process/upstream_sync.h"
 #include "pollenledge/process/usage_reporter.h"
@@ -30,6 +31,7 @@
 constexpr char kUsageKeyPrefix[] = "pollenledge/usage/";
 constexpr char kFleetKeyPrefix[] = "pollenledge/fleet/";
 constexpr char kNodeCountKey[] = "pollenledge/nodes";
+constexpr char kRestoreKey[] = "pollenledge/restore";
 constexpr char kSuspectsKey[] = "pollenledge/suspects";
 
 constexpr Duration kStoreCallsLogInterval = std::chrono::seconds(10);
@@ -101,6 +103,9 @@
             [this](std::vector<SuspectReport> reports) {
               service_.Submit(forward_event::SuspectsRead{std::move(reports)});
             }),
+        restore_record_(
+            loop_, &store_, kRestoreKey, [this] { return service_.Now().wall; },
+            [this] { return service_.node().IsDutyCandidate(BootClockNow()); }),
         duty_lease_(
             loop_, &store_, kDutyLeaseKey, settings.node, incarnation,
             settings.duty_lease,
@@ -130,6 +135,7 @@
     upstream_sync_.Start();
     fleet_size_.Start();
     if (!settings_.cloud_address.empty()) {
+      restore_record_.Start();
       duty_lease_.Start();
       usage_reporter_.Start();
       fleet_scaler_.Start();
@@ -146,7 +152,9 @@
             [&node](UsageWindow window) {
               return node.IsUsageAcknowledged(window);
             },
-            [&node] { return node.wall_clock().IsReliable(BootClockNow()); }};
+            [&node] { return node.wall_clock().IsReliable(BootClockNow()); },
+            [this] { return restore_record_.is_known(); },
+            [this] { return restore_record_.restored_at(); }};
   }
 
   /// Returns the policy for reading and watching one kind of store data.
@@ -244,6 +252,7 @@
   ConfigSync config_sync_;
   UpstreamSync upstream_sync_;
   SuspectSync suspect_sync_;
+  RestoreRecord restore_record_;
   DutyLease duty_lease_;
   FleetSizeSync fleet_size_;
   UsageReporter usage_reporter_;
