A store that is behind doesn't confirm the tables

What callers saw: a key that was revoked is accepted while the store has an older copy of the configuration. Cause: any linearizable read counted as proof that the active tables are current, also one of an older version. A restored store proves nothing about versions that it has lost; a node that starts from it has an older version than its peers.

Change: a read that began after a version was active here, or known from a peer, and returns an older one confirms nothing. If the older one is active here, its confirmation ends, so that requests with keys are rejected as not run until the operator's write is back. A line store_is_behind.

Before: AStoreThatIsBehindDoesNotConfirmTheTables and TablesThatPeersHaveReplacedAreNotConfirmed fail (age 0 where 3 s and none are expected). After: both pass.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -361,6 +361,12 @@
   void ReportLowLevelUse(const std::string& customer);
   /// Records that the active tables were current at `confirmed_at`.
   void RecordTablesConfirmation(TimePoint confirmed_at);
+  /// Returns true if a read of `version` that began at `read_started` shows
+  /// that the store has lost a later version: it was restored from an older
+  /// copy.
+  bool IsStoreBehind(std::uint64_t version, TimePoint read_started) const;
+  void OnStoreBehind(std::uint64_t version);
+  void RecordPeerTablesVersion(std::uint64_t version);
   /// Applies a peer's confirmation that the active tables are current.
   void ApplyTablesConfirmation(const Heartbeat& response);
   /// Applies the changed upstream list and dispatches queued requests.
@@ -391,6 +397,10 @@
 
   std::shared_ptr<const ForwardingIndex> tables_index_;
   std::optional<TimePoint> tables_confirmed_at_;
+  TimePoint tables_activated_at_;
+  std::uint64_t peer_tables_version_ = 0;  ///< The highest that a peer named.
+  TimePoint peer_tables_version_heard_at_;
+  std::uint64_t behind_version_ = 0;  ///< Last one logged by `OnStoreBehind`.
   WallClockEstimate wall_clock_;
   UpstreamList upstream_list_;
   UpstreamBalancer upstreams_;
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -224,10 +224,44 @@
 // Tables, upstreams, fleet size and drain.
 
 void ForwardNode::On(const forward_event::TablesRead& read) {
+  const std::uint64_t version = read.tables->tables().version;
   ActivateTables(read.tables, "read");
+  if (IsStoreBehind(version, read.read_started)) {
+    OnStoreBehind(version);
+    return;
+  }
+  behind_version_ = 0;
   RecordTablesConfirmation(read.read_started);
 }
 
+bool ForwardNode::IsStoreBehind(std::uint64_t version,
+                                TimePoint read_started) const {
+  const bool peers_are_ahead = version < peer_tables_version_ &&
+                               read_started > peer_tables_version_heard_at_;
+  const bool node_is_ahead =
+      version < TablesVersion() && read_started > tables_activated_at_;
+  return node_is_ahead || peers_are_ahead;
+}
+
+void ForwardNode::OnStoreBehind(std::uint64_t version) {
+  // Keys in tables that peers have replaced may have been revoked since.
+  if (version == TablesVersion()) tables_confirmed_at_.reset();
+  if (version == behind_version_) return;
+  behind_version_ = version;
+  Emit(forward_action::WriteLogLine{
+      LogLevel::kWarn,
+      "store_is_behind",
+      {{"stored_version", std::to_string(version)},
+       {"version", std::to_string(TablesVersion())},
+       {"peer_version", std::to_string(peer_tables_version_)}}});
+}
+
+void ForwardNode::RecordPeerTablesVersion(std::uint64_t version) {
+  if (version <= peer_tables_version_) return;
+  peer_tables_version_ = version;
+  peer_tables_version_heard_at_ = now();
+}
+
 void ForwardNode::RecordTablesConfirmation(TimePoint confirmed_at) {
   // Responses may arrive out of order; an older confirmation does not replace a
   // newer one.
@@ -258,6 +292,7 @@
       {{"version", std::to_string(tables->tables().version)},
        {"source", source}}});
   tables_index_ = tables;
+  tables_activated_at_ = now();
   limits_.Configure(CustomerLimits(tables_index_->tables()), now());
   UpdateLimits();
 }
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -319,6 +319,52 @@
   EXPECT_EQ(node_.tables_index()->tables().version, 5U);
 }
 
+// Guards against a revoked key that is accepted because a store that was
+// restored from an older copy confirms the tables from before (incident
+// CONFIG).
+TEST_F(ForwardNodeTest, AStoreThatIsBehindDoesNotConfirmTheTables) {
+  ReadTables(MakeTables(16));
+  AdvanceTime(std::chrono::seconds(3));
+  {
+    SCOPED_TRACE("a read of an earlier version");
+    ReadTables(MakeTables(14));
+    EXPECT_EQ(node_.tables_index()->tables().version, 16U);
+    EXPECT_EQ(node_.TablesAge(now_), std::chrono::seconds(3));
+  }
+  {
+    SCOPED_TRACE("the operator writes the version again");
+    ReadTables(MakeTables(16));
+    EXPECT_EQ(node_.TablesAge(now_), Duration(0));
+  }
+}
+
+// Guards against a node that starts from the older copy and accepts a key that
+// its peers know to be revoked.
+TEST_F(ForwardNodeTest, TablesThatPeersHaveReplacedAreNotConfirmed) {
+  ReadTables(MakeTables(14));
+  Heartbeat heartbeat;
+  heartbeat.records.resize(1);
+  heartbeat.records.front().id = {"m", 1};
+  heartbeat.records.front().tables_version = 16;
+  Submit(event::HeartbeatReceived{heartbeat});
+  {
+    SCOPED_TRACE("a read that began before the peer's version was known");
+    Submit(event::TablesRead{
+        std::make_shared<const ForwardingIndex>(MakeTables(14)),
+        now_ - std::chrono::milliseconds(10)});
+    EXPECT_TRUE(node_.TablesAge(now_).has_value());
+  }
+  AdvanceTime(std::chrono::milliseconds(50));
+  ReadTables(MakeTables(14));
+  EXPECT_EQ(node_.TablesAge(now_), std::nullopt);
+  Arrive(1, "read");
+  ASSERT_NE(FindAction<action::Reject>(), nullptr);
+  EXPECT_EQ(FindAction<action::Reject>()->not_run.problem_type,
+            "stale-configuration");
+  ReadTables(MakeTables(16));
+  EXPECT_EQ(node_.TablesAge(now_), Duration(0));
+}
+
 TEST_F(ForwardNodeTest, LeavingOrRemovedUpstreamGetsNoRequests) {
   event::UpstreamsListed listed;
   for (const auto& [name, upstream] : node_.upstreams().all()) {
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -45,6 +45,7 @@
   const std::optional<Duration> correction = wall_clock_.OnPeerEstimate(
       sender.id.name, heartbeat.wall_clock_time, now());
   if (correction.has_value()) LogWallClockCorrection(*correction);
+  RecordPeerTablesVersion(sender.tables_version);
   fleet_stream_counts_.Merge(ProcessName(sender.id), sender.late_stream_counts,
                              now());
   if (now() - limits_updated_at_ >= kMinLimitsUpdateInterval) UpdateLimits();
