Suspects that a restored store lost are written again

What callers saw: nothing yet; after a restart of all nodes a request that crashes upstreams would reach them again. Cause: the document with the crashes is read at the start and written on change; a restored store has an older one, and its revision may match by chance. Change: each node writes again what it wrote or read, merged with what is there. The number of nodes is read again.

--- a/src/include/pollenledge/process/suspect_sync.h
+++ b/src/include/pollenledge/process/suspect_sync.h
@@ -49,6 +49,8 @@
   void AddCrashes(const std::vector<CrashReport>& crashes);
 
  private:
+  /// Writes again what the store has lost.
+  void OnRestored();
   void Read();
   void OnRead(const Result<StoreItem>& item);
   void OnReadFailed(const Error& error);
--- a/src/libpollenledge/process/fleet_size_sync.cc
+++ b/src/libpollenledge/process/fleet_size_sync.cc
@@ -44,7 +44,9 @@
       lease_(lease),
       key_(std::move(key)),
       hooks_(std::move(hooks)),
-      timer_(loop) {}
+      timer_(loop) {
+  store->OnRestored([this] { RunAfter(Duration(0), &FleetSizeSync::Read); });
+}
 
 void FleetSizeSync::Start() {
   started_at_ = BootClockNow();
--- a/src/libpollenledge/process/suspect_document_test.cc
+++ b/src/libpollenledge/process/suspect_document_test.cc
@@ -82,6 +82,13 @@
   void RenewLease(std::int64_t, Callback<StoreLease>) override {}
   void RevokeLease(std::int64_t) override {}
 
+  /// The store comes back from a copy without the document.
+  void Restore() {
+    text.clear();
+    revision = 0;
+    NotifyRestored();
+  }
+
   std::string text;
   std::int64_t revision = 0;
   bool unavailable = false;
@@ -135,6 +142,27 @@
   }
 }
 
+// Guards against a rejected request that reaches upstreams again after all
+// nodes were restarted, because a restored store has lost it (incident CONFIG).
+TEST_F(SuspectSyncTest, CrashesThatARestoredStoreLostAreWrittenAgain) {
+  SuspectSync writer = MakeSynchronizer();
+  writer.Start();
+  writer.AddCrashes({{{0, 1}, 7, false, kMinute}});
+  loop_.run();
+  SuspectSync reader = MakeSynchronizer();
+  reader.Start();
+  {
+    SCOPED_TRACE("by the node that wrote them, and by one that read them");
+    store_.Restore();
+    loop_.restart();
+    loop_.run();
+    EXPECT_EQ(Value(DecodeSuspects(store_.text)).size(), 1U);
+  }
+  SuspectSync later = MakeSynchronizer();
+  later.Start();
+  EXPECT_EQ(submitted_.back().size(), 1U);
+}
+
 TEST_F(SuspectSyncTest, MalformedDocumentCountsAsEmptyAndIsOverwritten) {
   store_.text = "{";
   store_.revision = 5;
--- a/src/libpollenledge/process/suspect_sync.cc
+++ b/src/libpollenledge/process/suspect_sync.cc
@@ -13,10 +13,19 @@
       key_(std::move(key)),
       now_(std::move(now)),
       on_reports_(std::move(on_reports)),
-      timer_(loop) {}
+      timer_(loop) {
+  store->OnRestored([this] { OnRestored(); });
+}
 
 void SuspectSync::Start() { Read(); }
 
+void SuspectSync::OnRestored() {
+  local_crashes_ = MergeSuspects(local_crashes_, stored_crashes_, now_());
+  if (local_crashes_.empty()) return;
+  dirty_ = true;
+  if (!busy_) Read();
+}
+
 void SuspectSync::Read() {
   busy_ = true;
   store_->Read(key_, [this](const Result<StoreItem>& item) { OnRead(item); });
