An error in place of the rest of a stream is not passed on

It could happen here, on both fronts.

Cause: a stream broke off and went on at another upstream. A response of that one with a status below 500 counted as complete and was delivered as a plain response on the connection where the caller's stream had begun. On the project's own front any status did, and its body replaced what had been delivered.

Change: once a caller's stream has begun, only events can follow; another response is an invalid one. The stream goes on elsewhere or is cut, so that it looks incomplete.

--- a/src/libpollenledge/connection/upstream_call.cc
+++ b/src/libpollenledge/connection/upstream_call.cc
@@ -343,7 +343,13 @@
       result.result = AttemptOutcome::kRejected;
       return result;
     }
-    if (status != Poco::Net::HTTPResponse::HTTP_OK) {
+    const bool is_stream = status == Poco::Net::HTTPResponse::HTTP_OK;
+    if (!is_stream && attempt.delivered_tokens > 0) {
+      // The caller's stream has begun, so the response can't go there.
+      result.result = AttemptOutcome::kConnectionLost;
+      return result;
+    }
+    if (!is_stream) {
       const std::string content_type =
           HeaderValue(response.head(), "Content-Type");
       const std::optional<std::string> body =
--- a/src/libpollenledge/connection/upstream_call_test.cc
+++ b/src/libpollenledge/connection/upstream_call_test.cc
@@ -50,6 +50,64 @@
   EXPECT_LT(sent, kEarlyAbortBytes);
 }
 
+/// Makes one attempt at an engine that sends `response` and then closes the
+/// connection. Sets `plain_responses` to the number of responses that would go
+/// to the caller as they are.
+event::AttemptFinished CallEngine(const std::string& response,
+                                  std::int64_t delivered_tokens,
+                                  int* plain_responses) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  std::thread engine([&] {
+    Poco::Net::StreamSocket connection = server.acceptConnection();
+    std::array<char, 512> buffer{};
+    connection.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    connection.sendBytes(response.data(), static_cast<int>(response.size()));
+  });
+  EngineAttempt attempt;
+  attempt.address = server.address().toString();
+  attempt.path = "/v1/completions";
+  attempt.delivered_tokens = delivered_tokens;
+  const EngineSink sink = {
+      .on_plain_response = [&](const HttpResponse&) { ++*plain_responses; },
+      .on_event = [](const std::string&, std::int64_t) { return true; },
+      .on_first_token = [] {}};
+  AttemptControl control;
+  event::AttemptFinished ended = RunEngineAttempt(attempt, sink, &control);
+  engine.join();
+  return ended;
+}
+
+// Guards against the text of an error in the middle of a caller's stream, or a
+// stream that ends as if it were complete: the stream broke off, and the next
+// engine responds with an error.
+TEST(UpstreamCallTest, ErrorInPlaceOfTheRestOfAStreamIsNotPassedOn) {
+  for (const char* status : {"404 Not Found", "500 Oops", "302 Found"}) {
+    SCOPED_TRACE(status);
+    const std::string response = std::string("HTTP/1.1 ") + status +
+                                 "\r\nContent-Length: 5\r\n\r\nerror";
+    int plain_responses = 0;
+    EXPECT_EQ(CallEngine(response, 3, &plain_responses).result,
+              AttemptOutcome::kConnectionLost);
+    EXPECT_EQ(plain_responses, 0);
+    EXPECT_EQ(CallEngine(response, 0, &plain_responses).result,
+              AttemptOutcome::kCompleted);
+    EXPECT_EQ(plain_responses, 1);
+  }
+}
+
+// Guards against a head that was cut off and is taken for a whole response.
+TEST(UpstreamCallTest, ResponseThatEndsInsideItsHeadIsLost) {
+  for (const char* response :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"}) {
+    SCOPED_TRACE(response);
+    int plain_responses = 0;
+    EXPECT_EQ(CallEngine(response, 0, &plain_responses).result,
+              AttemptOutcome::kConnectionLost);
+    EXPECT_EQ(plain_responses, 0);
+  }
+}
+
 /// Makes one service call to an upstream that sends `response` and then closes
 /// the connection in order, or resets it.
 event::AttemptFinished CallService(const std::string& response, bool reset) {
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -432,17 +432,20 @@
     return is_complete ? ForwardOutcome::kCompleted
                        : ForwardOutcome::kInvalidResponse;
   }
+  // The caller's stream has begun, so a response of another kind can't go
+  // there.
+  const bool is_failure = status >= kMinStatusServerError;
+  if (exchange.response_started && !is_failure)
+    return ForwardOutcome::kInvalidResponse;
   if (IsSuccess(status)) {
     const bool is_verified = exchange.response_info.is_signed &&
                              exchange.response_info.trace_id.has_value() &&
-                             !exchange.response_info.is_encoded &&
-                             !exchange.response_started;
+                             !exchange.response_info.is_encoded;
     return is_verified ? ForwardOutcome::kCompleted
                        : ForwardOutcome::kInvalidResponse;
   }
   if (ImpliesNotRun(status)) return ForwardOutcome::kInvalidResponse;
-  return status >= kMinStatusServerError ? ForwardOutcome::kFailed
-                                         : ForwardOutcome::kCompleted;
+  return is_failure ? ForwardOutcome::kFailed : ForwardOutcome::kCompleted;
 }
 
 void ForwardService::Execute(const forward_action::CancelAttempt& cancel) {
--- /dev/null
+++ b/testsuite/platform_faulty_answers/run.py
@@ -0,0 +1,69 @@
+#!/usr/bin/env python3
+"""Runners that respond with an error where a stream goes on, or that stop inside the head of a
+response."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from platform_standins import EXECUTIONS, Platform  # noqa: E402
+from story import run_case  # noqa: E402
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def execution_count(attempt):
+    return len([run for run in EXECUTIONS if run[0] == attempt])
+
+
+def earn_retries(platform):
+    """Requests that earn the retry budget of the next ones."""
+    for i in range(12):
+        platform.send_request(f"earn{i}{len(EXECUTIONS)}", "/draft/stream")
+
+
+def read_all(platform, attempt, path):
+    """The bytes of the response to a request, up to the end of the connection."""
+    with platform.connect(platform.caller) as connection:
+        connection.sendall(platform.request(attempt, path))
+        data = b""
+        try:
+            while not data.endswith(LAST_CHUNK):
+                received = connection.recv(65536)
+                if not received:
+                    break
+                data += received
+        except ConnectionResetError:
+            pass
+    return data
+
+
+def check_broken_streams(platform, transcript):
+    for status in (404, 500, 302):
+        earn_retries(platform)
+        data = read_all(platform, f"s{status}", f"/draft/breakthen{status}")
+        transcript.write(
+            f"stream that broke off, then {status}: runs {execution_count(f's{status}')}, "
+            f"events {data.count(b'data: ')}, error text in the stream: {b'error text' in data}, "
+            f"second head: {data.count(b'HTTP/1.1') > 1}, looks complete: {data.endswith(LAST_CHUNK)}")
+
+
+def check_cut_heads(platform, transcript):
+    for path in ("cutstatus", "cuthead", "cutline"):
+        earn_retries(platform)
+        status, _, _ = platform.send_request(f"o{path}", f"/order/{path}", "POST", b"x")
+        transcript.write(f"head cut ({path}): order {status}, runs {execution_count('o' + path)}")
+        status, _, body = platform.send_request(f"i{path}", f"/read/{path}")
+        transcript.write(f"head cut ({path}): read {status} {body}")
+        data = read_all(platform, f"c{path}", f"/chat/{path}")
+        transcript.write(f"head cut ({path}): stream {data.split(b' ')[1].decode()}")
+
+
+def run_checks(platform, transcript):
+    check_broken_streams(platform, transcript)
+    check_cut_heads(platform, transcript)
+
+
+if __name__ == "__main__":
+    run_case(run_checks, lambda: Platform(1, 2))
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -516,6 +516,47 @@
         return self.stream(connection, attempt, int(mine[-1][2] or 0) + 1, 4, True)
 
 
+    def break_then_fail(self, connection, attempt, status):
+        """Breaks the first run off after two events. Later runs respond with an error."""
+        if sum(1 for run in EXECUTIONS if run[0] == attempt) == 1:
+            return self.stream(connection, attempt, 1, 2, False)
+        connection.sendall(self.complete_response(attempt, b"error text", status))
+        return True
+
+    def do_breakthen404(self, connection, attempt):
+        return self.break_then_fail(connection, attempt, "404 Not Found")
+
+    def do_breakthen500(self, connection, attempt):
+        return self.break_then_fail(connection, attempt, "500 Oops")
+
+    def do_breakthen302(self, connection, attempt):
+        return self.break_then_fail(connection, attempt, "302 Found")
+
+    def do_refusedagain(self, connection, attempt):
+        """Writes an earlier refusal, which names no request, once more before the response."""
+        connection.sendall(b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        time.sleep(0.05)
+        connection.sendall(self.complete_response(attempt))
+        return True
+
+    def cut_head(self, connection, attempt, head):
+        """Stops in the head of the first run's response and closes the connection."""
+        if sum(1 for run in EXECUTIONS if run[0] == attempt) > 1:
+            return self.do_ok(connection, attempt)
+        connection.sendall(head.replace("ID", attempt).encode())
+        return False
+
+    def do_cutstatus(self, connection, attempt):
+        return self.cut_head(connection, attempt, "HTTP/1.1 200 OK\r\n")
+
+    def do_cuthead(self, connection, attempt):
+        return self.cut_head(connection, attempt, "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\n"
+                             "Server-Signature: s\r\nContent-Le")
+
+    def do_cutline(self, connection, attempt):
+        return self.cut_head(connection, attempt, "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\n"
+                             "Server-Signature: s\r\nContent-Length: 4\r\n")
+
     def stream_until_close(self, connection, attempt, first, last, end=b"", head="HTTP/1.1 200 OK"):
         """Streams the events `first` to `last` and then `end`, without a length or chunks, so
         that the end of the connection is the end of the stream."""
