A refusal that names no request doesn't count on a connection that was used before

What callers saw: 'not run, try again' for a request that an upstream ran, or a non-idempotent request that ran at two upstreams (reported by another operator). It could happen here.

Cause: a faulty upstream writes an earlier refusal once more on a kept connection. A response with another request's id was dropped; one without an id was taken for the response to the current request. The project's own front opens a connection for each attempt, so it can't happen there.

Change: on a connection that carried an earlier request, a refusal counts only if it names the request; otherwise the response is invalid and the request may have run.

Before: testsuite/platform_faulty_answers: order and stream told not run, and run twice. After: 502, one run.

--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -73,6 +73,8 @@
   const std::string& address() const { return address_; }
   /// When the last exchange ended.
   TimePoint idle_since() const { return idle_since_; }
+  /// Number of requests that were sent on this connection, or are to be.
+  int request_count() const { return request_count_; }
   /// How long the peer keeps an idle connection open, from its `Keep-Alive`
   /// header; empty if it sent none.
   std::optional<Duration> keep_alive_timeout() const {
@@ -109,6 +111,7 @@
   bool reusable_ = true;
   bool head_processed_ = false;
   bool skipping_response_ = false;
+  int request_count_ = 0;
   int skipped_responses_ = 0;  ///< Responses skipped in this exchange.
   TimePoint idle_since_;
   std::optional<Duration> keep_alive_timeout_;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -74,6 +74,9 @@
     bool expects_stream = false;  ///< The route's responses are event streams.
     bool response_started = false;  ///< The caller received the response head.
     std::shared_ptr<ClientConnection> upstream_connection;
+    /// The connection carried earlier requests, whose responses an upstream may
+    /// send again.
+    bool connection_was_used = false;
     HttpHead response_head;
     ResponseInfo response_info;
     /// The current attempt's response is a stream whose events are forwarded.
@@ -112,6 +115,8 @@
   /// Aborts an attempt whose response exceeds a size limit.
   void RejectResponse(ForwardId id, const char* reason);
   void DiscardBufferedResponse(Exchange* exchange);
+  /// Returns true if the upstream has stated that it did not run this request.
+  static bool IsRefusal(const Exchange& exchange);
   ForwardOutcome ClassifyEnd(const Exchange& exchange,
                              ClientExchangeResult end) const;
   void StartResponse(Exchange* exchange);
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -60,6 +60,7 @@
   send_before_ = send_before;
   handlers_ = std::make_shared<ExchangeHandlers>(std::move(handlers));
   busy_ = true;
+  ++request_count_;
   may_have_sent_ = false;
   request_written_ = false;
   head_processed_ = false;
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -281,6 +281,8 @@
       send.address,
       send.reuse_connection ? kMaxIdleForRetryable : kMaxIdleForNonIdempotent,
       now);
+  exchange->connection_was_used =
+      exchange->upstream_connection->request_count() > 0;
   metrics_.IncrementCounter("attempts_total");
   if (send.previous_end.has_value()) {
     metrics_.IncrementCounter(
@@ -412,10 +414,18 @@
                                      exchange->response_info.signals.load});
 }
 
+bool ForwardService::IsRefusal(const Exchange& exchange) {
+  // A refusal that names no request may be that of an earlier request on the
+  // same connection, sent once more.
+  const bool is_of_this_request = exchange.response_info.trace_id.has_value() ||
+                                  !exchange.connection_was_used;
+  return exchange.response_info.not_run && is_of_this_request;
+}
+
 ForwardOutcome ForwardService::ClassifyEnd(const Exchange& exchange,
                                            ClientExchangeResult end) const {
   if (end == ClientExchangeResult::kNotSent) return ForwardOutcome::kNotSent;
-  if (exchange.response_info.not_run) return ForwardOutcome::kRejected;
+  if (IsRefusal(exchange)) return ForwardOutcome::kRejected;
   if (end == ClientExchangeResult::kConnectionLost)
     return ForwardOutcome::kConnectionLost;
   if (end == ClientExchangeResult::kInvalid)
--- a/testsuite/platform_faulty_answers/run.py
+++ b/testsuite/platform_faulty_answers/run.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
-"""Runners that respond with an error where a stream goes on, or that stop inside the head of a
-response."""
+"""Runners that repeat an earlier refusal, that respond with an error where a stream goes on, or
+that stop inside the head of a response."""
 
 import sys
 from pathlib import Path
@@ -49,6 +49,16 @@
             f"second head: {data.count(b'HTTP/1.1') > 1}, looks complete: {data.endswith(LAST_CHUNK)}")
 
 
+def check_repeated_refusals(platform, transcript):
+    for kind in ("order", "chat", "read"):
+        for i in range(12):  # The runners' connections are kept.
+            platform.send_request(f"keep{kind}{i}", "/order/ok", "POST", b"x")
+        status, _, body = platform.send_request(f"r{kind}", f"/{kind}/refusedagain", "POST", b"x")
+        transcript.write(f"an earlier refusal on a kept connection, {kind}: told not run: {status in (429, 503)}, "
+                         f"runs at most {'twice' if kind == 'read' else 'once'}: "
+                         f"{execution_count(f'r{kind}') <= (2 if kind == 'read' else 1)}")
+
+
 def check_cut_heads(platform, transcript):
     for path in ("cutstatus", "cuthead", "cutline"):
         earn_retries(platform)
@@ -62,6 +72,7 @@
 
 def run_checks(platform, transcript):
     check_broken_streams(platform, transcript)
+    check_repeated_refusals(platform, transcript)
     check_cut_heads(platform, transcript)
 
 
