--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -268,6 +268,13 @@
   void SendSuspectReports();
   void ExpireSuspects();
 
+  // What upstreams state about themselves.
+  void ApplyLeaving(const UpstreamId& upstream, const std::string& source);
+  void ApplyPause(const UpstreamId& upstream, Duration pause,
+                  const Request& request);
+  /// Adds to `heartbeat` what peers are told of the upstreams' statements.
+  void AddUpstreamStatements(Heartbeat* heartbeat);
+
   // Rate limits of upstreams.
   void MergeRateLimits(const std::vector<RateLimitReport>& reports,
                        const std::string& sender);
@@ -276,7 +283,7 @@
   void OnRateLimitChange(const UpstreamId& upstream, RateLimitChange change,
                          const std::string& source);
   std::vector<RateLimitReport> NextRateLimitReports();
-  void BroadcastRateLimits();
+  void BroadcastUpstreamStatements();
   /// Returns the usable upstreams of `service` that have a limit.
   std::vector<UpstreamId> LimitedUpstreams(const std::string& service) const;
   /// Makes `query` exclude the limited upstreams for which this node has no
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -142,6 +142,8 @@
   /// In a response, the windows whose usage counts were accepted.
   std::vector<UsageWindow> accepted_usage_windows;
   std::vector<RateLimitReport> rate_limit_reports;
+  /// Upstreams that stated in a response that they leave.
+  std::vector<UpstreamId> leaving_upstreams;
   /// Permits that the sender requests from the receiver.
   std::vector<PermitCount> requested_permits;
   /// Permits that the sender grants to the receiver.
--- a/src/include/pollenledge/process/upstream_balancer.h
+++ b/src/include/pollenledge/process/upstream_balancer.h
@@ -28,6 +28,7 @@
   /// first event yet.
   std::int64_t pending_prompt_tokens = 0;
   TimePoint backoff_until;  ///< Not chosen before this time.
+  TimePoint paused_until;   ///< The upstream accepts nothing before this time.
   /// Maximum number of requests that this node may have running on it.
   double concurrency_limit = 0;
   TimePoint limit_decreased_at;  ///< When `concurrency_limit` was last reduced.
@@ -136,6 +137,19 @@
   void MergePeerReports(const std::vector<UpstreamLoadReport>& reports,
                         TimePoint now);
 
+  /// Records that the upstream stated that it leaves. Returns false if that was
+  /// known, or if it is not listed with this incarnation.
+  bool OnLeaving(const UpstreamId& id);
+  /// Returns at most `count` of the listed upstreams that stated it.
+  std::vector<UpstreamId> StatedLeaving(std::size_t count) const;
+  /// Records that the upstream accepts no requests until `until`. Afterwards it
+  /// gets few at first.
+  void OnPauseRequested(ForwardUpstream* upstream, TimePoint until);
+  /// Returns when the first upstream of `service` accepts requests again; empty
+  /// if there is one that accepts some now.
+  std::optional<TimePoint> EarliestReturn(const std::string& service,
+                                          TimePoint now) const;
+
   /// Returns the number of upstreams of `service` that may be sent requests.
   int UsableCount(const std::string& service) const;
   /// Returns true if this incarnation of the upstream is in the current list.
@@ -179,7 +193,13 @@
   /// Starts a backoff period that doubles with each rejection in a row.
   void StartBackoff(ForwardUpstream* upstream, TimePoint now);
 
+  /// Number of incarnations that are remembered to have stated that they leave.
+  static constexpr std::size_t kMaxStatedLeaving = 1024;
+
   std::map<std::string, ForwardUpstream> upstreams_;  ///< By name.
+  /// Incarnations that stated that they leave, by upstream name. Kept while
+  /// they are not listed, as the store may list them again.
+  std::map<std::string, std::uint64_t> stated_leaving_;
   std::mt19937_64 random_;
 };
 
--- a/src/include/pollenledge/request/upstream_signals.h
+++ b/src/include/pollenledge/request/upstream_signals.h
@@ -18,6 +18,13 @@
   /// A limit was stated in a form that could not be parsed. Nothing is then
   /// known about the limit.
   bool limit_is_unreadable = false;
+  /// The upstream stops soon; this is final for its incarnation.
+  bool leaving = false;
+  /// The upstream wants no requests from this node for so long. Only stated
+  /// with a rejection.
+  std::optional<Duration> retry_after;
+  /// A time was stated in a form that could not be parsed.
+  bool retry_after_is_unreadable = false;
 
   friend bool operator==(const UpstreamSignals&,
                          const UpstreamSignals&) = default;
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -141,6 +141,8 @@
   permitsGranted @15 :List(PermitCount);
   # In a request the sender's clock, with permits the same figure again.
   permitsRequestedAtMicros @16 :Int64;
+  # Upstreams that said in a response that they leave.
+  leavingUpstreams @17 :List(UpstreamId);
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -399,7 +399,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 6, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 6, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2863,6 +2863,9 @@
 
   inline  ::int64_t getPermitsRequestedAtMicros() const;
 
+  inline bool hasLeavingUpstreams() const;
+  inline  ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Reader getLeavingUpstreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2983,6 +2986,13 @@
   inline  ::int64_t getPermitsRequestedAtMicros();
   inline void setPermitsRequestedAtMicros( ::int64_t value);
 
+  inline bool hasLeavingUpstreams();
+  inline  ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Builder getLeavingUpstreams();
+  inline void setLeavingUpstreams( ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Builder initLeavingUpstreams(unsigned int size);
+  inline void adoptLeavingUpstreams(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>> disownLeavingUpstreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7709,6 +7719,40 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeHeartbeat::Reader::hasLeavingUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasLeavingUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Reader NodeHeartbeat::Reader::getLeavingUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::getLeavingUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::setLeavingUpstreams( ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::initLeavingUpstreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void NodeHeartbeat::Builder::adoptLeavingUpstreams(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>> NodeHeartbeat::Builder::disownLeavingUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -348,6 +348,9 @@
   for (const auto permits : reader.getPermitsGranted()) {
     heartbeat.granted_permits.push_back(FromWire(permits));
   }
+  for (const auto upstream : reader.getLeavingUpstreams()) {
+    heartbeat.leaving_upstreams.push_back(FromWire(upstream));
+  }
   heartbeat.permits_requested_at =
       ClockFromWire(reader.getPermitsRequestedAtMicros());
   heartbeat.upstreams_revision = reader.getUpstreamsRevision();
@@ -411,6 +414,11 @@
   for (unsigned i = 0; i < granted.size(); ++i) {
     ToWire(heartbeat.granted_permits[i], granted[i]);
   }
+  auto leaving = builder.initLeavingUpstreams(
+      static_cast<unsigned>(heartbeat.leaving_upstreams.size()));
+  for (unsigned i = 0; i < leaving.size(); ++i) {
+    ToWire(heartbeat.leaving_upstreams[i], leaving[i]);
+  }
   builder.setPermitsRequestedAtMicros(
       ClockToWire(heartbeat.permits_requested_at));
   builder.setUpstreamsRevision(heartbeat.upstreams_revision);
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -142,6 +142,13 @@
     GiveUp(request, ForwardOutcome::kNotSent, "no-upstream");
     return;
   }
+  const std::optional<TimePoint> return_at =
+      upstreams_.EarliestReturn(request->service, now());
+  if (return_at.has_value() && *return_at > queued.latest_start) {
+    GiveUp(request, ForwardOutcome::kNotSent, "upstreams-pause",
+           *return_at - now());
+    return;
+  }
   const std::optional<Duration> limited_wait =
       WaitForLimitedUpstreams(request->service, it->second.size());
   if (limited_wait.has_value() && *limited_wait > wait) {
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace pollenledge {
 namespace {
 
@@ -46,16 +48,7 @@
  protected:
   ForwardNodeTest() : node_(Options()) {
     ReadTables(MakeTables(1));
-    event::UpstreamsListed listed;
-    for (const char* name : {"u1", "u2", "u3"}) {
-      ForwardUpstreamInfo upstream;
-      upstream.id.name = name;
-      upstream.address = std::string("10.0.0.1:") + name[1];
-      upstream.service = "s";
-      upstream.slots = 20;
-      listed.upstreams.push_back(upstream);
-    }
-    Submit(listed);
+    Submit(event::UpstreamsListed{ListWithout(""), 0, {}});
   }
 
   static ForwardNodeOptions Options() {
@@ -72,6 +65,21 @@
         std::make_shared<const ForwardingIndex>(std::move(tables)), now_});
   }
 
+  /// Returns the list of upstreams without `name`, as the store has it.
+  static std::vector<ForwardUpstreamInfo> ListWithout(const std::string& name) {
+    std::vector<ForwardUpstreamInfo> list;
+    for (const char* listed : {"u1", "u2", "u3"}) {
+      if (listed == name) continue;
+      ForwardUpstreamInfo upstream;
+      upstream.id.name = listed;
+      upstream.address = std::string("10.0.0.1:") + listed[1];
+      upstream.service = "s";
+      upstream.slots = 20;
+      list.push_back(upstream);
+    }
+    return list;
+  }
+
   void Submit(const ForwardEvent& event) {
     actions_ = node_.Handle(event, {now_, WallTime()});
   }
@@ -379,6 +387,110 @@
   }
 }
 
+// Guards against requests to an upstream that has said in a response that it
+// leaves, while the list of upstreams does not say so yet (issue 32).
+TEST_F(ForwardNodeTest, UpstreamThatStatesThatItLeavesGetsNoRequests) {
+  Arrive(1, "read");
+  const UpstreamId leaving = FindAction<action::SendAttempt>()->upstream;
+  Submit(event::ResponseHeadReceived{1, {.leaving = true}});
+  const auto sends_to_it = [&](ForwardId first) {
+    for (ForwardId id = first; id < first + 20; ++id) {
+      Arrive(id, "read");
+      const auto* send = FindAction<action::SendAttempt>();
+      if (send == nullptr || send->upstream == leaving) return true;
+      EndAttempt(id, ForwardOutcome::kCompleted, 200);
+    }
+    return false;
+  };
+  EXPECT_FALSE(sends_to_it(100));
+  {
+    SCOPED_TRACE("an entry that still says ready, also after it was missing");
+    EndAttempt(1, ForwardOutcome::kCompleted, 200);
+    Submit(event::UpstreamsListed{ListWithout(leaving.name), 2, {}});
+    Submit(event::UpstreamsListed{ListWithout(""), 3, {}});
+    EXPECT_FALSE(sends_to_it(200));
+  }
+  {
+    SCOPED_TRACE("a new incarnation");
+    std::vector<ForwardUpstreamInfo> list = ListWithout("");
+    for (ForwardUpstreamInfo& info : list) info.id.incarnation = 9;
+    Submit(event::UpstreamsListed{list, 4, {}});
+    std::set<std::string> used;
+    for (ForwardId id = 300; id < 340; ++id) {
+      Arrive(id, "read");
+      used.insert(FindAction<action::SendAttempt>()->upstream.name);
+      EndAttempt(id, ForwardOutcome::kCompleted, 200);
+    }
+    EXPECT_EQ(used.count(leaving.name), 1U);
+  }
+}
+
+// Guards against nodes that send to a leaving upstream because only a peer was
+// told.
+TEST_F(ForwardNodeTest, PeersTellOfUpstreamsThatLeave) {
+  Heartbeat heartbeat;
+  heartbeat.records.resize(1);
+  heartbeat.records.front().id = {"m", 1};
+  heartbeat.leaving_upstreams = {{"u1", 0}, {"u2", 7}};
+  Submit(event::HeartbeatReceived{heartbeat});
+  std::set<std::string> used;
+  for (ForwardId id = 1; id < 40; ++id) {
+    Arrive(id, "read");
+    used.insert(FindAction<action::SendAttempt>()->upstream.name);
+    EndAttempt(id, ForwardOutcome::kCompleted, 200);
+  }
+  // Another incarnation of u2 is leaving.
+  EXPECT_EQ(used, (std::set<std::string>{"u2", "u3"}));
+}
+
+// Guards against requests to an upstream that has asked for a pause, and
+// against callers that wait for it (issue 32).
+TEST_F(ForwardNodeTest, UpstreamThatAsksForAPauseGetsNoRequests) {
+  using std::chrono::milliseconds;
+  Arrive(1, "order");
+  const std::string pausing = FindAction<action::SendAttempt>()->upstream.name;
+  Submit(event::ResponseHeadReceived{1, {.retry_after = milliseconds(3000)}});
+  EndAttempt(1, ForwardOutcome::kRejected, 503);
+  for (ForwardId id = 100; id < 129; ++id) {
+    AdvanceTime(milliseconds(100));
+    Arrive(id, "read");
+    EXPECT_NE(FindAction<action::SendAttempt>()->upstream.name, pausing) << id;
+    EndAttempt(id, ForwardOutcome::kCompleted, 200);
+  }
+  {
+    SCOPED_TRACE("the return is gradual");
+    AdvanceTime(milliseconds(200));
+    int sent = 0;
+    for (ForwardId id = 200; id < 240; ++id) {
+      Arrive(id, "read");
+      const auto* send = FindAction<action::SendAttempt>();
+      if (send != nullptr && send->upstream.name == pausing) ++sent;
+    }
+    EXPECT_LE(sent, 2);
+    EXPECT_GE(sent, 1);
+  }
+}
+
+// Guards against a queue that waits for upstreams that accept nothing until
+// after its deadline.
+TEST_F(ForwardNodeTest, RejectsAtOnceIfAllUpstreamsAskForAPause) {
+  using std::chrono::seconds;
+  for (ForwardId id = 1; id <= 3; ++id) {
+    Arrive(id, "order");
+    const auto* send = FindAction<action::SendAttempt>();
+    ASSERT_NE(send, nullptr);
+    Submit(event::ResponseHeadReceived{id, {.retry_after = seconds(1 + id)}});
+    EndAttempt(id, ForwardOutcome::kRejected, 503);
+  }
+  Arrive(10, "read");
+  const auto* reject = FindAction<action::Reject>();
+  ASSERT_NE(reject, nullptr);
+  EXPECT_EQ(reject->not_run.problem_type, "upstreams-pause");
+  // The earliest return, spread over callers.
+  EXPECT_GE(reject->not_run.retry_after, std::chrono::milliseconds(1400));
+  EXPECT_LE(reject->not_run.retry_after, std::chrono::milliseconds(3000));
+}
+
 TEST_F(ForwardNodeTest, CallerDisconnectCancelsTheAttempt) {
   Arrive(1, "read");
   Submit(event::CallerDisconnected{1});
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -52,6 +52,9 @@
   ApplySuspectReports(heartbeat.suspect_reports);
   upstreams_.MergePeerReports(heartbeat.load_reports, now());
   MergeRateLimits(heartbeat.rate_limit_reports, ProcessName(sender.id));
+  for (const UpstreamId& upstream : heartbeat.leaving_upstreams) {
+    ApplyLeaving(upstream, ProcessName(sender.id));
+  }
   RespondToPermitRequest(heartbeat);
   ApplyPermits(heartbeat);
   if (heartbeat.requests_levels) {
@@ -91,7 +94,7 @@
   query.suspect_reports =
       suspects_.NextReports(kMaxSuspectReportsPerHeartbeat, now());
   query.load_reports = NewLoadReports();
-  query.rate_limit_reports = NextRateLimitReports();
+  AddUpstreamStatements(&query);
   const std::string& self = membership_.self().id.name;
   const std::vector<const MemberRecord*> collectors = ChooseCollectors();
   SetCollectorRole(std::any_of(
@@ -129,7 +132,7 @@
   response.suspect_reports =
       suspects_.NextReports(kMaxSuspectReportsPerHeartbeat, now());
   response.load_reports = upstreams_.BusiestReports(kMaxLoadReports, now());
-  response.rate_limit_reports = NextRateLimitReports();
+  AddUpstreamStatements(&response);
   if (is_collector_) {
     response.accepted_usage_windows =
         AcceptUsage(sender.id, query.usage_reports);
@@ -158,7 +161,7 @@
   Heartbeat bootstrap = MakeStateHeartbeat(sender.id.name);
   bootstrap.suspect_reports =
       suspects_.NextReports(kMaxSuspectReportsPerHeartbeat, now());
-  bootstrap.rate_limit_reports = NextRateLimitReports();
+  AddUpstreamStatements(&bootstrap);
   for (const MemberRecord* record :
        membership_.PreferredMembers(CollectorSelector::kMaxCandidates, now())) {
     bootstrap.records.push_back(record->WithoutCounters());
@@ -309,16 +312,17 @@
   std::vector<HeartbeatMessage> messages = membership_.OnTick(now());
   std::vector<SuspectReport> suspects;
   std::vector<UpstreamLoadReport> loads;
-  std::vector<RateLimitReport> rate_limits;
+  Heartbeat statements;
   if (!messages.empty()) {
-    rate_limits = NextRateLimitReports();
+    AddUpstreamStatements(&statements);
     suspects = suspects_.NextReports(kMaxSuspectReportsPerHeartbeat, now());
     if (!membership_.IsLargeFleet()) loads = NewLoadReports();
   }
   for (HeartbeatMessage& message : messages) {
     message.heartbeat.suspect_reports = suspects;
     message.heartbeat.load_reports = loads;
-    message.heartbeat.rate_limit_reports = rate_limits;
+    message.heartbeat.rate_limit_reports = statements.rate_limit_reports;
+    message.heartbeat.leaving_upstreams = statements.leaving_upstreams;
     message.heartbeat.wall_clock_time = now_.wall;
     Emit(forward_action::SendHeartbeat{std::move(message)});
   }
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -340,6 +340,8 @@
     report("loads_unreadable_total", "load_unreadable");
   if (signals.limit_is_unreadable)
     report("upstream_limits_unreadable_total", "upstream_limit_unreadable");
+  if (signals.retry_after_is_unreadable)
+    report("upstream_pauses_unreadable_total", "upstream_pause_unreadable");
 }
 
 void ForwardService::OnResponseBody(ForwardId id, const std::string& bytes) {
--- a/src/libpollenledge/process/forward_rate_limits.cc
+++ b/src/libpollenledge/process/forward_upstream_signals.cc
@@ -4,14 +4,16 @@
 #include "pollenledge/process/forward_node.h"
 #include "pollenledge/request/fingerprint.h"
 
-// Rate limits that upstreams state, in `ForwardNode`: what is known of them,
-// and the permits that all nodes need together for requests to these upstreams.
+// What upstreams state about themselves, in `ForwardNode`: that they leave or
+// want a pause, and rate limits with the permits that all nodes need together.
 
 namespace pollenledge {
 namespace {
 
 /// Maximum number of limits in one message.
 constexpr std::size_t kMaxRateLimitReports = 16;
+/// Maximum number of leaving upstreams in one message.
+constexpr std::size_t kMaxLeavingUpstreams = 32;
 /// Interval at which a node reviews who coordinates the limited upstreams.
 constexpr Duration kReviewInterval = std::chrono::milliseconds(100);
 /// After a longer time without a review this machine was suspended.
@@ -27,19 +29,44 @@
 
 }  // namespace
 
-// What is known of the limits.
+// Statements.
 
 void ForwardNode::On(const forward_event::ResponseHeadReceived& received) {
   Request* request = FindRequest(received.id);
   if (request == nullptr || request->current_upstream.empty()) return;
-  if (received.signals.limit_is_unreadable) return;
+  const UpstreamSignals& signals = received.signals;
   const UpstreamId upstream{request->current_upstream,
                             request->current_incarnation};
   if (!upstreams_.IsListed(upstream)) return;
+  if (signals.leaving) ApplyLeaving(upstream, request->spec.trace_id);
+  if (signals.retry_after.has_value())
+    ApplyPause(upstream, *signals.retry_after, *request);
+  if (signals.limit_is_unreadable) return;
   const RateLimitChange change = rate_limits_.OnResponse(
-      upstream, received.signals.max_requests_per_s, request->sent_at, now());
+      upstream, signals.max_requests_per_s, request->sent_at, now());
   OnRateLimitChange(upstream, change, request->spec.trace_id);
-  if (change != RateLimitChange::kNone) BroadcastRateLimits();
+  if (change != RateLimitChange::kNone) BroadcastUpstreamStatements();
+}
+
+void ForwardNode::ApplyLeaving(const UpstreamId& upstream,
+                               const std::string& source) {
+  if (!upstreams_.OnLeaving(upstream)) return;
+  Emit(forward_action::WriteLogLine{
+      LogLevel::kInfo,
+      "upstream_leaving",
+      {{"upstream", upstream.name},
+       {"incarnation", std::to_string(upstream.incarnation)},
+       {"source", source}}});
+  BroadcastUpstreamStatements();
+}
+
+void ForwardNode::ApplyPause(const UpstreamId& upstream, Duration pause,
+                             const Request& request) {
+  upstreams_.OnPauseRequested(upstreams_.Find(upstream.name), now() + pause);
+  LogRequest(LogLevel::kInfo, "upstream_pauses", request,
+             {{"upstream", upstream.name},
+              {"incarnation", std::to_string(upstream.incarnation)},
+              {"pause_ms", FormatMilliseconds(pause)}});
 }
 
 void ForwardNode::MergeRateLimits(const std::vector<RateLimitReport>& reports,
@@ -71,10 +98,15 @@
   return rate_limits_.NextReports(kMaxRateLimitReports, now());
 }
 
-void ForwardNode::BroadcastRateLimits() {
+void ForwardNode::AddUpstreamStatements(Heartbeat* heartbeat) {
+  heartbeat->rate_limit_reports = NextRateLimitReports();
+  heartbeat->leaving_upstreams = upstreams_.StatedLeaving(kMaxLeavingUpstreams);
+}
+
+void ForwardNode::BroadcastUpstreamStatements() {
   Heartbeat heartbeat;
   heartbeat.records = {membership_.self().WithoutCounters()};
-  heartbeat.rate_limit_reports = NextRateLimitReports();
+  AddUpstreamStatements(&heartbeat);
   for (const std::string& address : membership_.BroadcastTargets(now())) {
     Emit(forward_action::SendHeartbeat{{address, heartbeat}});
   }
@@ -131,7 +163,7 @@
   request.records = {membership_.self().WithoutCounters()};
   request.requested_permits = chosen->second;
   request.permits_requested_at = now();
-  request.rate_limit_reports = NextRateLimitReports();
+  AddUpstreamStatements(&request);
   Emit(forward_action::SendHeartbeat{{chosen->first, std::move(request)}});
   return false;
 }
--- a/src/libpollenledge/process/upstream_balancer.cc
+++ b/src/libpollenledge/process/upstream_balancer.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 namespace pollenledge {
 namespace {
@@ -133,7 +134,10 @@
     // For one incarnation the leaving state is final.
     const bool stays_leaving = !is_new && !restarted && upstream.info.leaving;
     upstream.info = info;
-    upstream.info.leaving = info.leaving || stays_leaving;
+    const auto stated = stated_leaving_.find(info.id.name);
+    const bool has_stated = stated != stated_leaving_.end() &&
+                            stated->second == info.id.incarnation;
+    upstream.info.leaving = info.leaving || stays_leaving || has_stated;
     upstream.listed = true;
     if (upstream.concurrency_limit == 0) {
       upstream.concurrency_limit =
@@ -158,7 +162,9 @@
   std::vector<ForwardUpstream*> usable;
   for (auto& [name, upstream] : upstreams_) {
     if (upstream.info.service != criteria.service) continue;
-    if (!IsUsable(upstream) || now < upstream.backoff_until) continue;
+    const TimePoint usable_from =
+        std::max(upstream.backoff_until, upstream.paused_until);
+    if (!IsUsable(upstream) || now < usable_from) continue;
     if (!upstream.HasCapacity(now)) continue;
     if (std::find(criteria.exclude.begin(), criteria.exclude.end(), name) !=
         criteria.exclude.end()) {
@@ -452,6 +458,46 @@
       }));
 }
 
+bool UpstreamBalancer::OnLeaving(const UpstreamId& id) {
+  if (!IsListed(id)) return false;
+  ForwardUpstream& upstream = upstreams_.at(id.name);
+  stated_leaving_[id.name] = id.incarnation;
+  if (stated_leaving_.size() > kMaxStatedLeaving) {
+    std::erase_if(stated_leaving_, [this](const auto& stated) {
+      return !IsListed({stated.first, stated.second});
+    });
+  }
+  return !std::exchange(upstream.info.leaving, true);
+}
+
+std::vector<UpstreamId> UpstreamBalancer::StatedLeaving(
+    std::size_t count) const {
+  std::vector<UpstreamId> leaving;
+  for (const auto& [name, incarnation] : stated_leaving_) {
+    if (leaving.size() == count) break;
+    if (IsListed({name, incarnation})) leaving.push_back({name, incarnation});
+  }
+  return leaving;
+}
+
+void UpstreamBalancer::OnPauseRequested(ForwardUpstream* upstream,
+                                        TimePoint until) {
+  upstream->paused_until = std::max(upstream->paused_until, until);
+  upstream->concurrency_limit = kMinLimit;
+}
+
+std::optional<TimePoint> UpstreamBalancer::EarliestReturn(
+    const std::string& service, TimePoint now) const {
+  std::optional<TimePoint> earliest;
+  for (const auto& [name, upstream] : upstreams_) {
+    if (upstream.info.service != service || !IsUsable(upstream)) continue;
+    if (upstream.paused_until <= now) return std::nullopt;
+    earliest = std::min(earliest.value_or(upstream.paused_until),
+                        upstream.paused_until);
+  }
+  return earliest;
+}
+
 bool UpstreamBalancer::IsListed(const UpstreamId& id) const {
   const auto found = upstreams_.find(id.name);
   return found != upstreams_.end() && found->second.listed &&
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -34,6 +34,13 @@
 constexpr char kLoad[] = "Server-Load";
 // Requests per second that the upstream accepts from all nodes together.
 constexpr char kRateLimit[] = "Server-Limit";
+// The upstream stops soon.
+constexpr char kLeaving[] = "Server-Leaving";
+// With a rejection: seconds for which the upstream wants no requests from here.
+constexpr char kRetryAfter[] = "Retry-After";
+/// Longest time that is accepted: by then an upstream is replaced.
+constexpr double kMaxRetryAfterS = 600;
+constexpr int kStatusUnavailable = 503;
 /// A higher limit is never reached, so that it is none.
 constexpr double kMaxRateLimit = 10000;
 // The request reached another upstream than the target and was not run.
@@ -224,6 +231,17 @@
   if (text.empty()) signals->limit_is_unreadable = true;
 }
 
+/// Dates are not accepted: clocks differ by more than the times that are
+/// stated.
+void DecodeRetryAfter(const std::string& text, UpstreamSignals* signals) {
+  const std::optional<double> seconds = ParseDecimal(text);
+  if (!seconds || *seconds < 0) {
+    signals->retry_after_is_unreadable = true;
+    return;
+  }
+  signals->retry_after = FromSeconds(std::min(*seconds, kMaxRetryAfterS));
+}
+
 UpstreamSignals DecodeSignals(const HttpHead& response) {
   UpstreamSignals signals;
   if (const std::string* load = response.Find(kLoad)) {
@@ -234,6 +252,11 @@
     if (EqualsIgnoreCase(field.name, kRateLimit))
       DecodeRateLimit(field.value, &signals);
   }
+  const std::string* leaving = response.Find(kLeaving);
+  signals.leaving = leaving != nullptr && *leaving == "1";
+  const std::string* retry_after = response.Find(kRetryAfter);
+  if (retry_after != nullptr && response.status == kStatusUnavailable)
+    DecodeRetryAfter(*retry_after, &signals);
   return signals;
 }
 
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -272,6 +272,7 @@
         self.caller_disconnected = threading.Event()  # set once a caller has disconnected
         self.signals = {}  # header fields that it adds to its responses
         self.arrivals = []  # (time, attempt id) of each request, also of those not run
+        self.refuses = False  # while set, it rejects each request as not run
         self.signalled = {}  # time of the first response with `signals`, by attempt id
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
@@ -345,6 +346,10 @@
         if header(head, "Target-Instance") != self.name:
             connection.sendall(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
             return True
+        if self.refuses:
+            connection.sendall((f"HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n"
+                                f"{self.signal_fields(attempt)}Content-Length: 0\r\n\r\n").encode())
+            return True
         if action == "shed" and attempt not in SHED_ATTEMPTS:
             SHED_ATTEMPTS.add(attempt)
             connection.sendall(
