--- a/src/libpollenledge/process/forward_upstream_signals.cc
+++ b/src/libpollenledge/process/forward_upstream_signals.cc
@@ -127,6 +127,8 @@
                                   UpstreamCriteria* query) {
   for (const UpstreamId& upstream : LimitedUpstreams(request.service)) {
     const bool is_first = request.attempts == 0 && !IsSuspect(request);
+    // Now and then the coordinator uses the upstream although others have room:
+    // only a response tells when the limit ends.
     if (is_first && permits_.IsProbeDue(upstream, now()))
       GrantToSelf({{upstream, 1}});
     if (!permits_.HasPermit(upstream, now())) {
