The stand-in runner's refusals name the request, as the users' page says

Cause: since a refusal that names no request doesn't count on a connection that was used before, and the stand-in's refusals named none. The users' page says that runners echo the id in their responses; the stand-in now does, for 503 and 421.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -344,7 +344,8 @@
         self.arrivals.append((time.monotonic(), attempt))
         action = head.split(" ")[1].split("?")[0].rsplit("/", 1)[-1]
         if header(head, "Target-Instance") != self.name:
-            connection.sendall(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+            connection.sendall((f"HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\n"
+                                "Content-Length: 0\r\n\r\n").encode())
             return True
         if self.refuses:
             connection.sendall((f"HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n"
@@ -352,9 +353,8 @@
             return True
         if action == "shed" and attempt not in SHED_ATTEMPTS:
             SHED_ATTEMPTS.add(attempt)
-            connection.sendall(
-                b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-            )
+            connection.sendall((f"HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n"
+                                "Content-Length: 0\r\n\r\n").encode())
             return True
         self.executed_requests.append((attempt, head, body))
         segments = [part.split(":")[0] for part in (header(head, "Prompt-Prefix") or "").split(",")]
