--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -24,6 +24,8 @@
  public:
   /// Decodes the value of the tables' entry.
   using Decode = std::function<Result<ForwardingTables>(const std::string&)>;
+  /// Returns true if the store may lack the last writes of the operator.
+  using MayLackWrites = std::function<bool()>;
   /// Receives the event of each version that was read or watched.
   using Submit = std::function<void(ForwardEvent)>;
 
@@ -31,7 +33,7 @@
   /// `read_policy` reports that a peer confirmed the tables.
   ConfigSync(boost::asio::io_context& loop, AsyncStore* store, std::string key,
              Duration read_period, Decode decode, StoreReadPolicy read_policy,
-             Submit submit);
+             MayLackWrites may_lack_writes, Submit submit);
 
   /// Starts with a read, which then starts the watch.
   void Start();
@@ -56,6 +58,7 @@
   Duration read_period_;
   Decode decode_;
   StoreReadPolicy read_policy_;
+  MayLackWrites may_lack_writes_;
   bool read_in_progress_ = false;
   Submit submit_;
   boost::asio::steady_timer read_timer_;
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -51,6 +51,9 @@
 struct TablesRead {
   std::shared_ptr<const ForwardingIndex> tables;
   TimePoint read_started;
+  /// The store was restored from an older copy just now, and this process
+  /// cannot know whether newer tables are still to be written again.
+  bool may_be_outdated = false;
 };
 /// A store watch delivered new tables. A watch may lag behind the store, so
 /// this does not confirm that the tables are current.
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -373,6 +373,7 @@
   /// copy.
   bool IsStoreBehind(std::uint64_t version, TimePoint read_started) const;
   void OnStoreBehind(std::uint64_t version);
+  void LogUnconfirmedTables(std::uint64_t version);
   void RecordPeerTablesVersion(std::uint64_t version);
   /// Applies a peer's confirmation that the active tables are current.
   void ApplyTablesConfirmation(const Heartbeat& response);
--- a/src/include/pollenledge/process/restore_record.h
+++ b/src/include/pollenledge/process/restore_record.h
@@ -38,6 +38,9 @@
  public:
   /// Delay after a failed call to the store.
   static constexpr Duration kRetryDelay = std::chrono::milliseconds(400);
+  /// Time after a restore within which operators and upstreams have written
+  /// again what the store lost.
+  static constexpr Duration kRewriteTime = std::chrono::seconds(2);
 
   /// `key` is the record's entry. Only one process needs to write it;
   /// `may_write` tells whether this one should.
@@ -52,8 +55,14 @@
   /// What was written to the store before this time may be lost. Empty if the
   /// store was never restored.
   const std::optional<WallTime>& restored_at() const { return restored_at_; }
+  /// Returns true if entries in the store may be older than what was last
+  /// written, and this process started too late to know.
+  bool MayLackWrites() const;
 
  private:
+  /// Returns true while lost writes may not have been written again, whether or
+  /// not this process knew them.
+  bool IsRewriteTime() const;
   void OnRestored();
   void Read();
   void OnRead(const Result<StoreItem>& item);
@@ -68,6 +77,8 @@
   bool is_known_ = false;
   std::int64_t era_ = 0;  ///< Of the last read.
   std::optional<WallTime> restored_at_;
+  /// This process had read everything before the store was restored.
+  bool was_current_ = false;
 };
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -20,12 +20,14 @@
 
 ConfigSync::ConfigSync(boost::asio::io_context& loop, AsyncStore* store,
                        std::string key, Duration read_period, Decode decode,
-                       StoreReadPolicy read_policy, Submit submit)
+                       StoreReadPolicy read_policy,
+                       MayLackWrites may_lack_writes, Submit submit)
     : store_(store),
       key_(std::move(key)),
       read_period_(read_period),
       decode_(std::move(decode)),
       read_policy_(std::move(read_policy)),
+      may_lack_writes_(std::move(may_lack_writes)),
       submit_(std::move(submit)),
       read_timer_(loop),
       // A failed watch only delays changes: the periodic reads continue.
@@ -68,7 +70,8 @@
   store_->Read(key_, [this, started](const Result<StoreItem>& item) {
     read_in_progress_ = false;
     OnRead(started, item);
-    ScheduleCheck(Ok(item) ? read_period_ / 2 : kReadRetryDelay);
+    const bool is_final = Ok(item) && !may_lack_writes_();
+    ScheduleCheck(is_final ? read_period_ / 2 : kReadRetryDelay);
   });
 }
 
@@ -87,7 +90,7 @@
   const StoreItem& found = Value(item);
   if (!found.entry.has_value()) return;
   if (const auto index = DecodeIndex(*found.entry)) {
-    submit_(forward_event::TablesRead{index, started});
+    submit_(forward_event::TablesRead{index, started, may_lack_writes_()});
   }
   watch_.OnReadSucceeded(found.entry->mod_revision);
 }
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -225,7 +225,13 @@
 
 void ForwardNode::On(const forward_event::TablesRead& read) {
   const std::uint64_t version = read.tables->tables().version;
+  const bool is_newer = version > TablesVersion();
   ActivateTables(read.tables, "read");
+  if (read.may_be_outdated) {
+    // A key in them may have been revoked since the copy was made.
+    if (is_newer) LogUnconfirmedTables(version);
+    return;
+  }
   if (IsStoreBehind(version, read.read_started)) {
     OnStoreBehind(version);
     return;
@@ -256,6 +262,14 @@
        {"peer_version", std::to_string(peer_tables_version_)}}});
 }
 
+void ForwardNode::LogUnconfirmedTables(std::uint64_t version) {
+  Emit(forward_action::WriteLogLine{
+      LogLevel::kWarn,
+      "tables_unconfirmed",
+      {{"version", std::to_string(version)},
+       {"reason", "the store was restored from an older copy just now"}}});
+}
+
 void ForwardNode::RecordPeerTablesVersion(std::uint64_t version) {
   if (version <= peer_tables_version_) return;
   peer_tables_version_ = version;
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -373,6 +373,23 @@
   EXPECT_EQ(node_.TablesAge(now_), Duration(0));
 }
 
+// Guards against a node that starts just after a restore, when no peer
+// remembers more, and accepts a key that was revoked since the copy was made.
+TEST_F(ForwardNodeTest, TablesThatMayBeOutdatedAreNotConfirmed) {
+  ForwardNode started(Options());
+  const auto read = [&](bool may_be_outdated) {
+    started.Handle(event::TablesRead{std::make_shared<const ForwardingIndex>(
+                                         MakeTables(14)),
+                                     now_, may_be_outdated},
+                   {now_, WallTime()});
+  };
+  read(true);
+  EXPECT_EQ(started.tables_index()->tables().version, 14U);
+  EXPECT_EQ(started.TablesAge(now_), std::nullopt);
+  read(false);
+  EXPECT_EQ(started.TablesAge(now_), Duration(0));
+}
+
 TEST_F(ForwardNodeTest, LeavingOrRemovedUpstreamGetsNoRequests) {
   event::UpstreamsListed listed;
   for (const auto& [name, upstream] : node_.upstreams().all()) {
--- a/src/libpollenledge/process/restore_record.cc
+++ b/src/libpollenledge/process/restore_record.cc
@@ -46,7 +46,18 @@
 
 void RestoreRecord::Start() { Read(); }
 
+bool RestoreRecord::IsRewriteTime() const {
+  return !is_known_ ||
+         (restored_at_.has_value() && now_() < *restored_at_ + kRewriteTime);
+}
+
+bool RestoreRecord::MayLackWrites() const {
+  const bool was_restored = store_->era() > store_position::kFirstEra;
+  return was_restored && !was_current_ && IsRewriteTime();
+}
+
 void RestoreRecord::OnRestored() {
+  was_current_ = was_current_ || !IsRewriteTime();
   is_known_ = false;
   restored_at_ = now_();
   timer_.expires_after(Duration::zero());
--- a/src/libpollenledge/process/restore_record_test.cc
+++ b/src/libpollenledge/process/restore_record_test.cc
@@ -112,6 +112,47 @@
   EXPECT_TRUE(store_.entry.has_value());
 }
 
+// Guards against a process that starts right after a restore and takes the copy
+// for what the operator wrote last.
+TEST_F(RestoreRecordTest, AProcessThatStartsAfterARestoreWaitsForLostWrites) {
+  const auto running = StartProcess();
+  EXPECT_FALSE(running->MayLackWrites());
+  store_.Restore();
+  {
+    SCOPED_TRACE("a process that ran knows what is newer than the copy");
+    EXPECT_FALSE(running->MayLackWrites());
+  }
+  RunDue();
+  now_ += std::chrono::seconds(1);
+  const auto started = StartProcess();
+  EXPECT_TRUE(started->MayLackWrites());
+  now_ += RestoreRecord::kRewriteTime;
+  EXPECT_FALSE(started->MayLackWrites());
+  {
+    SCOPED_TRACE("a process that starts later does not wait");
+    EXPECT_FALSE(StartProcess()->MayLackWrites());
+  }
+  {
+    SCOPED_TRACE("nobody recorded the restore");
+    store_.Restore();
+    const auto first = StartProcess();
+    EXPECT_TRUE(first->MayLackWrites());
+    now_ += RestoreRecord::kRewriteTime;
+    EXPECT_FALSE(first->MayLackWrites());
+  }
+}
+
+// Guards against a process that still waits when the store is restored again.
+TEST_F(RestoreRecordTest, ASecondRestoreExtendsTheWait) {
+  store_.Restore();
+  const auto started = StartProcess();
+  now_ += std::chrono::seconds(1);
+  store_.Restore();
+  RunDue();
+  now_ += std::chrono::milliseconds(1500);
+  EXPECT_TRUE(started->MayLackWrites());
+}
+
 TEST_F(RestoreRecordTest, MalformedRecordIsReplaced) {
   store_.Restore();
   store_.entry = "garbage";
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -91,6 +91,7 @@
             loop_, &store_, kOperatorConfigKey,
             PollInterval(settings.tables_bound), DecodeTables,
             MakeStoreReadPolicy(&ForwardNode::NeedsTablesRead),
+            [this] { return restore_record_.MayLackWrites(); },
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         upstream_sync_(
             loop_, &store_, kUpstreamKeyPrefix,
@@ -131,11 +132,11 @@
     WaitForSignal();
     LogStoreCalls();
     suspect_sync_.Start();
+    restore_record_.Start();
     config_sync_.Start();
     upstream_sync_.Start();
     fleet_size_.Start();
     if (!settings_.cloud_address.empty()) {
-      restore_record_.Start();
       duty_lease_.Start();
       usage_reporter_.Start();
       fleet_scaler_.Start();
