What an upstream states holds while its entry in the store is missing (LIMIT, DRAIN, BUDGET)

What upstreams see: one whose entry lapses and comes back gets requests although it has said that it leaves, that it wants a pause, or that it accepts no more than a limit; with a limit, every node sends at once until it hears it again.

Cause: statements were kept with the upstream's entry in the list. A limit was dropped with the entry, a pause with the upstream's state, and a response that came while the entry was missing was not read at all. Only a leaving that was stated while the entry was there outlived it.

Change: the balancer keeps leavings and pauses by incarnation beside the list and applies them when an entry appears; limits are kept for a minute after their last statement; responses count whether or not the entry is there. An older incarnation's late response doesn't replace what a newer one stated. All are bounded by number or time.

--- a/src/include/pollenledge/process/upstream_balancer.h
+++ b/src/include/pollenledge/process/upstream_balancer.h
@@ -137,14 +137,14 @@
   void MergePeerReports(const std::vector<UpstreamLoadReport>& reports,
                         TimePoint now);
 
-  /// Records that the upstream stated that it leaves. Returns false if that was
-  /// known, or if it is not listed with this incarnation.
+  /// Records that the upstream stated that it leaves, also if it is not listed
+  /// now. Returns false if that was known.
   bool OnLeaving(const UpstreamId& id);
   /// Returns at most `count` of the listed upstreams that stated it.
   std::vector<UpstreamId> StatedLeaving(std::size_t count) const;
-  /// Records that the upstream accepts no requests until `until`. Afterwards it
-  /// gets few at first.
-  void OnPauseRequested(ForwardUpstream* upstream, TimePoint until);
+  /// Records that the upstream accepts no requests until `until`, also if it is
+  /// not listed now. Afterwards it gets few at first.
+  void OnPauseRequested(const UpstreamId& id, TimePoint until, TimePoint now);
   /// Returns when the first upstream of `service` accepts requests again; empty
   /// if there is one that accepts some now.
   std::optional<TimePoint> EarliestReturn(const std::string& service,
@@ -193,6 +193,15 @@
   /// Starts a backoff period that doubles with each rejection in a row.
   void StartBackoff(ForwardUpstream* upstream, TimePoint now);
 
+  /// A pause that an incarnation requested.
+  struct Pause {
+    std::uint64_t incarnation = 0;
+    TimePoint until;
+  };
+
+  /// Applies what this incarnation stated in responses to its entry.
+  void ApplyStatements(ForwardUpstream* upstream) const;
+
   /// Number of incarnations that are remembered to have stated that they leave.
   static constexpr std::size_t kMaxStatedLeaving = 1024;
 
@@ -200,6 +209,7 @@
   /// Incarnations that stated that they leave, by upstream name. Kept while
   /// they are not listed, as the store may list them again.
   std::map<std::string, std::uint64_t> stated_leaving_;
+  std::map<std::string, Pause> pauses_;  ///< By upstream name, likewise.
   std::mt19937_64 random_;
 };
 
--- a/src/include/pollenledge/process/upstream_rate_limits.h
+++ b/src/include/pollenledge/process/upstream_rate_limits.h
@@ -47,6 +47,9 @@
  public:
   /// Time for which the end of a limit is reported to peers.
   static constexpr Duration kEndReportTime = std::chrono::seconds(10);
+  /// Time for which the limit of an upstream that is not listed is kept, as the
+  /// store may list it again.
+  static constexpr Duration kUnlistedRetention = std::chrono::minutes(1);
 
   /// Applies the limit that a response stated; empty if it stated none. The
   /// request was sent to `upstream` at `sent_at`.
@@ -64,8 +67,9 @@
   std::optional<double> LimitOf(const UpstreamId& upstream) const;
   /// Returns the upstreams that have a limit.
   std::vector<UpstreamId> Limited() const;
-  /// Forgets the upstreams for which `is_listed` is false, and ends of limits
-  /// that peers have had time to learn of.
+  /// Forgets the upstreams for which `is_listed` is false for
+  /// `kUnlistedRetention` after their last statement, and ends of limits that
+  /// peers have had time to learn of.
   void RemoveOutdated(const std::function<bool(const UpstreamId&)>& is_listed,
                       TimePoint now);
 
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -488,6 +488,52 @@
   }
 }
 
+struct StatementCase {
+  UpstreamSignals signals;
+  bool is_missing_at_response = false;
+  int max_sent = 0;  ///< Requests sent to it later.
+};
+
+class MissingEntryStatements
+    : public ForwardNodeTest,
+      public ::testing::WithParamInterface<StatementCase> {};
+
+// Guards against an upstream that is forgotten with its entry in the store:
+// when the entry was back, it got requests although it had stated that it
+// leaves, that it wants a pause, or that it accepts no requests.
+TEST_P(MissingEntryStatements, HoldWhenTheEntryIsBack) {
+  Arrive(1, "read");
+  const std::string name = FindAction<action::SendAttempt>()->upstream.name;
+  if (GetParam().is_missing_at_response)
+    Submit(event::UpstreamsListed{ListWithout(name), 1, {}});
+  Submit(event::ResponseHeadReceived{1, GetParam().signals});
+  EndAttempt(1, ForwardOutcome::kCompleted, 200);
+  Submit(event::UpstreamsListed{ListWithout(name), 2, {}});
+  AdvanceTime(std::chrono::seconds(3));
+  ReadTables(MakeTables(1));
+  Submit(event::UpstreamsListed{ListWithout(""), 3, {}});
+  int sent = 0;
+  for (ForwardId id = 2; id < 20; ++id) {
+    Arrive(id, "read");
+    const auto* send = FindAction<action::SendAttempt>();
+    ASSERT_NE(send, nullptr);
+    if (send->upstream.name == name) ++sent;
+    EndAttempt(id, ForwardOutcome::kCompleted, 200);
+  }
+  EXPECT_LE(sent, GetParam().max_sent);
+}
+
+constexpr Duration kStatedPause = std::chrono::seconds(30);
+INSTANTIATE_TEST_SUITE_P(
+    Signals, MissingEntryStatements,
+    ::testing::Values(StatementCase{{.leaving = true}, false},
+                      StatementCase{{.leaving = true}, true},
+                      StatementCase{{.retry_after = kStatedPause}, false},
+                      StatementCase{{.retry_after = kStatedPause}, true},
+                      // One request tells whether the limit has ended.
+                      StatementCase{{.max_requests_per_s = 0}, false, 1},
+                      StatementCase{{.max_requests_per_s = 0}, true, 1}));
+
 // Guards against a queue that waits for upstreams that accept nothing until
 // after its deadline.
 TEST_F(ForwardNodeTest, RejectsAtOnceIfAllUpstreamsAskForAPause) {
--- a/src/libpollenledge/process/forward_upstream_signals.cc
+++ b/src/libpollenledge/process/forward_upstream_signals.cc
@@ -37,7 +37,6 @@
   const UpstreamSignals& signals = received.signals;
   const UpstreamId upstream{request->current_upstream,
                             request->current_incarnation};
-  if (!upstreams_.IsListed(upstream)) return;
   if (signals.leaving) ApplyLeaving(upstream, request->spec.trace_id);
   if (signals.retry_after.has_value())
     ApplyPause(upstream, *signals.retry_after, *request);
@@ -62,7 +61,7 @@
 
 void ForwardNode::ApplyPause(const UpstreamId& upstream, Duration pause,
                              const Request& request) {
-  upstreams_.OnPauseRequested(upstreams_.Find(upstream.name), now() + pause);
+  upstreams_.OnPauseRequested(upstream, now() + pause, now());
   LogRequest(LogLevel::kInfo, "upstream_pauses", request,
              {{"upstream", upstream.name},
               {"incarnation", std::to_string(upstream.incarnation)},
--- a/src/libpollenledge/process/upstream_balancer.cc
+++ b/src/libpollenledge/process/upstream_balancer.cc
@@ -134,15 +134,13 @@
     // For one incarnation the leaving state is final.
     const bool stays_leaving = !is_new && !restarted && upstream.info.leaving;
     upstream.info = info;
-    const auto stated = stated_leaving_.find(info.id.name);
-    const bool has_stated = stated != stated_leaving_.end() &&
-                            stated->second == info.id.incarnation;
-    upstream.info.leaving = info.leaving || stays_leaving || has_stated;
+    upstream.info.leaving = info.leaving || stays_leaving;
     upstream.listed = true;
     if (upstream.concurrency_limit == 0) {
       upstream.concurrency_limit =
           std::max(kMinLimit, kInitialLimitShare * info.slots);
     }
+    ApplyStatements(&upstream);
     if (was_usable && !IsUsable(upstream)) newly_leaving.push_back(it->first);
   }
   for (auto it = upstreams_.begin(); it != upstreams_.end();) {
@@ -458,16 +456,31 @@
       }));
 }
 
+void UpstreamBalancer::ApplyStatements(ForwardUpstream* upstream) const {
+  const UpstreamId& id = upstream->info.id;
+  const auto leaving = stated_leaving_.find(id.name);
+  if (leaving != stated_leaving_.end() && leaving->second == id.incarnation)
+    upstream->info.leaving = true;
+  const auto pause = pauses_.find(id.name);
+  if (pause == pauses_.end() || pause->second.incarnation != id.incarnation)
+    return;
+  if (pause->second.until <= upstream->paused_until) return;
+  upstream->paused_until = pause->second.until;
+  upstream->concurrency_limit = kMinLimit;
+}
+
 bool UpstreamBalancer::OnLeaving(const UpstreamId& id) {
-  if (!IsListed(id)) return false;
-  ForwardUpstream& upstream = upstreams_.at(id.name);
-  stated_leaving_[id.name] = id.incarnation;
+  const auto [stated, is_new] =
+      stated_leaving_.try_emplace(id.name, id.incarnation);
+  if (!is_new && stated->second >= id.incarnation) return false;
+  stated->second = id.incarnation;
   if (stated_leaving_.size() > kMaxStatedLeaving) {
-    std::erase_if(stated_leaving_, [this](const auto& stated) {
-      return !IsListed({stated.first, stated.second});
+    std::erase_if(stated_leaving_, [this](const auto& entry) {
+      return !IsListed({entry.first, entry.second});
     });
   }
-  return !std::exchange(upstream.info.leaving, true);
+  if (!IsListed(id)) return true;
+  return !std::exchange(upstreams_.at(id.name).info.leaving, true);
 }
 
 std::vector<UpstreamId> UpstreamBalancer::StatedLeaving(
@@ -480,10 +493,15 @@
   return leaving;
 }
 
-void UpstreamBalancer::OnPauseRequested(ForwardUpstream* upstream,
-                                        TimePoint until) {
-  upstream->paused_until = std::max(upstream->paused_until, until);
-  upstream->concurrency_limit = kMinLimit;
+void UpstreamBalancer::OnPauseRequested(const UpstreamId& id, TimePoint until,
+                                        TimePoint now) {
+  std::erase_if(pauses_,
+                [now](const auto& entry) { return entry.second.until <= now; });
+  Pause& pause = pauses_[id.name];
+  if (pause.incarnation > id.incarnation) return;
+  if (pause.incarnation < id.incarnation) pause = {id.incarnation, until};
+  pause.until = std::max(pause.until, until);
+  if (IsListed(id)) ApplyStatements(&upstreams_.at(id.name));
 }
 
 std::optional<TimePoint> UpstreamBalancer::EarliestReturn(
--- a/src/libpollenledge/process/upstream_rate_limits.cc
+++ b/src/libpollenledge/process/upstream_rate_limits.cc
@@ -111,9 +111,11 @@
     const std::function<bool(const UpstreamId&)>& is_listed, TimePoint now) {
   std::erase_if(statements_, [&](const auto& entry) {
     const auto& [name, statement] = entry;
-    const bool was_reported = !statement.requests_per_s.has_value() &&
-                              now - statement.stated_at > kEndReportTime;
-    return was_reported || !is_listed({name, statement.incarnation});
+    const Duration age = now - statement.stated_at;
+    if (!statement.requests_per_s.has_value() && age > kEndReportTime)
+      return true;
+    return age > kUnlistedRetention &&
+           !is_listed({name, statement.incarnation});
   });
 }
 
--- a/src/libpollenledge/process/upstream_rate_limits_test.cc
+++ b/src/libpollenledge/process/upstream_rate_limits_test.cc
@@ -66,7 +66,18 @@
   EXPECT_EQ(limits.OnResponse(kUpstream, 1, At(5), At(40)),
             RateLimitChange::kNone);
   EXPECT_EQ(limits.LimitOf(restarted), 3);
-  limits.RemoveOutdated([](const UpstreamId&) { return false; }, At(50));
+}
+
+// Guards against a limit that is forgotten with the upstream's entry, and
+// against memory that grows with upstreams that are gone.
+TEST(UpstreamRateLimitsTest, TheLimitOfAnUnlistedUpstreamIsKeptForAWhile) {
+  UpstreamRateLimits limits;
+  const auto is_listed = [](const UpstreamId&) { return false; };
+  limits.OnResponse(kUpstream, 2, At(0), At(10));
+  limits.RemoveOutdated(is_listed, At(5000));
+  EXPECT_EQ(limits.LimitOf(kUpstream), 2);
+  limits.RemoveOutdated(is_listed,
+                        At(20) + UpstreamRateLimits::kUnlistedRetention);
   EXPECT_TRUE(limits.Limited().empty());
 }
 
