--- a/src/include/pollenledge/process/crash_suspects.h
+++ b/src/include/pollenledge/process/crash_suspects.h
@@ -240,7 +240,11 @@
   /// The last sound response to a request with the suspect.
   struct Sound {
     TimePoint began_at;
-    bool cleared = false;  ///< It was reported to peers.
+    /// When the response began that was last announced to peers.
+    std::optional<TimePoint> announced;
+
+    /// Returns true if peers must learn of it after a crash at `crash_at`.
+    bool NeedsAnnouncement(TimePoint crash_at) const;
   };
 
   bool AddCrash(const Fingerprint& fingerprint, CrashId id,
--- a/src/libpollenledge/process/crash_suspects.cc
+++ b/src/libpollenledge/process/crash_suspects.cc
@@ -13,6 +13,9 @@
 /// Number of tracked sound responses from which on those observed by this node
 /// are no longer recorded, unless they clear a suspect.
 constexpr std::size_t kMaxSounds = 16'384;
+/// Minimum time between the sound responses to requests with one suspect that
+/// are announced because of a crash. Peers rely on one for `kVouchTime`.
+constexpr Duration kAnnounceInterval = CrashSuspects::kVouchTime / 2;
 /// Maximum number of remembered crashes that are no longer attributed to
 /// requests because a whole failure domain failed.
 constexpr std::size_t kMaxWithdrawnCrashes = 1024;
@@ -122,13 +125,13 @@
   const auto sound = sounds_.find(fingerprint);
   if (sound != sounds_.end() && crash.at <= sound->second.began_at) {
     // Peers that suspect it must receive the evidence as well.
-    if (!sound->second.cleared) AnnounceSound(fingerprint);
+    if (sound->second.NeedsAnnouncement(crash.at)) AnnounceSound(fingerprint);
     return false;
   }
   if (records_.count(fingerprint) == 0) {
     EvictIfFull(now);
     // Nodes that have run no request with it rely on those that have.
-    if (sound != sounds_.end() && !sound->second.cleared)
+    if (sound != sounds_.end() && sound->second.NeedsAnnouncement(crash.at))
       AnnounceSound(fingerprint);
   }
   Record& record =
@@ -187,8 +190,13 @@
   AnnounceSound(fingerprint);
 }
 
+bool CrashSuspects::Sound::NeedsAnnouncement(TimePoint crash_at) const {
+  return !announced.has_value() || crash_at - *announced > kAnnounceInterval;
+}
+
 void CrashSuspects::AnnounceSound(const Fingerprint& fingerprint) {
-  sounds_[fingerprint].cleared = true;
+  Sound& sound = sounds_[fingerprint];
+  sound.announced = sound.began_at;
   unsent_sounds_[fingerprint] = kSendsPerUpdate;
   has_unsent_reports_ = true;
 }
@@ -464,7 +472,8 @@
 void CrashSuspects::RemoveExpiredSounds(TimePoint now) {
   std::erase_if(sounds_, [now](const auto& entry) {
     const Sound& sound = entry.second;
-    return now - sound.began_at > (sound.cleared ? kClearedTime : kVouchTime);
+    return now - sound.began_at >
+           (sound.announced.has_value() ? kClearedTime : kVouchTime);
   });
 }
 
--- a/src/libpollenledge/process/crash_suspects_test.cc
+++ b/src/libpollenledge/process/crash_suspects_test.cc
@@ -51,6 +51,19 @@
     }
   }
 
+  static std::size_t SoundReportCount(
+      const std::vector<SuspectReport>& reports) {
+    return static_cast<std::size_t>(std::count_if(
+        reports.begin(), reports.end(), [](const SuspectReport& report) {
+          return std::holds_alternative<SoundReport>(report);
+        }));
+  }
+  /// Returns the number of sound responses in the next heartbeat.
+  std::size_t NextSoundReportCount(CrashSuspects* suspects) const {
+    return SoundReportCount(
+        suspects->NextReports(kMaxSuspectReportsPerHeartbeat, now_));
+  }
+
   TimePoint now_{kSecond};
   CrashId next_crash_ = 1;
 };
@@ -281,10 +294,7 @@
          {std::pair(&suspects_, &other_), std::pair(&other_, &suspects_)}) {
       const auto reports =
           from->NextReports(kMaxSuspectReportsPerHeartbeat, now_);
-      last_sent = static_cast<std::size_t>(std::count_if(
-          reports.begin(), reports.end(), [](const SuspectReport& report) {
-            return std::holds_alternative<SoundReport>(report);
-          }));
+      last_sent = SoundReportCount(reports);
       now_ += kSecond / 1000;  // On the way.
       for (const SuspectReport& report : reports) to->OnReport(report, now_);
     }
@@ -292,6 +302,29 @@
   EXPECT_EQ(last_sent, 0U);
 }
 
+// Guards against heartbeats full of one sound response, which left no room for
+// the levels of limits in a fleet of 90 nodes: it was announced again for each
+// report of a crash before it.
+TEST_F(ThreeCrashes, StaleCrashReportsAnnounceASoundResponseOnce) {
+  suspects_.OnSoundResponse({F(1)}, now_);
+  std::size_t announcements = 0;
+  for (CrashId crash = 1; crash <= 100; ++crash) {
+    suspects_.OnReport(CrashReport{F(1), crash, true, kSecond}, now_);
+    announcements += NextSoundReportCount(&suspects_);
+  }
+  EXPECT_GE(announcements, 1U);
+  EXPECT_LE(announcements, 8U);
+  {
+    SCOPED_TRACE("a later crash, after many more sound responses");
+    for (int i = 0; i < 60; ++i) {
+      now_ += kSecond;
+      suspects_.OnSoundResponse({F(1)}, now_);
+    }
+    suspects_.OnReport(CrashReport{F(1), 200, true, kSecond}, now_);
+    EXPECT_EQ(NextSoundReportCount(&suspects_), 1U);
+  }
+}
+
 TEST(CrashIdTest, RepeatedCrashOfAnIncarnationHasAnotherId) {
   const UpstreamId upstream{"u", 1};
   EXPECT_EQ(CrashIdOf(upstream, 0, "a"), CrashIdOf(upstream, 0, "b"));
