--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -149,6 +149,10 @@
   /// Returns true if this node knows the global level well enough to borrow.
   bool MayBorrow(TimePoint now) const;
   void UpdateLocalShare(Bucket* bucket, int nodes) const;
+  /// Returns the approximate time until a rejected request of `units` would be
+  /// admitted if no other is.
+  static Duration TimeUntilAdmitted(const Bucket& bucket, double units,
+                                    bool overdrawn);
 
   LimitBucketOptions options_;
   Duration report_period_;
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -34,7 +34,8 @@
 constexpr double kInitialBurstFraction = 0.5;
 /// Decay time of the recent use that determines the local shares.
 constexpr Duration kRateDecayTime = std::chrono::milliseconds(2500);
-/// Maximum wait that is returned for a rejected request.
+/// Bounds of the wait that is returned for a rejected request.
+constexpr Duration kMinWait = std::chrono::milliseconds(10);
 constexpr Duration kMaxWait = std::chrono::seconds(5);
 /// A node publishes the global levels after it has reached a majority of the
 /// others for this long. A customer's burst fills in about this time.
@@ -336,18 +337,26 @@
       MayBorrow(now) &&
       bucket.global_level * kMaxBorrowFraction >=
           std::min(units, bucket.limit.burst * kMaxBorrowFraction);
-  if (!local_units_suffice && !may_borrow) {
-    const double missing = std::min(units, local_capacity) - bucket.local_level;
-    const double rate =
-        std::max(1.0, bucket.limit.units_per_s * bucket.local_share);
-    return std::min<Duration>(FromSeconds(missing / rate), kMaxWait);
-  }
+  if (!local_units_suffice && !may_borrow)
+    return TimeUntilAdmitted(bucket, units, overdrawn);
   bucket.local_level -= units;
   bucket.global_level -= units;
   bucket.used += units;
   return std::nullopt;
 }
 
+Duration LimitBuckets::TimeUntilAdmitted(const Bucket& bucket, double units,
+                                         bool overdrawn) {
+  const double rate = bucket.limit.units_per_s;
+  const double local_rate = std::max(1.0, rate * bucket.local_share);
+  const double local_capacity = bucket.limit.burst * bucket.local_share;
+  const double missing = std::min(units, local_capacity) - bucket.local_level;
+  const double overdraft = overdrawn ? -bucket.global_level : 0;
+  const Duration wait = std::max(FromSeconds(missing / local_rate),
+                                 FromSeconds(overdraft / rate));
+  return std::clamp<Duration>(wait, kMinWait, kMaxWait);
+}
+
 void LimitBuckets::Refund(const std::string& customer, double units) {
   const auto found = buckets_.find(customer);
   if (found == buckets_.end()) return;
--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -497,6 +497,31 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LimitBucketsSeeds, ::testing::Range(1, 9));
 
+Member MakeMember(const std::string& name, std::uint64_t incarnation,
+                  std::vector<CustomerUsage> usage) {
+  Member member;
+  member.record.id = {name, incarnation};
+  member.record.customer_usage = std::move(usage);
+  return member;
+}
+
+// Guards against a rejection that says when to come back with a time in the
+// past, so that no Retry-After was sent.
+TEST(LimitBucketsTest, ARejectionStatesTheTimeUntilTheLevelSuffices) {
+  LimitBuckets limits(LimitBucketOptions{});
+  limits.Configure({{"c", 1000, 1000}}, At(Duration(0)));
+  Duration now{0};
+  for (; now < std::chrono::seconds(3); now += std::chrono::milliseconds(100)) {
+    limits.UpdateFromMembers({MakeMember("m", 1, {{"c", 0}})}, At(now));
+  }
+  limits.UpdateFromMembers({MakeMember("m", 1, {{"c", 2500}})}, At(now));
+  ASSERT_LT(limits.GlobalLevel("c"), -1000);
+  const std::optional<Duration> wait = limits.Acquire("c", 10, At(now));
+  ASSERT_TRUE(wait.has_value());
+  EXPECT_GE(*wait, std::chrono::milliseconds(1000));
+  EXPECT_LE(*wait, std::chrono::milliseconds(2000));
+}
+
 TEST(LimitBucketsTest, LowerLimitAppliesImmediately) {
   LimitBuckets limits(LimitBucketOptions{});
   limits.Configure({{"c", kRate, kRate}}, At(Duration(0)));
