--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -130,6 +130,9 @@
   struct Peer {
     std::uint64_t incarnation = 0;
     std::map<std::string, double> uses;  ///< By customer, as last reported.
+    /// This node knew the process that this incarnation replaced, so that none
+    /// of its use is old.
+    bool counts_from_zero = false;
     /// Units it is assumed to have used while unresponsive, by customer.
     std::map<std::string, double> estimated_uses;
   };
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -271,15 +271,19 @@
   const MemberRecord& record = member.record;
   const auto [it, is_new] = peers_.try_emplace(record.id.name);
   Peer& peer = it->second;
-  // A restarted node counts its use from zero.
-  if (peer.incarnation != record.id.incarnation) peer.uses.clear();
+  if (peer.incarnation != record.id.incarnation) {
+    peer.uses.clear();
+    peer.counts_from_zero = !is_new;
+  }
   peer.incarnation = record.id.incarnation;
   std::map<std::string, double> deltas;
   for (const CustomerUsage& use : record.customer_usage) {
-    double& known = peer.uses[use.customer];
+    const auto [known, is_first] = peer.uses.try_emplace(use.customer, 0);
     // The use in a node's first report may have occurred long ago.
-    if (!is_new) deltas[use.customer] = std::max(0.0, use.used_units - known);
-    known = use.used_units;
+    if (!is_first || peer.counts_from_zero) {
+      deltas[use.customer] = std::max(0.0, use.used_units - known->second);
+    }
+    known->second = use.used_units;
   }
   const bool unresponsive = member.status != MemberStatus::kLeft &&
                             member.since_heartbeat > unresponsive_timeout_;
@@ -385,7 +389,8 @@
 std::vector<CustomerUsage> LimitBuckets::Uses() const {
   std::vector<CustomerUsage> uses;
   for (const auto& [name, bucket] : buckets_) {
-    if (bucket.used > 0) uses.push_back({name, bucket.used});
+    // A collector must know a total before it can count what is added.
+    uses.push_back({name, bucket.used});
   }
   return uses;
 }
--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -505,6 +505,54 @@
   return member;
 }
 
+/// Tracks the limits as a collector, in steps of 100 ms.
+class CollectingBuckets : public ::testing::Test {
+ protected:
+  CollectingBuckets() : limits_(LimitBucketOptions{}) {
+    limits_.Configure({{"a", kRate, kRate}, {"b", kRate, kRate}}, At(now_));
+  }
+
+  /// The global level is that of a full bucket from 1 s on.
+  void Fill() {
+    for (int i = 0; i < 12; ++i) Update({MakeMember("m", 1, {})});
+  }
+  void Update(const std::vector<Member>& others) {
+    now_ += std::chrono::milliseconds(100);
+    limits_.UpdateFromMembers(others, At(now_));
+  }
+
+  Duration now_{0};
+  LimitBuckets limits_;
+};
+
+// Guards against a new collector that charges customers with all that nodes
+// used since their start: it knew the nodes from heartbeats without usage, or
+// with the usage of some customers only (issue 33).
+TEST_F(CollectingBuckets, UseBeforeTheFirstReportIsNotCharged) {
+  Fill();
+  Update({MakeMember("m", 1, {{"a", 50 * kRate}})});
+  EXPECT_EQ(limits_.GlobalLevel("a"), kRate);
+  Update({MakeMember("m", 1, {{"a", 50 * kRate + 9000}, {"b", 70 * kRate}})});
+  EXPECT_EQ(limits_.GlobalLevel("a"), kRate - 9000);
+  EXPECT_EQ(limits_.GlobalLevel("b"), kRate);
+}
+
+// Guards against the opposite: a customer's first use at a node that the
+// collector tracks must count.
+TEST_F(CollectingBuckets, FirstUseAtATrackedNodeIsCharged) {
+  Fill();
+  Update({MakeMember("m", 1, {{"a", 0}, {"b", 0}})});
+  Update({MakeMember("m", 1, {{"a", 9000}, {"b", 0}})});
+  EXPECT_EQ(limits_.GlobalLevel("a"), kRate - 9000);
+  {
+    SCOPED_TRACE("the node restarts");
+    Update({MakeMember("m", 2, {})});
+    const double before = limits_.GlobalLevel("b");
+    Update({MakeMember("m", 2, {{"a", 0}, {"b", 9000}})});
+    EXPECT_EQ(limits_.GlobalLevel("b"), before - 9000);
+  }
+}
+
 // Guards against a rejection that says when to come back with a time in the
 // past, so that no Retry-After was sent.
 TEST(LimitBucketsTest, ARejectionStatesTheTimeUntilTheLevelSuffices) {
