--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -86,6 +86,7 @@
   const Membership& membership() const { return membership_; }
   const UpstreamBalancer& upstreams() const { return upstreams_; }
   const CrashSuspects& suspects() const { return suspects_; }
+  const LimitBuckets& limits() const { return limits_; }
   const UpstreamRateLimits& rate_limits() const { return rate_limits_; }
   const RateLimitPermits& permits() const { return permits_; }
   const UsageLedger& usage() const { return usage_; }
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -62,7 +62,8 @@
     return;
   }
   if (is_new) SendBootstrapState(sender);
-  if (heartbeat.levels_authoritative)
+  // Collectors that followed each other would not track the nodes' use.
+  if (heartbeat.levels_authoritative && !is_collector_)
     limits_.ApplyCollectorLevels(sender.id, heartbeat.levels, now());
   ApplyQueryResponse(heartbeat);
 }
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -14,6 +14,10 @@
 
 namespace pollenledge::testing {
 
+/// Key of the customer whose requests on the route "metered" are limited, with
+/// one unit a request.
+constexpr char kMeteredKey[] = "metered-key";
+
 /// Content of a request that crashes every upstream that starts it.
 constexpr char kCrashingContent[] = "crashing";
 
@@ -29,8 +33,10 @@
   static constexpr std::size_t kUpstreamCount = 12;
 
   /// Starts `nodes` nodes and runs them for 2 s, so that they know each other.
-  ForwardFleet(std::size_t nodes, std::uint64_t seed, double retry_slack = 1000)
-      : retry_slack_(retry_slack), random_(seed) {
+  /// `limit_per_s` limits the customer of kMeteredKey over all nodes.
+  ForwardFleet(std::size_t nodes, std::uint64_t seed, double retry_slack = 1000,
+               double limit_per_s = 0)
+      : retry_slack_(retry_slack), limit_per_s_(limit_per_s), random_(seed) {
     for (std::size_t i = 0; i < kUpstreamCount; ++i) {
       upstreams_.push_back({.name = "u" + std::to_string(i)});
     }
@@ -59,6 +65,8 @@
     options.seeds = {"0", "1", "2"};
     options.retry_slack = retry_slack_;
     options.random_seed = incarnation_;
+    // Machines of two sizes: the larger ones are preferred as collectors.
+    options.self.cpu_percent = node % 8 == 0 ? 50 : 12;
     nodes_[node] = std::make_unique<ForwardNode>(options);
     Submit(node, forward_event::TablesRead{MakeIndex(), now_});
     Submit(node, ListUpstreams());
@@ -84,6 +92,7 @@
         });
     spec.trace_id = content + std::to_string(id);
     spec.host = "h";
+    spec.api_key = kMeteredKey;
     spec.path = "/" + route + "/x";
     spec.content_fingerprint = ComputeFingerprint({route, content});
     contents_[id] = content;
@@ -247,13 +256,15 @@
     return reports;
   }
 
-  // Tables with one route of each kind: "read" and "order", and the streams
+  // Tables with a route "metered" of the customer of kMeteredKey, and public
+  // ones of each kind: "read" and "order", and the streams
   // "draft" and "chat", of which only "draft" can be resumed.
-  static std::shared_ptr<const ForwardingIndex> MakeIndex() {
+  std::shared_ptr<const ForwardingIndex> MakeIndex() const {
     ForwardingTables tables;
     tables.version = 1;
     for (const auto& [name, kind] :
          std::map<std::string, RouteKind>{{"read", RouteKind::kIdempotent},
+                                          {"metered", RouteKind::kIdempotent},
                                           {"order", RouteKind::kNonIdempotent},
                                           {"draft", RouteKind::kStreaming},
                                           {"chat", RouteKind::kStreaming}}) {
@@ -263,7 +274,7 @@
       route.path_prefix = "/" + route.name + "/";
       route.kind = kind;
       route.resumable = name != "chat";
-      route.is_public = true;
+      route.is_public = name != "metered";
       route.services = {{"s", 1}};
       route.timeout = 10 * kSecond;
       route.latency_target = kSecond;
@@ -272,6 +283,10 @@
       tables.routes.push_back(route);
     }
     tables.services = {{.name = "s"}};
+    tables.customers = {{.name = "metered",
+                         .api_keys = {kMeteredKey},
+                         .limit_per_s = limit_per_s_,
+                         .burst = limit_per_s_}};
     return std::make_shared<const ForwardingIndex>(std::move(tables));
   }
 
@@ -445,6 +460,7 @@
 
   TimePoint now_{std::chrono::seconds(1000)};
   double retry_slack_;
+  double limit_per_s_;
   int slots_ = 64;
   std::uint64_t incarnation_ = 0;
   std::mt19937_64 random_;
