In a large fleet the first collector coordinates limited upstreams (LIMIT)

What upstreams see: in a fleet of 91 nodes, one whose limit had ended got no request any more; and two nodes could each grant its whole limit.

Cause: the coordinator was chosen by a hash among the six preferred nodes that are alive. Heartbeats between nodes of a large fleet are sparse, so that at each moment some nodes suspect some candidate: of 91 nodes 9 to 16 saw another coordinator than the rest, all the time, and the coordinator itself changed its mind every few seconds, which empties its bucket. A limit of zero needs four undisturbed seconds for one probe. Besides, a request that was to tell the end of one limit was granted permits for all that the node coordinates, and the others expired.

Ruled out: the probes' interval; with one probe a request and the old choice it still fails.

Change: in a large fleet the first collector is the coordinator: every node hears from it several times a second. One probe a request.

Before: IsTheSameAtAllNodesOfALargeFleet finds two views in 16 of 48 looks; RateLimitEnds: 0 requests in 4 s (50 expected). After: the 54 tests of limits, permits and large fleets pass.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -304,6 +304,8 @@
   void ApplyPermits(const Heartbeat& response);
   /// Forgets outdated limits and reviews the coordinators when that is due.
   void UpdateRateLimits();
+  /// Returns the nodes of which one coordinates each limited upstream.
+  std::vector<const MemberRecord*> CoordinatorCandidates();
   void ReviewCoordinators();
   /// Returns how long a request waits for permits behind `requests_ahead`
   /// others at this node. Empty unless all upstreams of `service` are limited.
--- a/src/libpollenledge/process/forward_limits_test.cc
+++ b/src/libpollenledge/process/forward_limits_test.cc
@@ -1,5 +1,5 @@
-// Tests in virtual time of a customer's limit over the nodes of a fleet in which
-// collectors track the limits.
+// Tests in virtual time of a customer's limit over the nodes of a fleet in
+// which collectors track the limits.
 
 #include <gtest/gtest.h>
 
@@ -28,8 +28,8 @@
     fleet_.RunFor(seconds(4));
   }
 
-  /// Sends a burst each second. A central bucket admits all of them. Returns the
-  /// number of rejected requests.
+  /// Sends a burst each second. A central bucket admits all of them. Returns
+  /// the number of rejected requests.
   int SendBursts(int count) {
     const int before = fleet_.response_counts["refused"];
     for (int i = 0; i < count; ++i) {
@@ -46,8 +46,8 @@
 };
 
 // Guards against calm seconds in which nearly all requests of a customer are
-// rejected: collectors that broadcast falling levels followed each other, so that
-// none of them tracked the use of the nodes (issue 33).
+// rejected: collectors that broadcast falling levels followed each other, so
+// that none of them tracked the use of the nodes (issue 33).
 TEST_P(LimitsInLargeFleet, BurstsWithinTheLimitAreAdmitted) {
   EXPECT_EQ(SendBursts(40), 0);
 }
--- a/src/libpollenledge/process/forward_rate_limits_test.cc
+++ b/src/libpollenledge/process/forward_rate_limits_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <ostream>
 #include <random>
 #include <string>
@@ -214,6 +215,35 @@
   }
 }
 
+/// Returns the number of nodes with each view of who coordinates an upstream.
+std::map<std::string, int> CoordinatorViews(ForwardFleet* fleet,
+                                            const UpstreamId& upstream) {
+  std::map<std::string, int> views;
+  for (std::size_t i = 0; i < fleet->size(); ++i) {
+    ++views[fleet->node(i).permits().CoordinatorOf(upstream).name];
+  }
+  return views;
+}
+
+// Guards against two coordinators that each grant the whole limit: heartbeats
+// are sparse in a large fleet, so some nodes always suspected some candidate.
+TEST(RateLimitCoordinator, IsTheSameAtAllNodesOfALargeFleet) {
+  for (const std::size_t nodes : {10, 91}) {
+    SCOPED_TRACE(nodes);
+    const LimitedLoad load{.nodes = nodes, .seed = nodes};
+    ForwardFleet fleet(nodes, load.seed);
+    Traffic traffic(&fleet, load);
+    traffic.StateLimits(2);
+    traffic.Run(8 * kSecond);
+    for (int second = 0; second < 8; ++second) {
+      traffic.Run(kSecond);
+      for (const char* name : {"u0", "u1", "u2"}) {
+        EXPECT_EQ(CoordinatorViews(&fleet, {name, 1}).size(), 1U) << name;
+      }
+    }
+  }
+}
+
 // Guards against a restarted upstream that is held to the limit of the process
 // before it.
 TEST(RateLimitEnds, ARestartedUpstreamHasNoLimit) {
--- a/src/libpollenledge/process/forward_upstream_signals.cc
+++ b/src/libpollenledge/process/forward_upstream_signals.cc
@@ -124,12 +124,14 @@
 
 void ForwardNode::ApplyRateLimits(const Request& request,
                                   UpstreamCriteria* query) {
+  // A request can use one permit; others would expire.
+  bool has_probe = false;
   for (const UpstreamId& upstream : LimitedUpstreams(request.service)) {
     const bool is_first = request.attempts == 0 && !IsSuspect(request);
     // Now and then the coordinator uses the upstream although others have room:
     // only a response tells when the limit ends.
-    if (is_first && permits_.IsProbeDue(upstream, now()))
-      GrantToSelf({{upstream, 1}});
+    if (is_first && !has_probe && permits_.IsProbeDue(upstream, now()))
+      has_probe = GrantToSelf({{upstream, 1}});
     if (!permits_.HasPermit(upstream, now())) {
       query->exclude.push_back(upstream.name);
     } else if (is_first) {
@@ -235,11 +237,22 @@
   ReviewCoordinators();
 }
 
+std::vector<const MemberRecord*> ForwardNode::CoordinatorCandidates() {
+  if (!membership_.IsLargeFleet()) {
+    return membership_.PreferredMembers(CollectorSelector::kMaxCandidates,
+                                        now());
+  }
+  // Heartbeats of the other nodes are sparse, so that nodes disagree on who is
+  // alive. All of them hear from the first collector several times a second.
+  std::vector<const MemberRecord*> collectors = ChooseCollectors();
+  if (collectors.size() > 1) collectors.resize(1);
+  return collectors;
+}
+
 void ForwardNode::ReviewCoordinators() {
   const std::vector<UpstreamId> limited = rate_limits_.Limited();
   if (limited.empty()) return;
-  const std::vector<const MemberRecord*> members =
-      membership_.PreferredMembers(CollectorSelector::kMaxCandidates, now());
+  const std::vector<const MemberRecord*> members = CoordinatorCandidates();
   if (members.empty()) return;
   for (const UpstreamId& upstream : limited) {
     const MemberRecord* coordinator = *std::max_element(
