--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -40,7 +40,8 @@
 /// fresh and does not borrow otherwise.
 ///
 /// An unresponsive node is assumed to use an equal share of the rate, or its
-/// previous rate if that is higher. A node that cannot reach a majority of the
+/// previous rate if that is higher; all unresponsive nodes together use the
+/// limit at most. A node that cannot reach a majority of the
 /// others does not borrow and uses an equal share, so the limit also holds
 /// during a network partition.
 /// A node starts with only a fraction of its share of the burst, because the
@@ -121,6 +122,9 @@
     double global_level = 0;  ///< Level of the fleet-wide bucket, in units.
     double local_rate = 0;    ///< Recent use by this node, in units per second.
     double used_at_update = 0;  ///< `used` when `local_rate` was updated.
+    /// Factor of the estimated use of unresponsive nodes, so that all of it
+    /// together does not exceed the limit.
+    double estimate_scale = 1;
     /// Recent use by node name, in units per second.
     std::map<std::string, double> peer_rates;
     /// Number of the fractions of the burst at which the level is published
@@ -140,6 +144,11 @@
   void Refill(TimePoint now);
   /// Discards all that is known of the use of other nodes.
   void ResetPeerState(TimePoint now);
+  bool IsUnresponsive(const Member& member) const;
+  /// Returns the rate at which an unresponsive node is assumed to use the
+  /// limit.
+  double EstimatedRate(const Bucket& bucket, const std::string& node) const;
+  void UpdateEstimateScales(const std::vector<Member>& others);
   void MergeMember(const Member& member, double elapsed_s, bool following);
   void UpdateMajorityReachable(int unresponsive, TimePoint now);
   static void UpdateLocalRate(Bucket* bucket, double elapsed_s);
--- a/src/libpollenledge/process/forward_rate_limits_test.cc
+++ b/src/libpollenledge/process/forward_rate_limits_test.cc
@@ -260,17 +260,20 @@
   EXPECT_GE(fleet.MostArrivals(0, restarted, kWindow, false), 50U);
 }
 
+class RateLimitInPartition : public ::testing::TestWithParam<std::size_t> {};
+
 // Guards against the two sides of a partition that each use the whole limit.
-TEST(RateLimitInPartition, BothSidesTogetherStayWithinTheLimit) {
+TEST_P(RateLimitInPartition, BothSidesTogetherStayWithinTheLimit) {
   for (const double requests_per_s : {0.0, 2.0, 8.0}) {
     SCOPED_TRACE(requests_per_s);
-    LimitedLoad load = EveryUpstreamLimited(6, requests_per_s);
+    const LimitedLoad load = EveryUpstreamLimited(GetParam(), requests_per_s);
     ForwardFleet fleet(load.nodes, load.seed);
     Traffic traffic(&fleet, load);
     traffic.StateLimits(requests_per_s);
     traffic.Run(5 * kSecond);
-    fleet.is_partitioned = [](std::size_t a, std::size_t b) {
-      return (a < 3) != (b < 3);
+    const std::size_t first_side = load.nodes / 2;
+    fleet.is_partitioned = [first_side](std::size_t a, std::size_t b) {
+      return (a < first_side) != (b < first_side);
     };
     traffic.Run(10 * kSecond);
     fleet.is_partitioned = nullptr;
@@ -279,5 +282,8 @@
   }
 }
 
+INSTANTIATE_TEST_SUITE_P(Nodes, RateLimitInPartition,
+                         ::testing::Values(6, 10, 40));
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -148,16 +148,16 @@
   if (was_suspended) ResetPeerState(now);
   Refill(now);
   const double elapsed_s = ConsumeElapsed(&updated_at_, now);
+  node_count_ = 1 + static_cast<int>(std::count_if(
+                        others.begin(), others.end(), [](const Member& member) {
+                          return member.status != MemberStatus::kLeft;
+                        }));
+  const int unresponsive = static_cast<int>(std::count_if(
+      others.begin(), others.end(),
+      [this](const Member& member) { return IsUnresponsive(member); }));
+  if (unresponsive > 0) UpdateEstimateScales(others);
   const bool following = HasCollectorState(now);
-  node_count_ = 1;
-  int unresponsive = 0;
-  for (const Member& member : others) {
-    if (member.status != MemberStatus::kLeft) {
-      ++node_count_;
-      if (member.since_heartbeat > unresponsive_timeout_) ++unresponsive;
-    }
-    MergeMember(member, elapsed_s, following);
-  }
+  for (const Member& member : others) MergeMember(member, elapsed_s, following);
   UpdateMajorityReachable(unresponsive, now);
   for (auto& [name, bucket] : buckets_) {
     UpdateLocalRate(&bucket, elapsed_s);
@@ -285,16 +285,14 @@
     }
     known->second = use.used_units;
   }
-  const bool unresponsive = member.status != MemberStatus::kLeft &&
-                            member.since_heartbeat > unresponsive_timeout_;
+  const bool unresponsive = IsUnresponsive(member);
   for (auto& [name, bucket] : buckets_) {
     double units = deltas.count(name) > 0 ? deltas.at(name) : 0;
     double& rate = bucket.peer_rates[record.id.name];
     double& estimated = peer.estimated_uses[name];
     if (unresponsive) {
-      const double equal_rate =
-          bucket.limit.units_per_s / std::max(node_count_, options_.min_nodes);
-      units = std::max(equal_rate, rate) * elapsed_s;
+      units = bucket.estimate_scale * EstimatedRate(bucket, record.id.name) *
+              elapsed_s;
       estimated += units;
     } else {
       // The node's actual use is known now and replaces the estimate.
@@ -311,6 +309,32 @@
   }
 }
 
+bool LimitBuckets::IsUnresponsive(const Member& member) const {
+  return member.status != MemberStatus::kLeft &&
+         member.since_heartbeat > unresponsive_timeout_;
+}
+
+double LimitBuckets::EstimatedRate(const Bucket& bucket,
+                                   const std::string& node) const {
+  const double equal_rate =
+      bucket.limit.units_per_s / std::max(node_count_, options_.min_nodes);
+  const auto rate = bucket.peer_rates.find(node);
+  return rate == bucket.peer_rates.end() ? equal_rate
+                                         : std::max(equal_rate, rate->second);
+}
+
+void LimitBuckets::UpdateEstimateScales(const std::vector<Member>& others) {
+  for (auto& [name, bucket] : buckets_) {
+    double total_rate = 0;
+    for (const Member& member : others) {
+      if (IsUnresponsive(member))
+        total_rate += EstimatedRate(bucket, member.record.id.name);
+    }
+    bucket.estimate_scale =
+        std::min(1.0, bucket.limit.units_per_s / total_rate);
+  }
+}
+
 void LimitBuckets::UpdateLocalShare(Bucket* bucket, int nodes) const {
   double total = bucket->local_rate;
   for (const auto& [name, rate] : bucket->peer_rates) total += rate;
--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -553,6 +553,38 @@
   }
 }
 
+// Guards against a collector that is cut off and charges customers with several
+// times their limit for the nodes that it cannot reach.
+TEST_F(CollectingBuckets, UnresponsiveNodesAreChargedWithTheLimitAtMost) {
+  constexpr int kNodes = 90;
+  std::vector<Member> others;
+  for (int i = 0; i < kNodes; ++i) {
+    others.push_back(MakeMember("m" + std::to_string(i), 1, {{"a", 0}}));
+  }
+  for (int step = 0; step < 100; ++step) {
+    // Few nodes use most of the limit.
+    others[static_cast<std::size_t>(step) % 10]
+        .record.customer_usage.front()
+        .used_units += kRate / 12;
+    Update(others);
+  }
+  const double before = limits_.GlobalLevel("a");
+  const auto run = [&](int steps) {
+    for (int step = 0; step < steps; ++step) {
+      for (Member& member : others) {
+        member.since_heartbeat += std::chrono::milliseconds(100);
+      }
+      Update(others);
+    }
+  };
+  run(20);
+  const double level = limits_.GlobalLevel("a");
+  // Each step refills the bucket first.
+  EXPECT_GE(level, before - kRate / 10);
+  run(50);
+  EXPECT_NEAR(limits_.GlobalLevel("a"), level, 1);
+}
+
 // Guards against a rejection that says when to come back with a time in the
 // past, so that no Retry-After was sent.
 TEST(LimitBucketsTest, ARejectionStatesTheTimeUntilTheLevelSuffices) {
