--- a/src/libpollenledge/process/forward_limits_test.cc
+++ b/src/libpollenledge/process/forward_limits_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "forward_fleet.h"
 
 namespace pollenledge {
@@ -15,6 +17,10 @@
 /// Requests in a burst, less than a full bucket admits at once.
 constexpr int kBurstRequests = 24;
 
+/// Requests that may be rejected while a node changes to another collector and
+/// has no more than its share.
+constexpr int kChanceRejections = 2;
+
 struct FleetCase {
   std::size_t nodes = 0;
   std::uint64_t seed = 0;
@@ -28,21 +34,35 @@
     fleet_.RunFor(seconds(4));
   }
 
-  /// Sends a burst each second. A central bucket admits all of them. Returns
-  /// the number of rejected requests.
+  /// Sends a burst each second to the nodes that are not `lost_`. A central
+  /// bucket admits all of them. Returns the number of rejected requests.
   int SendBursts(int count) {
     const int before = fleet_.response_counts["refused"];
     for (int i = 0; i < count; ++i) {
       for (int n = 0; n < kBurstRequests; ++n) {
-        fleet_.SubmitRequest(random_() % fleet_.size(), "metered", "x");
+        const std::size_t node = random_() % fleet_.size();
+        if (lost_.count(node) == 0) fleet_.SubmitRequest(node, "metered", "x");
       }
       fleet_.RunFor(seconds(1));
     }
     return fleet_.response_counts["refused"] - before;
   }
 
+  /// Separates the first `count` collectors from all other nodes.
+  void LoseCollectors(std::size_t count) {
+    for (std::size_t i = 0; i < fleet_.size() && lost_.size() < count; ++i) {
+      if (fleet_.node(i).is_collector()) lost_.insert(i);
+    }
+    fleet_.is_partitioned = [this](std::size_t from, std::size_t to) {
+      return lost_.count(from) > 0 || lost_.count(to) > 0;
+    };
+  }
+  void ReturnCollectors() { lost_.clear(); }
+
   ForwardFleet fleet_;
   std::mt19937_64 random_;
+  std::vector<int> admitted_;   ///< Requests of the floods, by `kStep`.
+  std::set<std::size_t> lost_;  ///< Nodes that are separated from the others.
 };
 
 // Guards against calm seconds in which nearly all requests of a customer are
@@ -52,6 +72,25 @@
   EXPECT_EQ(SendBursts(40), 0);
 }
 
+// Guards against limits that lapse after a collector was cut off: it had
+// charged the nodes that it did not reach, and refunded that before it knew
+// their use.
+TEST_P(LimitsInLargeFleet, BurstsAreAdmittedAroundALostCollector) {
+  SendBursts(5);
+  LoseCollectors(1);
+  SendBursts(2);
+  {
+    SCOPED_TRACE("another one collects");
+    EXPECT_LE(SendBursts(5), kChanceRejections);
+  }
+  ReturnCollectors();
+  SendBursts(2);
+  {
+    SCOPED_TRACE("it is back");
+    EXPECT_LE(SendBursts(10), kChanceRejections);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, LimitsInLargeFleet,
                          ::testing::Values(FleetCase{10, 1}, FleetCase{10, 2},
                                            FleetCase{10, 3}, FleetCase{30, 1},
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -286,23 +286,25 @@
     known->second = use.used_units;
   }
   const bool unresponsive = IsUnresponsive(member);
+  const bool reports_use = !record.customer_usage.empty();
   for (auto& [name, bucket] : buckets_) {
     double units = deltas.count(name) > 0 ? deltas.at(name) : 0;
     double& rate = bucket.peer_rates[record.id.name];
     double& estimated = peer.estimated_uses[name];
+    double refund = 0;
     if (unresponsive) {
       units = bucket.estimate_scale * EstimatedRate(bucket, record.id.name) *
               elapsed_s;
       estimated += units;
-    } else {
+    } else if (reports_use) {
       // The node's actual use is known now and replaces the estimate.
-      if (!following) {
-        bucket.global_level =
-            std::min(bucket.limit.burst, bucket.global_level + estimated);
-      }
+      refund = estimated;
       estimated = 0;
     }
-    if (!following) bucket.global_level -= units;
+    if (!following) {
+      bucket.global_level =
+          std::min(bucket.limit.burst, bucket.global_level + refund - units);
+    }
     if (elapsed_s > 0 && !unresponsive) {
       rate += RateGain(elapsed_s) * (units / elapsed_s - rate);
     }
--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -585,6 +585,30 @@
   EXPECT_NEAR(limits_.GlobalLevel("a"), level, 1);
 }
 
+// Guards against customers that are rejected after a partition: the assumed use
+// of unreachable nodes was refunded to a full bucket when they were heard of,
+// and their actual use was charged when they reported it.
+TEST_F(CollectingBuckets, ActualUseReplacesTheAssumedOne) {
+  Fill();
+  Member member = MakeMember("m", 1, {{"a", 0}});
+  Update({member});
+  for (int step = 0; step < 100; ++step) {
+    member.since_heartbeat += std::chrono::milliseconds(100);
+    Update({member});
+  }
+  const double before = limits_.GlobalLevel("a");
+  {
+    SCOPED_TRACE("a heartbeat that another node passed on, without usage");
+    Update({MakeMember("m", 1, {})});
+  }
+  {
+    SCOPED_TRACE("the report: the node used its share");
+    const double share = kRate / 8 * 9;
+    Update({MakeMember("m", 1, {{"a", share}})});
+  }
+  EXPECT_GE(limits_.GlobalLevel("a"), before);
+}
+
 // Guards against a rejection that says when to come back with a time in the
 // past, so that no Retry-After was sent.
 TEST(LimitBucketsTest, ARejectionStatesTheTimeUntilTheLevelSuffices) {
