A node whose use isn't reported counts as unresponsive for the limits (QUOTA)

What breaks: in a flood in which both collectors are lost, customers get up to a third more than their limit. docs/design/large-fleets.md said of this case that it admits no more.

Cause: without a collector, a node works out levels from the heartbeats of the others. In a large fleet these carry no usage, but they made their senders count as responsive: with a majority of them, each node took the customer's bucket for unused by anyone else, and borrowed from it.

Change: a node is responsive for the limits if its usage was reported lately, not if a heartbeat of it was. Without a collector all nodes now keep to equal parts, as the page says.

--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -132,7 +132,8 @@
     int published_step = 0;
   };
   struct Peer {
-    std::uint64_t incarnation = 0;
+    std::uint64_t incarnation = 0;       ///< 0: no record was merged yet.
+    TimePoint reported_at;               ///< When it last reported its use.
     std::map<std::string, double> uses;  ///< By customer, as last reported.
     /// This node knew the process that this incarnation replaced, so that none
     /// of its use is old.
@@ -144,12 +145,15 @@
   void Refill(TimePoint now);
   /// Discards all that is known of the use of other nodes.
   void ResetPeerState(TimePoint now);
-  bool IsUnresponsive(const Member& member) const;
+  /// Records when the member last reported its use.
+  void RecordReport(const Member& member, TimePoint now);
+  /// Returns true if the member's use has been unknown for too long.
+  bool IsUnresponsive(const Member& member, TimePoint now) const;
   /// Returns the rate at which an unresponsive node is assumed to use the
   /// limit.
   double EstimatedRate(const Bucket& bucket, const std::string& node) const;
-  void UpdateEstimateScales(const std::vector<Member>& others);
-  void MergeMember(const Member& member, double elapsed_s, bool following);
+  void UpdateEstimateScales(const std::vector<Member>& others, TimePoint now);
+  void MergeMember(const Member& member, double elapsed_s, TimePoint now);
   void UpdateMajorityReachable(int unresponsive, TimePoint now);
   static void UpdateLocalRate(Bucket* bucket, double elapsed_s);
   /// Reduces the local debt by what other nodes left unused.
--- a/src/libpollenledge/process/forward_limits_test.cc
+++ b/src/libpollenledge/process/forward_limits_test.cc
@@ -3,13 +3,17 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <numeric>
 #include <set>
+#include <vector>
 
 #include "forward_fleet.h"
 
 namespace pollenledge {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::ForwardFleet;
 
@@ -17,6 +21,18 @@
 /// Requests in a burst, less than a full bucket admits at once.
 constexpr int kBurstRequests = 24;
 
+constexpr double kFloodFactor = 4;
+constexpr Duration kStep = milliseconds(10);
+/// Time over which admitted requests are compared with the limit.
+constexpr Duration kWindow = seconds(8);
+constexpr std::size_t kWindowSteps = kWindow / kStep;
+/// Requests that the requirements allow within `kWindow`: the limit and the
+/// burst plus 10%, and a slack of a fifth of a second's limit.
+constexpr int kAllowedInWindow = 404;
+
+/// Time for which nodes that have all restarted may keep to equal shares, a
+/// third of the time within which they must serve again.
+constexpr int kRestartSeconds = 4;
 /// Requests that may be rejected while a node changes to another collector and
 /// has no more than its share.
 constexpr int kChanceRejections = 2;
@@ -48,6 +64,34 @@
     return fleet_.response_counts["refused"] - before;
   }
 
+  /// Sends a flood of `kFloodFactor` times the limit for `time`. Returns the
+  /// largest number of requests that were admitted within `kWindow`.
+  int MostAdmittedInFlood(Duration time) {
+    std::poisson_distribution<int> arrivals(kFloodFactor * kLimitPerS *
+                                            ToSeconds(kStep));
+    const std::size_t first = admitted_.size();
+    for (Duration sent{0}; sent < time; sent += kStep) {
+      const int rejected = fleet_.response_counts["refused"];
+      int count = 0;
+      for (int n = arrivals(random_); n > 0; --n) {
+        const std::size_t node = random_() % fleet_.size();
+        if (lost_.count(node) > 0) continue;
+        fleet_.SubmitRequest(node, "metered", "x");
+        ++count;
+      }
+      admitted_.push_back(count -
+                          (fleet_.response_counts["refused"] - rejected));
+      fleet_.RunFor(kStep);
+    }
+    int most = 0;
+    for (std::size_t i = first; i < admitted_.size(); ++i) {
+      const std::size_t begin = i < kWindowSteps ? 0 : i - kWindowSteps;
+      most =
+          std::max(most, std::accumulate(&admitted_[begin], &admitted_[i], 0));
+    }
+    return most;
+  }
+
   /// Separates the first `count` collectors from all other nodes.
   void LoseCollectors(std::size_t count) {
     for (std::size_t i = 0; i < fleet_.size() && lost_.size() < count; ++i) {
@@ -91,6 +135,42 @@
   }
 }
 
+// Guards against a fleet that rejects most requests long after all its nodes
+// have restarted.
+TEST_P(LimitsInLargeFleet, BurstsAreAdmittedSoonAfterARestartOfAllNodes) {
+  SendBursts(5);
+  for (std::size_t i = 0; i < fleet_.size(); ++i) fleet_.StartNode(i);
+  SendBursts(kRestartSeconds);
+  EXPECT_LE(SendBursts(10), kChanceRejections);
+}
+
+// Guards against a flood that exceeds the limit because a new collector does
+// not know what nodes used before, or because collectors change.
+TEST_P(LimitsInLargeFleet, FloodKeepsTheLimit) {
+  SendBursts(3);
+  EXPECT_LE(MostAdmittedInFlood(seconds(10)), kAllowedInWindow);
+  LoseCollectors(1);
+  {
+    SCOPED_TRACE("a collector is lost");
+    EXPECT_LE(MostAdmittedInFlood(seconds(9)), kAllowedInWindow);
+  }
+  ReturnCollectors();
+  {
+    SCOPED_TRACE("it is back");
+    EXPECT_LE(MostAdmittedInFlood(seconds(9)), kAllowedInWindow);
+  }
+  LoseCollectors(2);
+  {
+    SCOPED_TRACE("two collectors are lost");
+    EXPECT_LE(MostAdmittedInFlood(seconds(9)), kAllowedInWindow);
+  }
+  ReturnCollectors();
+  {
+    SCOPED_TRACE("both are back");
+    EXPECT_LE(MostAdmittedInFlood(seconds(9)), kAllowedInWindow);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, LimitsInLargeFleet,
                          ::testing::Values(FleetCase{10, 1}, FleetCase{10, 2},
                                            FleetCase{10, 3}, FleetCase{30, 1},
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -152,12 +152,15 @@
                         others.begin(), others.end(), [](const Member& member) {
                           return member.status != MemberStatus::kLeft;
                         }));
+  for (const Member& member : others) RecordReport(member, now);
   const int unresponsive = static_cast<int>(std::count_if(
-      others.begin(), others.end(),
-      [this](const Member& member) { return IsUnresponsive(member); }));
-  if (unresponsive > 0) UpdateEstimateScales(others);
-  const bool following = HasCollectorState(now);
-  for (const Member& member : others) MergeMember(member, elapsed_s, following);
+      others.begin(), others.end(), [this, now](const Member& member) {
+        return IsUnresponsive(member, now);
+      }));
+  if (unresponsive > 0) UpdateEstimateScales(others, now);
+  for (const Member& member : others) {
+    MergeMember(member, elapsed_s, now);
+  }
   UpdateMajorityReachable(unresponsive, now);
   for (auto& [name, bucket] : buckets_) {
     UpdateLocalRate(&bucket, elapsed_s);
@@ -267,13 +270,12 @@
 }
 
 void LimitBuckets::MergeMember(const Member& member, double elapsed_s,
-                               bool following) {
+                               TimePoint now) {
   const MemberRecord& record = member.record;
-  const auto [it, is_new] = peers_.try_emplace(record.id.name);
-  Peer& peer = it->second;
+  Peer& peer = peers_[record.id.name];
   if (peer.incarnation != record.id.incarnation) {
     peer.uses.clear();
-    peer.counts_from_zero = !is_new;
+    peer.counts_from_zero = peer.incarnation != 0;
   }
   peer.incarnation = record.id.incarnation;
   std::map<std::string, double> deltas;
@@ -285,7 +287,8 @@
     }
     known->second = use.used_units;
   }
-  const bool unresponsive = IsUnresponsive(member);
+  const bool following = HasCollectorState(now);
+  const bool unresponsive = IsUnresponsive(member, now);
   const bool reports_use = !record.customer_usage.empty();
   for (auto& [name, bucket] : buckets_) {
     double units = deltas.count(name) > 0 ? deltas.at(name) : 0;
@@ -311,9 +314,20 @@
   }
 }
 
-bool LimitBuckets::IsUnresponsive(const Member& member) const {
-  return member.status != MemberStatus::kLeft &&
-         member.since_heartbeat > unresponsive_timeout_;
+void LimitBuckets::RecordReport(const Member& member, TimePoint now) {
+  // In a large fleet, heartbeats that other nodes pass on carry no usage.
+  const bool reports_use =
+      buckets_.empty() || !member.record.customer_usage.empty();
+  if (!reports_use) return;
+  TimePoint& reported_at = peers_[member.record.id.name].reported_at;
+  reported_at = std::max<TimePoint>(reported_at, now - member.since_heartbeat);
+}
+
+bool LimitBuckets::IsUnresponsive(const Member& member, TimePoint now) const {
+  if (member.status == MemberStatus::kLeft) return false;
+  const auto peer = peers_.find(member.record.id.name);
+  return peer == peers_.end() ||
+         now - peer->second.reported_at > unresponsive_timeout_;
 }
 
 double LimitBuckets::EstimatedRate(const Bucket& bucket,
@@ -325,11 +339,12 @@
                                          : std::max(equal_rate, rate->second);
 }
 
-void LimitBuckets::UpdateEstimateScales(const std::vector<Member>& others) {
+void LimitBuckets::UpdateEstimateScales(const std::vector<Member>& others,
+                                        TimePoint now) {
   for (auto& [name, bucket] : buckets_) {
     double total_rate = 0;
     for (const Member& member : others) {
-      if (IsUnresponsive(member))
+      if (IsUnresponsive(member, now))
         total_rate += EstimatedRate(bucket, member.record.id.name);
     }
     bucket.estimate_scale =
