--- a/src/include/pollenledge/process/collector_selector.h
+++ b/src/include/pollenledge/process/collector_selector.h
@@ -31,22 +31,29 @@
   /// Time for which a collector that left queries unanswered is skipped.
   static constexpr Duration kBackoffTime = std::chrono::seconds(5);
 
-  /// Returns the collectors among `ranked`, in the same order. `self` is never
-  /// skipped.
+  /// Time for which a collector that published levels counts as ready.
+  static constexpr Duration kReadyTime = std::chrono::seconds(3);
+
+  /// Returns the collectors among `ranked`, in the same order, at most
+  /// `kMaxCollectors`. `self` is never skipped. If none of them is ready, the
+  /// first other node that is follows as one more, so that nodes have levels
+  /// while collectors change.
   std::vector<const MemberRecord*> Choose(
       const std::vector<const MemberRecord*>& ranked, const std::string& self,
       TimePoint now);
 
   /// Records that a query was sent to the collector `name`.
   void OnQuerySent(const std::string& name, TimePoint now);
-  /// Records that `name` responded, which ends its backoff.
-  void OnResponse(const std::string& name);
+  /// Records that `name` responded, which ends its backoff, and whether it
+  /// published levels.
+  void OnResponse(const std::string& name, bool is_ready, TimePoint now);
 
  private:
   struct Candidate {
     /// Sent since its last response.
     int unanswered_queries = 0;
     TimePoint backoff_until;
+    TimePoint ready_until;
   };
 
   std::map<std::string, Candidate> candidates_;  ///< By node name.
--- a/src/libpollenledge/process/collector_selector_test.cc
+++ b/src/libpollenledge/process/collector_selector_test.cc
@@ -43,7 +43,7 @@
   }
   {
     SCOPED_TRACE("a response resets the count");
-    selector_.OnResponse("a");
+    selector_.OnResponse("a", false, kStart);
     selector_.OnQuerySent("a", kStart);
     EXPECT_EQ(ChosenNames(kStart), "ab");
   }
@@ -60,5 +60,24 @@
   }
 }
 
+// Guards against nodes without levels while two new collectors warm up: those
+// that collected until then know them.
+TEST_F(CollectorSelectorTest, AReadyCollectorIsKeptUntilTheFirstOnesAre) {
+  const auto respond = [&](const std::string& name, bool is_ready) {
+    selector_.OnQuerySent(name, kStart);
+    selector_.OnResponse(name, is_ready, kStart);
+  };
+  respond("c", true);
+  EXPECT_EQ(ChosenNames(kStart), "abc");
+  respond("a", false);
+  EXPECT_EQ(ChosenNames(kStart), "abc");
+  respond("b", true);
+  EXPECT_EQ(ChosenNames(kStart), "ab");
+  {
+    SCOPED_TRACE("one that has not published levels lately is not ready");
+    EXPECT_EQ(ChosenNames(kStart + CollectorSelector::kReadyTime), "ab");
+  }
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_limits_test.cc
+++ b/src/libpollenledge/process/forward_limits_test.cc
@@ -135,6 +135,23 @@
   }
 }
 
+// Guards against limits that lapse when no collector is left for a while.
+TEST_P(LimitsInLargeFleet, BurstsAreAdmittedAroundTwoLostCollectors) {
+  SendBursts(5);
+  LoseCollectors(2);
+  SendBursts(4);
+  {
+    SCOPED_TRACE("others collect");
+    EXPECT_LE(SendBursts(4), kChanceRejections);
+  }
+  ReturnCollectors();
+  SendBursts(2);
+  {
+    SCOPED_TRACE("they are back");
+    EXPECT_LE(SendBursts(10), kChanceRejections);
+  }
+}
+
 // Guards against a fleet that rejects most requests long after all its nodes
 // have restarted.
 TEST_P(LimitsInLargeFleet, BurstsAreAdmittedSoonAfterARestartOfAllNodes) {
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -98,8 +98,12 @@
   AddUpstreamStatements(&query);
   const std::string& self = membership_.self().id.name;
   const std::vector<const MemberRecord*> collectors = ChooseCollectors();
+  const auto last_collector =
+      collectors.begin() +
+      static_cast<std::ptrdiff_t>(
+          std::min(collectors.size(), CollectorSelector::kMaxCollectors));
   SetCollectorRole(std::any_of(
-      collectors.begin(), collectors.end(),
+      collectors.begin(), last_collector,
       [&](const MemberRecord* record) { return record->id.name == self; }));
   // A collector computes the levels itself.
   query.requests_levels = !is_collector_;
@@ -211,7 +215,10 @@
 void ForwardNode::ApplyQueryResponse(const Heartbeat& response) {
   const MemberRecord& sender = response.records.front();
   const bool is_response = response.queried_at != TimePoint();
-  if (is_response) collectors_.OnResponse(sender.id.name);
+  if (is_response) {
+    collectors_.OnResponse(sender.id.name, response.levels_authoritative,
+                           now());
+  }
   for (const UsageWindow window : response.accepted_usage_windows) {
     acknowledged_usage_windows_.insert(window);
   }
