--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -278,8 +278,11 @@
     peer.counts_from_zero = peer.incarnation != 0;
   }
   peer.incarnation = record.id.incarnation;
+  const bool unresponsive = IsUnresponsive(member, now);
   std::map<std::string, double> deltas;
   for (const CustomerUsage& use : record.customer_usage) {
+    // After a suspension of this node, its last report is outdated.
+    if (unresponsive && peer.uses.count(use.customer) == 0) continue;
     const auto [known, is_first] = peer.uses.try_emplace(use.customer, 0);
     // The use in a node's first report may have occurred long ago.
     if (!is_first || peer.counts_from_zero) {
@@ -288,7 +291,6 @@
     known->second = use.used_units;
   }
   const bool following = HasCollectorState(now);
-  const bool unresponsive = IsUnresponsive(member, now);
   const bool reports_use = !record.customer_usage.empty();
   for (auto& [name, bucket] : buckets_) {
     double units = deltas.count(name) > 0 ? deltas.at(name) : 0;
--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -585,6 +585,20 @@
   EXPECT_NEAR(limits_.GlobalLevel("a"), level, 1);
 }
 
+// Guards against a collector that charges customers with the time for which it
+// was suspended: it took the nodes' last reports before that as the starting
+// points of their use.
+TEST_F(CollectingBuckets, AReportBeforeASuspensionIsNoStartingPoint) {
+  Fill();
+  Member member = MakeMember("m", 1, {{"a", 5000}});
+  Update({member});
+  now_ += std::chrono::seconds(7);
+  member.since_heartbeat = std::chrono::seconds(7);
+  Update({member});
+  Update({MakeMember("m", 1, {{"a", 5000 + 7 * kRate}})});
+  EXPECT_GT(limits_.GlobalLevel("a"), 0);
+}
+
 // Guards against customers that are rejected after a partition: the assumed use
 // of unreachable nodes was refunded to a full bucket when they were heard of,
 // and their actual use was charged when they reported it.
