--- a/src/libpollenledge/process/limit_buckets_test.cc
+++ b/src/libpollenledge/process/limit_buckets_test.cc
@@ -558,6 +558,7 @@
 TEST_F(CollectingBuckets, UnresponsiveNodesAreChargedWithTheLimitAtMost) {
   constexpr int kNodes = 90;
   std::vector<Member> others;
+  others.reserve(kNodes);
   for (int i = 0; i < kNodes; ++i) {
     others.push_back(MakeMember("m" + std::to_string(i), 1, {{"a", 0}}));
   }
