--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -387,6 +387,9 @@
   /// Stores a peer's counts and returns the accepted windows.
   std::vector<UsageWindow> AcceptUsage(const NodeId& sender,
                                        const std::vector<UsageReport>& reports);
+  /// Follows the levels of limits that a collector published.
+  void ApplyLevels(const Heartbeat& heartbeat);
+  void LogOverdrawnLimits();
   void LogWallClockCorrection(Duration correction);
 
   /// Returns the version of the active tables; 0 if there are none.
--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -109,6 +109,12 @@
   /// Returns true if the global level is so low that each use must be reported
   /// soon.
   bool IsLow(const std::string& customer) const;
+  /// Returns the customers whose global level has fallen below zero since the
+  /// last call, each at most once until the level has risen again.
+  std::vector<std::string> ConsumeOverdrawn();
+  /// Returns the node whose levels this one applied last; its name is empty if
+  /// there was none.
+  const NodeId& collector() const { return collector_; }
   /// Returns true if since the last call some global level fell below a
   /// fraction of its burst at which a collector must publish it.
   bool ConsumeLevelDrop();
@@ -130,6 +136,7 @@
     /// Number of the fractions of the burst at which the level is published
     /// that it was below at the last `ConsumeLevelDrop`.
     int published_step = 0;
+    bool overdrawn_reported = false;  ///< By `ConsumeOverdrawn`.
   };
   struct Peer {
     std::uint64_t incarnation = 0;       ///< 0: no record was merged yet.
--- a/src/libpollenledge/process/forward_limits_test.cc
+++ b/src/libpollenledge/process/forward_limits_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 #include <set>
 #include <vector>
@@ -188,6 +189,26 @@
   }
 }
 
+// Guards against rejections over a limit that cannot be explained from the
+// logs.
+TEST_P(LimitsInLargeFleet, CollectorsAndOverdrawnLevelsAreLogged) {
+  std::map<std::string, int>& lines = fleet_.log_line_counts;
+  const int nodes = static_cast<int>(fleet_.size());
+  SendBursts(5);
+  EXPECT_GE(lines["collector_followed"], nodes - 2);
+  EXPECT_EQ(lines["limit_overdrawn"], 0);
+  LoseCollectors(1);
+  lines.clear();
+  SendBursts(5);
+  EXPECT_LE(lines["collector_followed"], 3 * nodes);
+  ReturnCollectors();
+  lines.clear();
+  MostAdmittedInFlood(seconds(5));
+  EXPECT_GE(lines["limit_overdrawn"], 1);
+  // At most once a second at each collector.
+  EXPECT_LE(lines["limit_overdrawn"], 15);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, LimitsInLargeFleet,
                          ::testing::Values(FleetCase{10, 1}, FleetCase{10, 2},
                                            FleetCase{10, 3}, FleetCase{30, 1},
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "pollenledge/process/forward_node.h"
@@ -62,12 +63,39 @@
     return;
   }
   if (is_new) SendBootstrapState(sender);
-  // Collectors that followed each other would not track the nodes' use.
-  if (heartbeat.levels_authoritative && !is_collector_)
-    limits_.ApplyCollectorLevels(sender.id, heartbeat.levels, now());
+  ApplyLevels(heartbeat);
   ApplyQueryResponse(heartbeat);
 }
 
+void ForwardNode::ApplyLevels(const Heartbeat& heartbeat) {
+  // Collectors that followed each other would not track the nodes' use.
+  if (!heartbeat.levels_authoritative || is_collector_) return;
+  const NodeId previous = limits_.collector();
+  limits_.ApplyCollectorLevels(heartbeat.records.front().id, heartbeat.levels,
+                               now());
+  if (limits_.collector() == previous) return;
+  Emit(forward_action::WriteLogLine{
+      LogLevel::kInfo,
+      "collector_followed",
+      {{"collector", ProcessName(limits_.collector())},
+       {"previous", previous.name.empty() ? "none" : ProcessName(previous)}}});
+}
+
+void ForwardNode::LogOverdrawnLimits() {
+  // Followers have the same levels as their collector.
+  if (FollowsCollectors(now())) return;
+  for (const std::string& customer : limits_.ConsumeOverdrawn()) {
+    Emit(forward_action::WriteLogLine{
+        LogLevel::kInfo,
+        "limit_overdrawn",
+        {{"customer", customer},
+         {"common_level",
+          std::to_string(std::llround(limits_.GlobalLevel(customer)))},
+         {"known_nodes", std::to_string(membership_.KnownNodeCount(now()))},
+         {"collecting", is_collector_ ? "yes" : "no"}}});
+  }
+}
+
 void ForwardNode::LogWallClockCorrection(Duration correction) {
   Emit(forward_action::WriteLogLine{
       LogLevel::kWarn,
@@ -369,6 +397,7 @@
     limits_.UpdateFromMembers(others, now());
     BroadcastLowLevels(others);
   }
+  LogOverdrawnLimits();
   const int nodes = std::max(min_node_count_, node_count);
   retry_budget_.SetMaxBalance(options_.retry_slack / nodes);
 }
--- a/src/libpollenledge/process/limit_buckets.cc
+++ b/src/libpollenledge/process/limit_buckets.cc
@@ -454,6 +454,19 @@
   return has_drop;
 }
 
+std::vector<std::string> LimitBuckets::ConsumeOverdrawn() {
+  std::vector<std::string> overdrawn;
+  for (auto& [name, bucket] : buckets_) {
+    const bool has_risen =
+        LevelStep(bucket.global_level, bucket.limit.burst) == 0;
+    if (has_risen) bucket.overdrawn_reported = false;
+    if (bucket.global_level >= 0 || bucket.overdrawn_reported) continue;
+    bucket.overdrawn_reported = true;
+    overdrawn.push_back(name);
+  }
+  return overdrawn;
+}
+
 double LimitBuckets::GlobalLevel(const std::string& customer) const {
   const auto found = buckets_.find(customer);
   return found == buckets_.end() ? 0 : found->second.global_level;
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -214,6 +214,8 @@
   std::map<std::string, int> response_counts;
   // The longest time from the arrival of a request to its rejection.
   Duration longest_wait_of_rejected{0};
+  // Number of log lines of all nodes, by event.
+  std::map<std::string, int> log_line_counts;
   // Times of the first attempts and of the retries.
   std::vector<TimePoint> first_send_times;
   std::vector<TimePoint> retry_times;
@@ -387,7 +389,9 @@
                                      PersistedCrash{report, now_});
     }
   }
-  void Execute(std::size_t, const forward_action::WriteLogLine&) {}
+  void Execute(std::size_t, const forward_action::WriteLogLine& line) {
+    ++log_line_counts[line.event];
+  }
 
   bool IsStream(ForwardId id) const {
     const std::string& route = routes_.at(id);
