--- a/src/libpollenledge/process/forward_limits_test.cc
+++ b/src/libpollenledge/process/forward_limits_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <numeric>
+#include <ostream>
 #include <set>
 #include <vector>
 
@@ -43,6 +44,10 @@
   std::uint64_t seed = 0;
 };
 
+void PrintTo(const FleetCase& fleet, std::ostream* out) {
+  *out << fleet.nodes << "-nodes-seed-" << fleet.seed;
+}
+
 class LimitsInLargeFleet : public ::testing::TestWithParam<FleetCase> {
  protected:
   LimitsInLargeFleet()
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <ostream>
 #include <set>
 
 namespace pollenledge {
@@ -489,11 +490,16 @@
 }
 
 struct StatementCase {
+  std::string name;
   UpstreamSignals signals;
   bool is_missing_at_response = false;
   int max_sent = 0;  ///< Requests sent to it later.
 };
 
+void PrintTo(const StatementCase& statement, std::ostream* out) {
+  *out << statement.name;
+}
+
 class MissingEntryStatements
     : public ForwardNodeTest,
       public ::testing::WithParamInterface<StatementCase> {};
@@ -526,13 +532,16 @@
 constexpr Duration kStatedPause = std::chrono::seconds(30);
 INSTANTIATE_TEST_SUITE_P(
     Signals, MissingEntryStatements,
-    ::testing::Values(StatementCase{{.leaving = true}, false},
-                      StatementCase{{.leaving = true}, true},
-                      StatementCase{{.retry_after = kStatedPause}, false},
-                      StatementCase{{.retry_after = kStatedPause}, true},
-                      // One request tells whether the limit has ended.
-                      StatementCase{{.max_requests_per_s = 0}, false, 1},
-                      StatementCase{{.max_requests_per_s = 0}, true, 1}));
+    ::testing::Values(
+        StatementCase{"leaving", {.leaving = true}, false},
+        StatementCase{"leaving-while-missing", {.leaving = true}, true},
+        StatementCase{"pause", {.retry_after = kStatedPause}, false},
+        StatementCase{
+            "pause-while-missing", {.retry_after = kStatedPause}, true},
+        // One request tells whether the limit has ended.
+        StatementCase{"limit", {.max_requests_per_s = 0}, false, 1},
+        StatementCase{
+            "limit-while-missing", {.max_requests_per_s = 0}, true, 1}));
 
 // Guards against a queue that waits for upstreams that accept nothing until
 // after its deadline.
