--- a/src/include/pollenledge/process/limit_buckets.h
+++ b/src/include/pollenledge/process/limit_buckets.h
@@ -39,11 +39,11 @@
 /// above and send it to each node. A node uses the collector state while it is
 /// fresh and does not borrow otherwise.
 ///
-/// An unresponsive node is assumed to use an equal share of the rate, or its
-/// previous rate if that is higher; all unresponsive nodes together use the
-/// limit at most. A node that cannot reach a majority of the
-/// others does not borrow and uses an equal share, so the limit also holds
-/// during a network partition.
+/// A node whose use was not reported lately is unresponsive. It is assumed to
+/// use an equal share of the rate, or its previous rate if that is higher; all
+/// unresponsive nodes together use the limit at most. A node that knows the use
+/// of less than a majority of the others does not borrow and uses an equal
+/// share, so the limit also holds during a network partition.
 /// A node starts with only a fraction of its share of the burst, because the
 /// previous process may have used the rest.
 ///
--- a/src/libpollenledge/process/forward_upstream_signals.cc
+++ b/src/libpollenledge/process/forward_upstream_signals.cc
@@ -242,8 +242,8 @@
     return membership_.PreferredMembers(CollectorSelector::kMaxCandidates,
                                         now());
   }
-  // Heartbeats of the other nodes are sparse, so that nodes disagree on who is
-  // alive. All of them hear from the first collector several times a second.
+  // Heartbeats are sparse, so nodes disagree on which others are alive. All of
+  // them receive responses from the first collector several times a second.
   std::vector<const MemberRecord*> collectors = ChooseCollectors();
   if (collectors.size() > 1) collectors.resize(1);
   return collectors;
