--- a/testsuite/platform_faulty_answers/run.py
+++ b/testsuite/platform_faulty_answers/run.py
@@ -36,6 +36,9 @@
                 data += received
         except ConnectionResetError:
             pass
+        except TimeoutError:
+            print(f"# {attempt}: incomplete response: {data!r}", file=sys.stderr)
+            raise
     return data
 
 
