--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -264,9 +264,10 @@
     """A runner (an upstream). The last part of the request's path selects the do_* method
     that responds; do_ok is the default. "shed" rejects the first attempt as not run."""
 
-    def __init__(self, name, store=None):
+    def __init__(self, name, store=None, version="v1"):
         self.name = name
         self.store = store  # where it registers itself, if set
+        self.version = version  # of its software
         self.start_count = 0
         self.executed_requests = []  # (attempt id, head, body) of each request that ran
         self.caller_disconnected = threading.Event()  # set once a caller has disconnected
@@ -290,7 +291,7 @@
         if self.store is not None:
             self.store.put(f"servers/{self.name}", json.dumps(
                 {"service": "work", "address": self.address, "zone": "a", "state": "ready",
-                 "batch_slots": 8, "born": self.start_count}))
+                 "version": self.version, "batch_slots": 8, "born": self.start_count}))
 
     def accept(self, listener):
         while True:
@@ -319,8 +320,15 @@
             self.connections.clear()
         return True
 
-    def restart(self):
-        """Restarts the runner with the same id and address."""
+    def leave(self):
+        """Ends for good: crashes and removes its entry."""
+        self.crash()
+        self.store.remove(f"servers/{self.name}")
+
+    def restart(self, version=None):
+        """Restarts the runner with the same id and address, as another version if one is
+        given."""
+        self.version = version or self.version
         ip, port = self.address.split(":")
         with self.lock:
             self.listener = socket.create_server((ip, int(port)), backlog=128)
@@ -398,6 +406,20 @@
         )
         return True
 
+    def do_versions(self, connection, attempt):
+        """Streams VERSIONED_EVENTS events, or the rest of them, slowly. Each event holds the
+        version of this runner's software."""
+        version = self.version
+        connection.sendall(CHUNKED.replace(b"HEAD", f"Attempt-Id: {attempt}\r\n"
+                                           f"Server-Signature: s.{self.name}\r\n".encode()))
+        delivered = int([run for run in EXECUTIONS if run[0] == attempt][-1][2] or 0)
+        for number in range(delivered + 1, VERSIONED_EVENTS + 1):
+            event = f"id: {number}\ndata: {version}\n\n".encode()
+            connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            time.sleep(VERSIONED_EVENT_SECONDS)
+        connection.sendall(b"0\r\n\r\n")
+        return True
+
     # Closes the connection without a response.
     def do_cut(self, connection, attempt):
         return False
@@ -605,6 +627,8 @@
 
 EXECUTIONS = []  # (attempt id, runner, Last-Event-Id) in order, over all runners
 SHED_ATTEMPTS = set()
+VERSIONED_EVENTS = 40
+VERSIONED_EVENT_SECONDS = 0.03
 CHUNKED = b"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n"
 ENDLESS_BYTES_LIMIT = 128 * 1024 * 1024  # A runner stops at this limit, so that a test terminates.
 ENDLESS_BYTES_SENT = {}  # attempt id to bytes sent by the runner
