--- a/src/include/pollenledge/connection/forwarding_codec.h
+++ b/src/include/pollenledge/connection/forwarding_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -52,6 +53,12 @@
   std::function<std::vector<HttpField>(const ForwardSpec& spec,
                                        Duration retry_after)>
       encode_local_response;
+  /// Path under which an upstream reports about itself.
+  std::string report_path;
+  /// Returns the incarnation that such a report states; empty if it states
+  /// none.
+  std::function<std::optional<std::uint64_t>(const std::string& report)>
+      decode_incarnation;
 };
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -9,6 +9,7 @@
 #include "pollenledge/process/log.h"
 #include "pollenledge/process/membership.h"
 #include "pollenledge/request/forward_request.h"
+#include "pollenledge/request/stream_binding.h"
 #include "pollenledge/request/upstream_signals.h"
 #include "pollenledge/version/forwarding_tables.h"
 
@@ -68,6 +69,21 @@
   /// was current at that time. Empty if the list was received from a watch.
   std::optional<TimePoint> read_at;
 };
+/// The versions that the store has a record of were read, after the start and
+/// after each change of this node's.
+struct VersionRecordsRead {
+  std::vector<StreamBinding> versions;
+  /// The store has lost what was written, because it was restored from an older
+  /// copy.
+  bool streams_lost = false;
+};
+/// The store was searched for the record of a stream to resume.
+struct StreamLookedUp {
+  ForwardId id = 0;
+  /// Empty if there is none, or if the store did not respond.
+  std::optional<StreamBinding> binding;
+  bool store_responded = false;
+};
 /// A heartbeat message was received from another node.
 struct HeartbeatReceived {
   Heartbeat heartbeat;
@@ -99,7 +115,8 @@
     forward_event::TablesRead, forward_event::TablesWatchUpdate,
     forward_event::UpstreamsListed, forward_event::HeartbeatReceived,
     forward_event::SuspectsRead, forward_event::SuspectLifted,
-    forward_event::FleetSizeRead, forward_event::DrainStarted,
+    forward_event::FleetSizeRead, forward_event::VersionRecordsRead,
+    forward_event::StreamLookedUp, forward_event::DrainStarted,
     forward_event::Ticked>;
 
 /// Actions that a forwarding node requests in response to an event.
@@ -123,6 +140,9 @@
   std::optional<std::int64_t> last_event_id;
   /// How the previous attempt ended; empty for the first attempt.
   std::optional<ForwardOutcome> previous_end;
+  /// True if nothing may be sent to another incarnation of the upstream than
+  /// the given one. A new connection is then asked which one it leads to.
+  bool verify_incarnation = false;
 };
 /// Reject the request: respond that it did not run and will not run.
 struct Reject {
@@ -155,6 +175,21 @@
 struct PersistSuspects {
   std::vector<CrashReport> crash_reports;
 };
+/// Write records of versions to the store, or remove them. `VersionRecordsRead`
+/// follows.
+struct UpdateVersionRecords {
+  std::vector<StreamBinding> added;
+  std::vector<StreamBinding> removed;
+};
+/// Write the records of streams to the store.
+struct RecordStreams {
+  std::vector<StreamRecord> records;
+};
+/// Search the store for the record of a stream that the request resumes.
+struct LookUpStream {
+  ForwardId id = 0;
+  Fingerprint stream;
+};
 /// Write a line to the log.
 struct WriteLogLine {
   LogLevel level = LogLevel::kInfo;
@@ -169,6 +204,8 @@
                  forward_action::Fail, forward_action::DeliverResponse,
                  forward_action::CancelAttempt, forward_action::SendHeartbeat,
                  forward_action::ReadTables, forward_action::PersistSuspects,
+                 forward_action::UpdateVersionRecords,
+                 forward_action::RecordStreams, forward_action::LookUpStream,
                  forward_action::WriteLogLine>;
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,8 @@
 #include "pollenledge/process/membership.h"
 #include "pollenledge/process/rate_limit_permits.h"
 #include "pollenledge/process/retry_budget.h"
+#include "pollenledge/process/stream_outbox.h"
+#include "pollenledge/process/stream_versions.h"
 #include "pollenledge/process/upstream_balancer.h"
 #include "pollenledge/process/upstream_list.h"
 #include "pollenledge/process/upstream_rate_limits.h"
@@ -67,6 +70,10 @@
   static constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
   /// Interval between heartbeats in a small fleet.
   static constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(250);
+  /// Interval at which the bindings of streams are told to peers and written to
+  /// the store while a service has several versions.
+  static constexpr Duration kStreamTellInterval =
+      std::chrono::milliseconds(200);
 
   explicit ForwardNode(ForwardNodeOptions options);
 
@@ -89,6 +96,7 @@
   const LimitBuckets& limits() const { return limits_; }
   const UpstreamRateLimits& rate_limits() const { return rate_limits_; }
   const RateLimitPermits& permits() const { return permits_; }
+  const StreamVersions& stream_versions() const { return stream_versions_; }
   const UsageLedger& usage() const { return usage_; }
   UsageLedger& usage() { return usage_; }
   /// Usage counts that other nodes reported to this one as a collector.
@@ -137,6 +145,15 @@
   std::optional<Duration> TablesAge(TimePoint now) const;
 
  private:
+  /// Selects the queue of the requests that wait for the same upstreams.
+  struct QueueKey {
+    std::string service;
+    /// The version that the upstream must run; empty: any.
+    std::optional<std::string> software_version;
+
+    friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
+  };
+
   /// One request in progress, queued or sent.
   struct Request {
     ForwardId id = 0;
@@ -158,7 +175,8 @@
     int possible_runs = 0;                     ///< Attempts that may have run.
     std::vector<std::string> tried_upstreams;  ///< Upstreams it was sent to.
     std::string current_upstream;  ///< Of the current attempt; empty: none.
-    std::uint64_t current_incarnation = 0;   ///< Of `current_upstream`.
+    std::uint64_t current_incarnation = 0;  ///< Of `current_upstream`.
+    std::string current_version;            ///< Software of `current_upstream`.
     std::int64_t pending_prompt_tokens = 0;  ///< Of the current attempt.
     TimePoint sent_at;
     TimePoint last_event_at;
@@ -169,8 +187,21 @@
     bool response_started = false;  ///< The caller received the head.
     bool may_have_run = false;
     bool usage_counted = false;
-    bool queued = false;
+    std::optional<QueueKey> queue;  ///< In which it waits.
     std::optional<std::int64_t> last_event_id;
+    /// Key of the stream; empty unless the stream can be resumed.
+    std::optional<Fingerprint> stream;
+    /// What the stream is bound to; empty before its first event.
+    std::optional<StreamBinding> binding;
+    /// When the store is searched again for the binding of the stream that the
+    /// request resumes; empty if the request doesn't wait for it.
+    std::optional<TimePoint> next_lookup_at;
+
+    /// Returns true before the first attempt, while the request is in a queue
+    /// or waits for the binding of its stream.
+    bool IsWaiting() const {
+      return queue.has_value() || next_lookup_at.has_value();
+    }
   };
 
   void On(const forward_event::RequestArrived& arrived);
@@ -186,6 +217,8 @@
   void On(const forward_event::SuspectsRead& read);
   void On(const forward_event::SuspectLifted& lifted);
   void On(const forward_event::FleetSizeRead& read);
+  void On(const forward_event::VersionRecordsRead& read);
+  void On(const forward_event::StreamLookedUp& lookup);
   void On(const forward_event::DrainStarted& drain);
   void On(const forward_event::Ticked& tick);
 
@@ -208,7 +241,7 @@
   /// to notice it, and the node may stop before the request completes.
   std::optional<NotRun> CheckDrain(const Request& request) const;
   std::optional<NotRun> AcquireLimit(Request* request);
-  std::string PickService(const ForwardingRoute& route);
+  std::string PickService(const Request& request);
   bool AreKeysFresh(TimePoint now) const;
   /// Returns the time until which requests with a key may be sent. The tables
   /// must have been confirmed.
@@ -223,10 +256,71 @@
   TimePoint LatestSendTime(const Request& request) const;
   void Enqueue(Request* request);
   /// Sends queued requests of `service` while upstreams have capacity, and
-  /// rejects those that waited too long.
+  /// rejects those that waited too long. Streams that are resumed come first.
   void DispatchQueued(const std::string& service);
+  void DispatchQueue(const std::string& service, FairQueue* queue);
   void DispatchAllQueued();
 
+  // Streams that are resumed.
+  /// Sets the key of the request's stream and, if this node knows it, its
+  /// binding.
+  void IdentifyStream(Request* request);
+  /// Returns true if the request resumes a stream that another request of its
+  /// caller began.
+  static bool ResumesStream(const Request& request);
+  /// Finds out what the stream to resume is bound to, or begins to search the
+  /// store for it. Returns why the stream cannot be resumed, if that is known.
+  std::optional<NotRun> BindResumedStream(Request* request);
+  std::optional<NotRun> CheckBinding(Request* request) const;
+  /// Binds the stream to its service's only version. Returns false if there are
+  /// several or if this node's list may lack some.
+  bool BindToOnlyVersion(Request* request);
+  /// True if this node's list of upstreams cannot lack versions that other
+  /// nodes have been using for a while.
+  bool IsUpstreamListCurrent() const;
+  void ContinueLookup(Request* request);
+  void LookUpStream(Request* request);
+  /// Continues with a request whose binding was searched for.
+  void OnBindingKnown(Request* request, const char* source);
+  void RejectUnboundStream(Request* request, const char* reason,
+                           Duration retry_after);
+  /// Returns the version that the request's upstream must run; empty: any.
+  std::optional<std::string> RequiredVersion(const Request& request) const;
+  /// Makes `query` respect the binding of the stream. A new stream doesn't
+  /// begin at a version that has no record yet unless there is no other.
+  void RestrictVersions(const Request& request, UpstreamCriteria* query) const;
+  /// Binds the stream to the upstream that sends its first event.
+  void BindStream(Request* request);
+  /// Returns true if the upstream's process must be asked for its incarnation
+  /// before it resumes the request's stream.
+  bool NeedsVerification(const Request& request,
+                         const ForwardUpstream& upstream) const;
+  /// A stream whose caller left. It may be resumed.
+  struct LeftStream {
+    Fingerprint stream;
+    StreamBinding binding;
+    UpstreamId upstream;  ///< Of its last attempt.
+    TimePoint sent_at;
+    TimePoint left_at;
+  };
+  void RememberLeftStream(const Request& request);
+  /// Makes streams unresumable whose upstreams the list now shows with another
+  /// version, if the process of either version may have sent their events.
+  void UnbindReplacedStreams(const std::vector<ForwardUpstreamInfo>& list);
+  void Unbind(const Fingerprint& stream, StreamBinding binding,
+              const ForwardUpstreamInfo& replaced);
+  void LogMixedServices(const std::set<std::string>& services);
+  /// Returns the services with routes whose streams can be resumed.
+  std::set<std::string> ResumableServices() const;
+  void UpdateVersionRecords();
+  /// Tells peers and the store the bindings that they do not know yet. A node
+  /// that follows collectors tells these with its next query.
+  void TellStreams();
+  void TellPeers(const std::vector<StreamRecord>& records);
+  void LearnStreams(const Heartbeat& heartbeat);
+  /// Services between which resumable routes were moved by these tables.
+  std::set<std::string> MovedServices(const ForwardingTables& tables) const;
+
   // Crash-causing requests.
   /// Returns an error if the request is rejected as crash-causing, if a request
   /// with the same suspect is being tried here, or if the suspects were not yet
@@ -440,8 +534,13 @@
   std::map<std::string, ConnectionLoss> connection_losses_;  ///< By upstream.
   TimePoint suspects_expired_at_;
   bool suspects_loaded_ = false;
-  bool has_new_rejections_ = false;          ///< Since `EndRejectedRequests`.
-  std::map<std::string, FairQueue> queues_;  ///< By service.
+  bool has_new_rejections_ = false;  ///< Since `EndRejectedRequests`.
+  std::map<QueueKey, FairQueue> queues_;
+  StreamVersions stream_versions_;
+  TimePoint streams_told_at_;
+  StreamOutbox stream_outbox_;
+  std::deque<LeftStream> left_streams_;  ///< Within the last seconds.
+  std::set<ForwardId> lookups_;  ///< Requests that wait for their binding.
   std::vector<LateStreamCount> stream_counts_;  ///< Of this node.
   LateStreamTracker fleet_stream_counts_;
   std::unordered_map<ForwardId, Request> requests_;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -31,6 +31,12 @@
   std::function<void(const std::vector<CrashReport>&)> persist_suspects;
   /// Starts a read of the tables from the store; may be empty.
   std::function<void()> read_tables;
+  /// Update the records of versions and streams in the store; may be empty.
+  std::function<void(const forward_action::UpdateVersionRecords&)>
+      update_version_records;
+  std::function<void(const std::vector<StreamRecord>&)> record_streams;
+  /// Searches the store and submits `StreamLookedUp`; may be empty.
+  std::function<void(const forward_action::LookUpStream&)> look_up_stream;
   /// Time from the stop signal until the process must have exited.
   Duration grace_period{0};
   ForwardNodeOptions node_options;
@@ -104,8 +110,20 @@
   void Execute(const forward_action::SendHeartbeat& send);
   void Execute(const forward_action::ReadTables& read);
   void Execute(const forward_action::PersistSuspects& persist);
+  void Execute(const forward_action::UpdateVersionRecords& update);
+  void Execute(const forward_action::RecordStreams& record);
+  void Execute(const forward_action::LookUpStream& look_up);
   void Execute(const forward_action::WriteLogLine& line);
 
+  /// Starts the exchange of an attempt on its connection.
+  void StartAttempt(Exchange* exchange,
+                    const forward_action::SendAttempt& send);
+  /// Asks the upstream's process which incarnation it is, on the connection of
+  /// the attempt, and starts the attempt if it is the expected one.
+  void VerifyUpstream(const Exchange& exchange,
+                      const forward_action::SendAttempt& send);
+  void OnUpstreamReport(const forward_action::SendAttempt& send,
+                        ClientExchangeResult end, const std::string& report);
   bool OnResponseHead(ForwardId id, const HttpHead& head);
   /// Logs and counts what an upstream stated in a malformed way.
   void ReportUnreadableSignals(const Exchange& exchange,
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -15,6 +15,7 @@
 #include "pollenledge/process/usage_collection.h"
 #include "pollenledge/request/forward_request.h"
 #include "pollenledge/request/request.h"
+#include "pollenledge/request/stream_binding.h"
 #include "pollenledge/time.h"
 
 namespace pollenledge {
@@ -144,6 +145,8 @@
   std::vector<RateLimitReport> rate_limit_reports;
   /// Upstreams that stated in a response that they leave.
   std::vector<UpstreamId> leaving_upstreams;
+  /// Streams that began or were resumed at the sender.
+  std::vector<StreamRecord> stream_records;
   /// Permits that the sender requests from the receiver.
   std::vector<PermitCount> requested_permits;
   /// Permits that the sender grants to the receiver.
--- a/src/include/pollenledge/process/upstream_balancer.h
+++ b/src/include/pollenledge/process/upstream_balancer.h
@@ -34,6 +34,7 @@
   TimePoint limit_decreased_at;  ///< When `concurrency_limit` was last reduced.
   /// Attempts in a row that could not connect or that the upstream rejected.
   int consecutive_rejections = 0;
+  TimePoint connection_lost_at;  ///< When an attempt last lost its connection.
   double error_rate = 0;  ///< Moving average of failed responses, 0 to 1.
   TimePoint error_rate_updated_at;
 
@@ -50,6 +51,10 @@
 /// The criteria by which an upstream is chosen for a request.
 struct UpstreamCriteria {
   std::string service;
+  /// The version of the software that the upstream must run.
+  std::optional<std::string> software_version;
+  /// Versions of the software that the upstream must not run.
+  std::vector<std::string> exclude_versions;
   std::string own_domain;
   /// Requests with the same value share a prefix of their prompt.
   std::optional<std::uint64_t> affinity;
@@ -150,8 +155,11 @@
   std::optional<TimePoint> EarliestReturn(const std::string& service,
                                           TimePoint now) const;
 
-  /// Returns the number of upstreams of `service` that may be sent requests.
-  int UsableCount(const std::string& service) const;
+  /// Returns the number of upstreams of `service` that may be sent requests,
+  /// of all versions of the software or of one.
+  int UsableCount(
+      const std::string& service,
+      const std::optional<std::string>& software_version = {}) const;
   /// Returns true if this incarnation of the upstream is in the current list.
   bool IsListed(const UpstreamId& id) const;
   /// Returns true if this incarnation serves `service` and may be sent
--- a/src/include/pollenledge/request/forward_request.h
+++ b/src/include/pollenledge/request/forward_request.h
@@ -37,6 +37,9 @@
   std::vector<PromptSegment> prompt_segments;
   /// Id of the last event that the caller has received of the stream to resume.
   std::optional<std::int64_t> last_event_id;
+  /// In a request to resume a stream, the `trace_id` of the caller's request
+  /// that received the first event; empty if it is not stated.
+  std::string first_attempt;
 
   friend bool operator==(const ForwardSpec&, const ForwardSpec&) = default;
 };
@@ -79,6 +82,9 @@
   std::string address;  ///< IP address and port.
   std::string service;
   std::string domain;
+  /// Version of the software that this incarnation runs; empty if it states
+  /// none.
+  std::string software_version;
   int slots = 1;
   bool leaving = false;
   bool reclaimable = false;
--- a/src/libpollenledge/connection/heartbeat_link_test.cc
+++ b/src/libpollenledge/connection/heartbeat_link_test.cc
@@ -43,10 +43,12 @@
   upstream.time_until_removal = std::chrono::seconds(2);
   upstream.remaining_warmup = std::chrono::seconds(1);
   upstream.store_revision = 10;
+  upstream.software_version = "v1.1";
   heartbeat.upstream_changes = UpstreamChanges{
       12, {upstream}, {{"gone", 12}}, 99, std::chrono::milliseconds(7)};
   heartbeat.usage_reports = {{352, {{"c", 4}}}};
   heartbeat.accepted_usage_windows = {351};
+  heartbeat.stream_records = {{{1, 2}, {"s", "v1.1"}}};
   return heartbeat;
 }
 
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -82,6 +82,7 @@
   leavesInMicros @7 :Int64 = -1;
   warmupMicros @8 :Int64;
   revision @9 :Int64;
+  softwareVersion @10 :Text;
 }
 
 struct RemovedUpstream { name @0 :Text; revision @1 :Int64; }
@@ -112,6 +113,13 @@
 # Permits for requests to an upstream with such a limit.
 struct PermitCount { upstream @0 :UpstreamId; count @1 :Int32; }
 
+# The version of the software that began a stream, which it is bound to.
+struct StreamRecord {
+  stream @0 :Fingerprint;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+}
+
 # A datagram between forwarding nodes. The first record is the sender's.
 struct NodeHeartbeat {
   records @0 :List(MemberRecord);
@@ -143,6 +151,7 @@
   permitsRequestedAtMicros @16 :Int64;
   # Upstreams that said in a response that they leave.
   leavingUpstreams @17 :List(UpstreamId);
+  streams @18 :List(StreamRecord);
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -39,6 +39,7 @@
 CAPNP_DECLARE_SCHEMA(a31baedb614bd4e8);
 CAPNP_DECLARE_SCHEMA(f447a58b4fbd5525);
 CAPNP_DECLARE_SCHEMA(efab2fe536ada5e3);
+CAPNP_DECLARE_SCHEMA(c9e3f8c1df94f713);
 CAPNP_DECLARE_SCHEMA(f49ff5c110e7e6d9);
 CAPNP_DECLARE_SCHEMA(cc43680172605054);
 enum class UpstreamState_cc43680172605054: uint16_t {
@@ -294,7 +295,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c33ad99111ba2390, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c33ad99111ba2390, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -391,6 +392,21 @@
   };
 };
 
+struct StreamRecord {
+  StreamRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c9e3f8c1df94f713, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeHeartbeat {
   NodeHeartbeat() = delete;
 
@@ -399,7 +415,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 6, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 6, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2153,6 +2169,9 @@
 
   inline  ::int64_t getRevision() const;
 
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2227,6 +2246,13 @@
   inline  ::int64_t getRevision();
   inline void setRevision( ::int64_t value);
 
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2802,6 +2828,108 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamRecord::Reader {
+public:
+  typedef StreamRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream() const;
+  inline  ::pollenledge::wire::Fingerprint::Reader getStream() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamRecord::Builder {
+public:
+  typedef StreamRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream();
+  inline  ::pollenledge::wire::Fingerprint::Builder getStream();
+  inline void setStream( ::pollenledge::wire::Fingerprint::Reader value);
+  inline  ::pollenledge::wire::Fingerprint::Builder initStream();
+  inline void adoptStream(::capnp::Orphan< ::pollenledge::wire::Fingerprint>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::Fingerprint> disownStream();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamRecord::Pipeline {
+public:
+  typedef StreamRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pollenledge::wire::Fingerprint::Pipeline getStream();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeHeartbeat::Reader {
 public:
   typedef NodeHeartbeat Reads;
@@ -2866,6 +2994,9 @@
   inline bool hasLeavingUpstreams() const;
   inline  ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>::Reader getLeavingUpstreams() const;
 
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader getStreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2993,6 +3124,13 @@
   inline void adoptLeavingUpstreams(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::UpstreamId,  ::capnp::Kind::STRUCT>> disownLeavingUpstreams();
 
+  inline bool hasStreams();
+  inline  ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>> disownStreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6884,6 +7022,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ListedForwardUpstream::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ListedForwardUpstream::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ListedForwardUpstream::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ListedForwardUpstream::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ListedForwardUpstream::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ListedForwardUpstream::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ListedForwardUpstream::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ListedForwardUpstream::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool RemovedUpstream::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7272,6 +7444,113 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StreamRecord::Reader::hasStream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasStream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::Fingerprint::Reader StreamRecord::Reader::getStream() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::Fingerprint::Builder StreamRecord::Builder::getStream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::Fingerprint::Pipeline StreamRecord::Pipeline::getStream() {
+  return  ::pollenledge::wire::Fingerprint::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StreamRecord::Builder::setStream( ::pollenledge::wire::Fingerprint::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::Fingerprint::Builder StreamRecord::Builder::initStream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamRecord::Builder::adoptStream(
+    ::capnp::Orphan< ::pollenledge::wire::Fingerprint>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::Fingerprint> StreamRecord::Builder::disownStream() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::Fingerprint>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamRecord::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamRecord::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamRecord::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecord::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamRecord::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamRecord::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamRecord::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecord::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool NodeHeartbeat::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7753,6 +8032,40 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool NodeHeartbeat::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader NodeHeartbeat::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::setStreams( ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder NodeHeartbeat::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void NodeHeartbeat::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>> NodeHeartbeat::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenledge::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -211,6 +211,7 @@
   info.time_until_removal = RemainingFromWire(reader.getLeavesInMicros());
   info.remaining_warmup = Duration(reader.getWarmupMicros());
   info.store_revision = reader.getRevision();
+  info.software_version = reader.getSoftwareVersion();
   return info;
 }
 
@@ -226,6 +227,7 @@
   builder.setLeavesInMicros(RemainingToWire(info.time_until_removal));
   builder.setWarmupMicros(info.remaining_warmup.count());
   builder.setRevision(info.store_revision);
+  builder.setSoftwareVersion(info.software_version);
 }
 
 UpstreamChanges FromWire(wire::UpstreamChanges::Reader reader) {
@@ -303,6 +305,17 @@
   builder.setCount(permits.count);
 }
 
+StreamRecord FromWire(wire::StreamRecord::Reader reader) {
+  return {FromWire(reader.getStream()),
+          {reader.getService(), reader.getSoftwareVersion()}};
+}
+
+void ToWire(const StreamRecord& record, wire::StreamRecord::Builder builder) {
+  ToWire(record.stream, builder.initStream());
+  builder.setService(record.binding.service);
+  builder.setSoftwareVersion(record.binding.software_version);
+}
+
 std::int64_t ClockToWire(TimePoint at) {
   return std::chrono::floor<std::chrono::microseconds>(at.time_since_epoch())
       .count();
@@ -351,6 +364,9 @@
   for (const auto upstream : reader.getLeavingUpstreams()) {
     heartbeat.leaving_upstreams.push_back(FromWire(upstream));
   }
+  for (const auto record : reader.getStreams()) {
+    heartbeat.stream_records.push_back(FromWire(record));
+  }
   heartbeat.permits_requested_at =
       ClockFromWire(reader.getPermitsRequestedAtMicros());
   heartbeat.upstreams_revision = reader.getUpstreamsRevision();
@@ -419,6 +435,11 @@
   for (unsigned i = 0; i < leaving.size(); ++i) {
     ToWire(heartbeat.leaving_upstreams[i], leaving[i]);
   }
+  auto streams = builder.initStreams(
+      static_cast<unsigned>(heartbeat.stream_records.size()));
+  for (unsigned i = 0; i < streams.size(); ++i) {
+    ToWire(heartbeat.stream_records[i], streams[i]);
+  }
   builder.setPermitsRequestedAtMicros(
       ClockToWire(heartbeat.permits_requested_at));
   builder.setUpstreamsRevision(heartbeat.upstreams_revision);
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -67,6 +67,7 @@
   query.service = request.service;
   query.own_domain = options_.self.domain;
   query.exclude = request.tried_upstreams;
+  RestrictVersions(request, &query);
   if (request.route->prefix_affinity) SetSharedPrompt(request.spec, &query);
   IsolateSuspects(request, &query);
   ApplyRateLimits(request, &query);
@@ -79,6 +80,7 @@
   ++request->attempts;
   request->current_upstream = upstream->info.id.name;
   request->current_incarnation = upstream->info.id.incarnation;
+  request->current_version = upstream->info.software_version;
   request->tried_upstreams.push_back(request->current_upstream);
   request->sent_at = now();
   request->last_event_at = now();
@@ -91,6 +93,7 @@
   LogRequest(
       LogLevel::kInfo, "sent", *request,
       {{"upstream", request->current_upstream},
+       {"software_version", request->current_version},
        {"attempt", std::to_string(request->attempts)},
        {"repeat_after",
         previous_end.has_value() ? ToString(*previous_end) : "none"},
@@ -111,7 +114,8 @@
       .kind = request->route->kind,
       .reuse_connection = request->route->IsRetrySafe() && !IsSuspect(*request),
       .last_event_id = request->last_event_id,
-      .previous_end = previous_end});
+      .previous_end = previous_end,
+      .verify_incarnation = NeedsVerification(*request, *upstream)});
   ScheduleCheck(request);
 }
 
@@ -124,7 +128,8 @@
 }
 
 void ForwardNode::Enqueue(Request* request) {
-  const auto [it, is_new] = queues_.try_emplace(request->service);
+  const QueueKey key{request->service, RequiredVersion(*request)};
+  const auto [it, is_new] = queues_.try_emplace(key);
   if (is_new) it->second.Configure(RankFloorTables());
   const Duration wait =
       std::min<Duration>(FromSeconds(kMaxQueueTimeShare *
@@ -137,6 +142,11 @@
   queued.cost = static_cast<double>(request->spec.prompt_tokens + 1);
   queued.enqueued_at = now();
   queued.latest_start = request->arrived_at + wait;
+  if (key.software_version.has_value() &&
+      upstreams_.UsableCount(key.service, key.software_version) == 0) {
+    RejectUnboundStream(request, "version-gone", Duration(0));
+    return;
+  }
   if (upstreams_.UsableCount(request->service) == 0 ||
       queued.latest_start <= now()) {
     GiveUp(request, ForwardOutcome::kNotSent, "no-upstream");
@@ -162,39 +172,49 @@
     GiveUp(request, ForwardOutcome::kNotSent, "queue-too-long");
     return;
   }
-  request->queued = true;
+  request->queue = key;
   LogRequest(LogLevel::kInfo, "queued", *request,
-             {{"ahead", std::to_string(it->second.size())}});
+             {{"ahead", std::to_string(it->second.size())},
+              {"software_version", key.software_version.value_or("any")}});
   it->second.Push(queued);
   const std::string service = request->service;
   if (RequestPermits(service, it->second.size())) DispatchQueued(service);
 }
 
 void ForwardNode::DispatchQueued(const std::string& service) {
-  const auto found = queues_.find(service);
-  if (found == queues_.end()) return;
-  FairQueue& queue = found->second;
-  for (const QueuedRequest& expired : queue.RemoveExpired(now())) {
+  std::vector<FairQueue*> queues;
+  for (auto entry = queues_.lower_bound({service, std::nullopt});
+       entry != queues_.end() && entry->first.service == service; ++entry) {
+    queues.push_back(&entry->second);
+  }
+  // The queue of the requests that any version can serve is the first entry.
+  for (auto queue = queues.rbegin(); queue != queues.rend(); ++queue) {
+    DispatchQueue(service, *queue);
+  }
+}
+
+void ForwardNode::DispatchQueue(const std::string& service, FairQueue* queue) {
+  for (const QueuedRequest& expired : queue->RemoveExpired(now())) {
     Request* request = FindRequest(expired.id.sequence);
     if (request == nullptr) continue;
-    request->queued = false;
+    request->queue.reset();
     GiveUp(request, ForwardOutcome::kNotSent, "no-room",
-           WaitForLimitedUpstreams(service, queue.size() + 1)
+           WaitForLimitedUpstreams(service, queue->size() + 1)
                .value_or(kDefaultRetryAfter));
   }
-  while (const std::optional<QueuedRequest> next = queue.Peek(now())) {
+  while (const std::optional<QueuedRequest> next = queue->Peek(now())) {
     Request* request = FindRequest(next->id.sequence);
     if (request == nullptr) {
-      queue.Remove(next->id);
+      queue->Remove(next->id);
       continue;
     }
     ForwardUpstream* upstream = ChooseUpstream(*request);
     if (upstream == nullptr) {
-      if (!RequestPermits(service, queue.size())) return;
+      if (!RequestPermits(service, queue->size())) return;
       continue;
     }
-    queue.Pop(now());
-    request->queued = false;
+    queue->Pop(now());
+    request->queue.reset();
     if (request->customer != nullptr && !AreKeysFresh(now())) {
       GiveUp(request, ForwardOutcome::kNotSent, "stale-configuration");
       continue;
@@ -204,7 +224,9 @@
 }
 
 void ForwardNode::DispatchAllQueued() {
-  for (const auto& [service, queue] : queues_) DispatchQueued(service);
+  std::set<std::string> services;
+  for (const auto& [key, queue] : queues_) services.insert(key.service);
+  for (const std::string& service : services) DispatchQueued(service);
 }
 
 // Attempts.
@@ -217,6 +239,7 @@
   request->response_started = true;
   request->may_have_run = true;
   request->last_event_at = now();
+  BindStream(request);
   RecordPromptProcessed(request);
   CountUsage(request, now_.wall);
   const bool late =
@@ -401,6 +424,8 @@
 }
 
 void ForwardNode::Finish(Request* request) {
+  if (request->stream.has_value())
+    stream_versions_.OnCompleted(*request->stream);
   LogRequest(LogLevel::kInfo, "answered", *request,
              {{"attempts", std::to_string(request->attempts)},
               {"took_ms", FormatMilliseconds(now() - request->arrived_at)}});
@@ -409,9 +434,9 @@
 }
 
 void ForwardNode::RemoveRequest(Request* request) {
-  if (request->queued) {
-    queues_.at(request->service).Remove(ToQueueId(request->id));
-  }
+  if (request->queue.has_value())
+    queues_.at(*request->queue).Remove(ToQueueId(request->id));
+  lookups_.erase(request->id);
   requests_.erase(request->id);
 }
 
@@ -420,6 +445,7 @@
   if (request == nullptr) return;
   const std::string service = request->service;
   if (!request->current_upstream.empty()) {
+    RememberLeftStream(*request);
     Emit(forward_action::CancelAttempt{request->id});
     FinalizeAttempt(request, ForwardOutcome::kCancelled);
   }
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -49,6 +49,14 @@
 /// gap target of the route.
 constexpr double kInactivityGapFactor = 4.0;
 
+/// Maps a stream's key to [0, 1), so that all nodes choose the same service for
+/// it.
+double ToUnitInterval(const Fingerprint& stream) {
+  constexpr int kMantissaBits = 53;
+  return std::ldexp(static_cast<double>(stream.high >> (64 - kMantissaBits)),
+                    -kMantissaBits);
+}
+
 std::vector<CustomerLimit> CustomerLimits(const ForwardingTables& tables) {
   std::vector<CustomerLimit> limits;
   limits.reserve(tables.customers.size());
@@ -106,8 +114,12 @@
     Reject(&request, std::move(*not_run));
     return;
   }
+  if (std::optional<NotRun> not_run = BindResumedStream(&request)) {
+    Reject(&request, std::move(*not_run));
+    return;
+  }
   ScheduleCheck(&request);
-  Dispatch(&request);
+  if (!request.next_lookup_at.has_value()) Dispatch(&request);
 }
 
 std::optional<NotRun> ForwardNode::Admit(Request* request) {
@@ -139,7 +151,8 @@
         503, "no-time-left", "no time remains before the deadline", {}};
   }
   if (std::optional<NotRun> not_run = CheckDrain(*request)) return not_run;
-  request->service = PickService(route);
+  IdentifyStream(request);
+  request->service = PickService(*request);
   request->suspect_fingerprints = SuspectFingerprints(
       request->fingerprint,
       request->spec.model.empty() ? request->service : request->spec.model,
@@ -210,10 +223,15 @@
   return std::nullopt;
 }
 
-std::string ForwardNode::PickService(const ForwardingRoute& route) {
+std::string ForwardNode::PickService(const Request& request) {
+  const ForwardingRoute& route = *request.route;
+  if (request.binding.has_value()) return request.binding->service;
   double total = 0;
   for (const WeightedService& service : route.services) total += service.weight;
-  double remaining = std::uniform_real_distribution<double>(0, total)(random_);
+  double remaining =
+      request.stream.has_value()
+          ? total * ToUnitInterval(*request.stream)
+          : std::uniform_real_distribution<double>(0, total)(random_);
   for (const WeightedService& service : route.services) {
     remaining -= service.weight;
     if (remaining < 0) return service.service;
@@ -305,8 +323,10 @@
       "tables_in_force",
       {{"version", std::to_string(tables->tables().version)},
        {"source", source}}});
+  stream_versions_.OnRouteMoved(MovedServices(tables->tables()), now());
   tables_index_ = tables;
   tables_activated_at_ = now();
+  UpdateVersionRecords();
   limits_.Configure(CustomerLimits(tables_index_->tables()), now());
   UpdateLimits();
 }
@@ -319,11 +339,15 @@
 }
 
 void ForwardNode::ApplyUpstreamList() {
+  UnbindReplacedStreams(upstream_list_.upstreams());
   for (const std::string& name :
        upstreams_.SetList(upstream_list_.upstreams())) {
     Emit(forward_action::WriteLogLine{
         LogLevel::kInfo, "upstream_leaving", {{"upstream", name}}});
   }
+  LogMixedServices(
+      stream_versions_.OnListed(upstream_list_.upstreams(), now()));
+  UpdateVersionRecords();
   DispatchAllQueued();
 }
 
@@ -356,6 +380,7 @@
   UpdateRateLimits();
   DispatchAllQueued();
   SendHeartbeats();
+  if (now() - streams_told_at_ >= kStreamTellInterval) TellStreams();
   if (now() - limits_updated_at_ >= kHeartbeatPeriod) UpdateLimits();
   ExpireSuspects();
 }
@@ -377,6 +402,10 @@
     }
     return;
   }
+  if (request->next_lookup_at.has_value()) {
+    ContinueLookup(request);
+    return;
+  }
   const std::optional<TimePoint> inactive_at = InactivityDeadline(*request);
   if (inactive_at.has_value() && now() >= *inactive_at) {
     OnUpstreamUnresponsive(request);
@@ -427,6 +456,7 @@
           InactivityDeadline(*request)) {
     at = std::min(at, *inactive_at);
   }
+  at = std::min(at, request->next_lookup_at.value_or(at));
   if (request->next_check_at == at) return;
   request->next_check_at = at;
   scheduled_checks_.emplace(at, request->id);
@@ -434,6 +464,8 @@
 
 TimePoint ForwardNode::NextTickTime(TimePoint now) const {
   TimePoint next = std::min(NextHeartbeatTime(now), now + kMaxTickInterval);
+  if (stream_versions_.HasUntold(now))
+    next = std::min(next, streams_told_at_ + kStreamTellInterval);
   if (!scheduled_checks_.empty())
     next = std::min(next, scheduled_checks_.begin()->first);
   if (queued_requests() > 0) {
@@ -471,7 +503,7 @@
 
 std::size_t ForwardNode::queued_requests() const {
   std::size_t queued = 0;
-  for (const auto& [service, queue] : queues_) queued += queue.size();
+  for (const auto& [key, queue] : queues_) queued += queue.size();
   return queued;
 }
 
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -53,6 +53,7 @@
   ApplySuspectReports(heartbeat.suspect_reports);
   upstreams_.MergePeerReports(heartbeat.load_reports, now());
   MergeRateLimits(heartbeat.rate_limit_reports, ProcessName(sender.id));
+  LearnStreams(heartbeat);
   for (const UpstreamId& upstream : heartbeat.leaving_upstreams) {
     ApplyLeaving(upstream, ProcessName(sender.id));
   }
@@ -144,6 +145,10 @@
     query.usage_reports = collector == collectors.front()
                               ? UnacknowledgedUsage()
                               : std::vector<UsageReport>();
+    query.stream_records =
+        collector == collectors.front()
+            ? stream_outbox_.RecordsForQuery(collector->id.name, now())
+            : std::vector<StreamRecord>();
     Emit(forward_action::SendHeartbeat{{collector->peer_address, query}});
   }
 }
@@ -246,6 +251,7 @@
   if (is_response) {
     collectors_.OnResponse(sender.id.name, response.levels_authoritative,
                            now());
+    stream_outbox_.OnResponse(sender.id.name, response.queried_at);
   }
   for (const UsageWindow window : response.accepted_usage_windows) {
     acknowledged_usage_windows_.insert(window);
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -30,6 +30,8 @@
 /// Maximum size of all buffered responses together: a fifth of the memory of
 /// the smallest machine.
 constexpr std::size_t kMaxTotalBufferedBytes = std::size_t{32} * 1024 * 1024;
+/// Maximum size of an upstream's report about itself; the rest is ignored.
+constexpr std::size_t kMaxReportBytes = std::size_t{64} * 1024;
 /// Maximum size of a stream event that has been received only in part.
 constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
 /// Path on the admin address, followed by the fingerprint of a suspect.
@@ -262,7 +264,6 @@
   Exchange* exchange = FindExchange(send.id);
   if (exchange == nullptr) return;
   const TimePoint now = BootClockNow();
-  const ForwardId id = send.id;
   exchange->response_head = HttpHead();
   exchange->response_info = ResponseInfo();
   DiscardBufferedResponse(exchange);
@@ -273,22 +274,80 @@
   } else {
     exchange->event_splitter.emplace(exchange->spec.last_event_id);
   }
-  const Duration remaining = send.deadline - now;
-  const std::vector<HttpField> fields = codec_.encode_attempt(
-      exchange->request_head, {send.upstream, send.customer, send.priority,
-                               remaining, send.last_event_id});
   exchange->upstream_connection = upstream_pool_.Acquire(
       send.address,
       send.reuse_connection ? kMaxIdleForRetryable : kMaxIdleForNonIdempotent,
       now);
-  exchange->connection_was_used =
-      exchange->upstream_connection->request_count() > 0;
   metrics_.IncrementCounter("attempts_total");
   if (send.previous_end.has_value()) {
     metrics_.IncrementCounter(
         "repeats_total",
         std::string("after=\"") + ToString(*send.previous_end) + "\"");
   }
+  // An open connection leads to the process that it was opened to.
+  const bool is_new = exchange->upstream_connection->request_count() == 0;
+  if (send.verify_incarnation && is_new) {
+    VerifyUpstream(*exchange, send);
+  } else {
+    StartAttempt(exchange, send);
+  }
+}
+
+void ForwardService::VerifyUpstream(const Exchange& exchange,
+                                    const forward_action::SendAttempt& send) {
+  metrics_.IncrementCounter("upstream_verifications_total");
+  const auto report = std::make_shared<std::string>();
+  ExchangeHandlers handlers;
+  handlers.on_head = [](const HttpHead&) { return true; };
+  handlers.on_body = [report](const std::string& bytes) {
+    if (report->size() + bytes.size() <= kMaxReportBytes) *report += bytes;
+  };
+  handlers.on_finished = [this, send, report](ClientExchangeResult end) {
+    OnUpstreamReport(send, end, *report);
+  };
+  exchange.upstream_connection->Start(
+      "GET " + codec_.report_path + " HTTP/1.1\r\nHost: " + send.address +
+          "\r\n\r\n",
+      "GET", kConnectTimeout, std::move(handlers), send.send_before);
+}
+
+void ForwardService::OnUpstreamReport(const forward_action::SendAttempt& send,
+                                      ClientExchangeResult end,
+                                      const std::string& report) {
+  Exchange* exchange = FindExchange(send.id);
+  if (exchange == nullptr) return;
+  const std::optional<std::uint64_t> incarnation =
+      codec_.decode_incarnation(report);
+  const bool is_other =
+      incarnation.has_value() && *incarnation != send.upstream.incarnation;
+  const bool is_complete = end == ClientExchangeResult::kComplete ||
+                           end == ClientExchangeResult::kCompleteAtClose;
+  if (is_other || !is_complete || BootClockNow() >= send.send_before) {
+    Log(LogLevel::kInfo, "upstream_not_verified",
+        {{"request", exchange->spec.trace_id},
+         {"upstream", send.upstream.name},
+         {"incarnation", std::to_string(send.upstream.incarnation)},
+         {"reported",
+          incarnation.has_value() ? std::to_string(*incarnation) : "none"}});
+    OnAttemptEnd(send.id, ClientExchangeResult::kNotSent);
+    return;
+  }
+  if (!exchange->upstream_connection->reusable()) {
+    exchange->upstream_connection = upstream_pool_.Acquire(
+        send.address, kMaxIdleForNonIdempotent, BootClockNow());
+  }
+  StartAttempt(exchange, send);
+}
+
+void ForwardService::StartAttempt(Exchange* exchange,
+                                  const forward_action::SendAttempt& send) {
+  const ForwardId id = send.id;
+  exchange->connection_was_used =
+      exchange->upstream_connection->request_count() > 0;
+  const Duration remaining = send.deadline - BootClockNow();
+  const std::vector<HttpField> fields = codec_.encode_attempt(
+      exchange->request_head, {send.upstream, send.customer, send.priority,
+                               remaining, send.last_event_id});
   ExchangeHandlers handlers;
   handlers.on_head = [this, id](const HttpHead& head) {
     return OnResponseHead(id, head);
@@ -529,6 +588,21 @@
     options_.persist_suspects(persist.crash_reports);
 }
 
+void ForwardService::Execute(
+    const forward_action::UpdateVersionRecords& update) {
+  if (options_.update_version_records) options_.update_version_records(update);
+}
+
+void ForwardService::Execute(const forward_action::RecordStreams& record) {
+  metrics_.IncrementCounter("streams_recorded_total");
+  if (options_.record_streams) options_.record_streams(record.records);
+}
+
+void ForwardService::Execute(const forward_action::LookUpStream& look_up) {
+  metrics_.IncrementCounter("stream_lookups_total");
+  if (options_.look_up_stream) options_.look_up_stream(look_up);
+}
+
 void ForwardService::Execute(const forward_action::WriteLogLine& line) {
   Log(line.level, line.event, line.fields);
 }
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -124,7 +124,8 @@
   return std::any_of(
       requests_.begin(), requests_.end(), [&](const auto& entry) {
         const Request& other = entry.second;
-        return other.id != request.id && (other.queued || MayCrash(other)) &&
+        return other.id != request.id &&
+               (other.IsWaiting() || MayCrash(other)) &&
                std::find_first_of(suspected.begin(), suspected.end(),
                                   other.suspect_fingerprints.begin(),
                                   other.suspect_fingerprints.end()) !=
@@ -263,7 +264,7 @@
   has_new_rejections_ = false;
   std::vector<ForwardId> ids;
   for (const auto& [id, request] : requests_) {
-    const bool is_waiting = request.queued || MayCrash(request);
+    const bool is_waiting = request.IsWaiting() || MayCrash(request);
     if (is_waiting && !request.is_retrial &&
         suspects_.RejectedSuspect(request.suspect_fingerprints, now())) {
       ids.push_back(id);
@@ -271,7 +272,7 @@
   }
   for (const ForwardId id : ids) {
     Request* request = FindRequest(id);
-    if (request->queued) {
+    if (request->IsWaiting()) {
       GiveUp(request, ForwardOutcome::kNotSent, "ends-upstreams");
       continue;
     }
--- a/src/libpollenledge/process/upstream_balancer.cc
+++ b/src/libpollenledge/process/upstream_balancer.cc
@@ -71,6 +71,15 @@
   return upstream.listed && !upstream.info.leaving;
 }
 
+bool MatchesVersion(const ForwardUpstream& upstream,
+                    const UpstreamCriteria& criteria) {
+  const std::string& version = upstream.info.software_version;
+  if (criteria.software_version.value_or(version) != version) return false;
+  return std::find(criteria.exclude_versions.begin(),
+                   criteria.exclude_versions.end(),
+                   version) == criteria.exclude_versions.end();
+}
+
 /// Returns the time until a request sent now would complete, relative to the
 /// usual time of the work.
 double ExpectedCompletionTime(const ForwardUpstream& upstream, TimePoint now) {
@@ -160,6 +169,7 @@
   std::vector<ForwardUpstream*> usable;
   for (auto& [name, upstream] : upstreams_) {
     if (upstream.info.service != criteria.service) continue;
+    if (!MatchesVersion(upstream, criteria)) continue;
     const TimePoint usable_from =
         std::max(upstream.backoff_until, upstream.paused_until);
     if (!IsUsable(upstream) || now < usable_from) continue;
@@ -339,6 +349,8 @@
 void UpstreamBalancer::OnAttemptEnded(ForwardUpstream* upstream,
                                       ForwardOutcome end, TimePoint now) {
   --upstream->in_flight;
+  if (end == ForwardOutcome::kConnectionLost || end == ForwardOutcome::kNotSent)
+    upstream->connection_lost_at = now;
   switch (end) {
     case ForwardOutcome::kCompleted:
       upstream->consecutive_rejections = 0;
@@ -449,10 +461,15 @@
       now + std::min<Duration>(kInitialBackoff * (1 << doublings), kMaxBackoff);
 }
 
-int UpstreamBalancer::UsableCount(const std::string& service) const {
+int UpstreamBalancer::UsableCount(
+    const std::string& service,
+    const std::optional<std::string>& software_version) const {
   return static_cast<int>(std::count_if(
       upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
-        return entry.second.info.service == service && IsUsable(entry.second);
+        const ForwardUpstreamInfo& info = entry.second.info;
+        return info.service == service && IsUsable(entry.second) &&
+               software_version.value_or(info.software_version) ==
+                   info.software_version;
       }));
 }
 
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -389,6 +389,9 @@
                                      PersistedCrash{report, now_});
     }
   }
+  void Execute(std::size_t, const forward_action::UpdateVersionRecords&) {}
+  void Execute(std::size_t, const forward_action::RecordStreams&) {}
+  void Execute(std::size_t, const forward_action::LookUpStream&) {}
   void Execute(std::size_t, const forward_action::WriteLogLine& line) {
     ++log_line_counts[line.event];
   }
--- a/src/platform/platform_decode.cc
+++ b/src/platform/platform_decode.cc
@@ -124,6 +124,15 @@
   return customer;
 }
 
+/// "version" is that of the software, not of the model's weights. Returns an
+/// empty string if there is none; throws if it is neither text nor an integer.
+std::string ParseSoftwareVersion(const Json& upstream) {
+  const auto version = upstream.find("version");
+  if (version == upstream.end()) return "";
+  if (version->is_number_integer()) return version->dump();
+  return version->get<std::string>();
+}
+
 CallerLimits ParseLimits(const Json& json) {
   CallerLimits limits;
   limits.max_header_bytes =
@@ -173,6 +182,7 @@
     info.service = json.at("service").get<std::string>();
     // The platform calls a failure domain "zone".
     info.domain = json.at("zone").get<std::string>();
+    info.software_version = ParseSoftwareVersion(json);
     info.slots = json.value("batch_slots", 1);
     const auto state = json.at("state").get<std::string>();
     if (state != "ready" && state != "draining") {
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <string_view>
 
 namespace pollenledge {
@@ -21,6 +22,8 @@
 constexpr char kPromptParts[] = "Prompt-Prefix";
 constexpr char kModel[] = "Model";
 constexpr char kLastEventId[] = "Last-Event-Id";
+// `kTraceId` of the caller's request that received the stream's first event.
+constexpr char kFirstAttempt[] = "Resumes";
 // Name of the customer.
 constexpr char kCustomer[] = "Tenant";
 // Name of the upstream that the attempt is sent to.
@@ -38,6 +41,7 @@
 constexpr char kLeaving[] = "Server-Leaving";
 // With a rejection: seconds for which the upstream wants no requests from here.
 constexpr char kRetryAfter[] = "Retry-After";
+constexpr char kUpstreamReport[] = "/-/report";
 /// Longest time that is accepted: by then an upstream is replaced.
 constexpr double kMaxRetryAfterS = 600;
 constexpr int kStatusUnavailable = 503;
@@ -155,6 +159,8 @@
     spec.last_event_id = ParseNumber<std::int64_t>(*last_event);
     if (!spec.last_event_id) return MalformedHeader(kLastEventId);
   }
+  if (const std::string* first = head.Find(kFirstAttempt))
+    spec.first_attempt = *first;
   if (Status status = ParseTokenCounts(head, &spec); !Ok(status)) {
     return ErrorOf(status);
   }
@@ -283,10 +289,20 @@
   return fields;
 }
 
+/// "born" is the time at which the incarnation started.
+std::optional<std::uint64_t> DecodeIncarnation(const std::string& report) {
+  const nlohmann::json json = nlohmann::json::parse(report, nullptr, false);
+  if (!json.is_object()) return std::nullopt;
+  const auto born = json.find("born");
+  if (born == json.end() || !born->is_number_unsigned()) return std::nullopt;
+  return born->get<std::uint64_t>();
+}
+
 }  // namespace
 
 ForwardingCodec PlatformHeaderCodec() {
-  return {DecodeRequest, EncodeAttempt, DecodeResponse, EncodeOwnResponse};
+  return {DecodeRequest,     EncodeAttempt,   DecodeResponse,
+          EncodeOwnResponse, kUpstreamReport, DecodeIncarnation};
 }
 
 }  // namespace pollenledge
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -19,6 +19,7 @@
 #include "pollenledge/process/forward_service.h"
 #include "pollenledge/process/log.h"
 #include "pollenledge/process/restore_record.h"
+#include "pollenledge/process/stream_record_sync.h"
 #include "pollenledge/process/suspect_sync.h"
 #include "pollenledge/process/upstream_sync.h"
 #include "pollenledge/process/usage_reporter.h"
@@ -33,6 +34,8 @@
 constexpr char kNodeCountKey[] = "pollenledge/nodes";
 constexpr char kRestoreKey[] = "pollenledge/restore";
 constexpr char kSuspectsKey[] = "pollenledge/suspects";
+constexpr char kVersionKeyPrefix[] = "pollenledge/versions/";
+constexpr char kStreamKeyPrefix[] = "pollenledge/streams/";
 
 constexpr Duration kStoreCallsLogInterval = std::chrono::seconds(10);
 
@@ -104,6 +107,13 @@
             [this](std::vector<SuspectReport> reports) {
               service_.Submit(forward_event::SuspectsRead{std::move(reports)});
             }),
+        stream_record_sync_(
+            loop_, &store_, kVersionKeyPrefix, kStreamKeyPrefix,
+            StreamVersions::kMaxStreamLifetime,
+            [this](std::vector<StreamBinding> versions, bool streams_lost) {
+              service_.Submit(forward_event::VersionRecordsRead{
+                  std::move(versions), streams_lost});
+            }),
         restore_record_(
             loop_, &store_, kRestoreKey, [this] { return service_.Now().wall; },
             [this] { return service_.node().IsDutyCandidate(BootClockNow()); }),
@@ -133,6 +143,7 @@
     LogStoreCalls();
     suspect_sync_.Start();
     restore_record_.Start();
+    stream_record_sync_.Start();
     config_sync_.Start();
     upstream_sync_.Start();
     fleet_size_.Start();
@@ -178,6 +189,22 @@
         [this](const std::vector<CrashReport>& rejected) {
           suspect_sync_.AddCrashes(rejected);
         };
+    options.update_version_records =
+        [this](const forward_action::UpdateVersionRecords& update) {
+          stream_record_sync_.UpdateVersions(update.added, update.removed);
+        };
+    options.record_streams = [this](const std::vector<StreamRecord>& records) {
+      stream_record_sync_.RecordStreams(records);
+    };
+    options.look_up_stream = [this](const forward_action::LookUpStream& find) {
+      stream_record_sync_.Find(
+          find.stream,
+          [this, id = find.id](std::optional<StreamBinding> binding,
+                               bool responded) {
+            service_.Submit(forward_event::StreamLookedUp{
+                id, std::move(binding), responded});
+          });
+    };
     return options;
   }
 
@@ -253,6 +280,7 @@
   ConfigSync config_sync_;
   UpstreamSync upstream_sync_;
   SuspectSync suspect_sync_;
+  StreamRecordSync stream_record_sync_;
   RestoreRecord restore_record_;
   DutyLease duty_lease_;
   FleetSizeSync fleet_size_;
--- a/src/platform/platform_test.cc
+++ b/src/platform/platform_test.cc
@@ -45,6 +45,42 @@
   EXPECT_EQ(service->scaling->domain_prices_per_s.at("z2"), 0.8);
 }
 
+// Guards against entries whose version is missing or of another type.
+TEST(PlatformDecode, DecodesTheSoftwareVersionOfAnUpstream) {
+  const auto decode = [](const std::string& version) {
+    return DecodeUpstream(
+        {"servers/i-1",
+         R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready")" +
+             version + "}",
+         3});
+  };
+  EXPECT_EQ(Value(decode(R"(,"version":"v1.1")")).software_version, "v1.1");
+  EXPECT_EQ(Value(decode(R"(,"version":2)")).software_version, "2");
+  EXPECT_EQ(Value(decode("")).software_version, "");
+  for (const char* version : {"null", "1.5", "[]", "{}", "true"}) {
+    EXPECT_FALSE(Ok(decode(std::string(R"(,"version":)") + version)))
+        << version;
+  }
+}
+
+TEST(PlatformHeaders, DecodesTheIncarnationOfAReport) {
+  const auto decode = PlatformHeaderCodec().decode_incarnation;
+  EXPECT_EQ(decode(R"({"busy":false,"born":1772393587012})"), 1772393587012U);
+  for (const char* report :
+       {"", "{", "[]", "{}", R"({"born":"1"})", R"({"born":-1})"}) {
+    EXPECT_EQ(decode(report), std::nullopt) << report;
+  }
+}
+
+TEST(PlatformHeaders, DecodesWhichAttemptBeganAStream) {
+  HttpHead head;
+  head.fields = {{"Attempt-Id", "b"}, {"Last-Event-Id", "7"}, {"Resumes", "a"}};
+  const Result<ForwardSpec> spec = PlatformHeaderCodec().decode_request(head);
+  ASSERT_TRUE(Ok(spec));
+  EXPECT_EQ(Value(spec).first_attempt, "a");
+  EXPECT_EQ(Value(spec).last_event_id, 7);
+}
+
 TEST(PlatformDecode, MalformedDocumentsReturnErrors) {
   EXPECT_FALSE(Ok(DecodeTables("{")));
   EXPECT_FALSE(Ok(DecodeTables(R"({"version":"x","routes":[]})")));
--- a/testsuite/platform_software_versions/run.py
+++ b/testsuite/platform_software_versions/run.py
@@ -4,6 +4,7 @@
 all nodes break; callers take their streams up again at another node and say which attempt
 began them."""
 
+import itertools
 import random
 import re
 import sys
@@ -31,7 +32,10 @@
 class Stream:
     """One stream as its caller sees it, over all tries."""
 
+    numbers = itertools.count(1)
+
     def __init__(self):
+        self.name = f"stream-{next(Stream.numbers)}"
         self.first_attempt = None  # the attempt that brought the first event
         self.last_event = 0
         self.versions = set()
@@ -59,6 +63,7 @@
 
     def run(self, number):
         chance = random.Random(number)
+        time.sleep(chance.random())  # Callers are not in step.
         while not self.stopped.is_set():
             stream = Stream()
             close_after = (chance.randrange(2, VERSIONED_EVENTS)
@@ -67,7 +72,7 @@
                 stream.tries += 1
                 node = chance.randrange(NODE_COUNT)
                 try:
-                    self.attempt(stream, f"{id(self):x}-{number}-{id(stream):x}-{stream.tries}", node, close_after)
+                    self.attempt(stream, f"{stream.name}-{stream.tries}", node, close_after)
                 except OSError:
                     pass  # The node was killed.
                 close_after = None
@@ -178,7 +183,7 @@
 
 def check_part(platform, transcript, name, disturb, closes_connections=False):
     callers = Callers(platform, closes_connections)
-    time.sleep(1)
+    time.sleep(2)
     disturb(platform)
     callers.stop()
     streams = callers.streams
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -348,9 +348,15 @@
         connection.close()
 
     def respond(self, connection, head, body):
+        path = head.split(" ")[1].split("?")[0]
+        if path == "/-/report":
+            report = json.dumps({"born": self.start_count, "active": 0}).encode()
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                               b"Content-Length: %d\r\n\r\n%s" % (len(report), report))
+            return True
         attempt = header(head, "Attempt-Id")
         self.arrivals.append((time.monotonic(), attempt))
-        action = head.split(" ")[1].split("?")[0].rsplit("/", 1)[-1]
+        action = path.rsplit("/", 1)[-1]
         if header(head, "Target-Instance") != self.name:
             connection.sendall((f"HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\n"
                                 "Content-Length: 0\r\n\r\n").encode())
--- a/tools/check_names.py
+++ b/tools/check_names.py
@@ -13,7 +13,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 NAMES = re.compile(
     r"Attempt-Id|Token-Usage|Prompt-Prefix|Target-Instance|Server-Signature|"
-    r"Server-Load|Server-Limit|Server-Leaving|Store-Era|Not-Executed|Deadline-Ms|Request-Priority|Duty-Owner|"
+    r"Server-Load|Server-Limit|Server-Leaving|Server-Brittle|Store-Era|Not-Executed|Deadline-Ms|Request-Priority|Duty-Owner|"
     r"Fencing-Token|Api-Key|Length-Hint|Weight-Versions|Kv-(?:From|Fetch|Backup)|"
     r"kv-(?:key|range|watch|txn|lease|keep|move|events|list|pin|handle)\b|"
     r"hold-(?:take|drop)|op/config|\bservers/|POLLENLEDGE_CONFIG|"
