--- a/src/libpollenledge/process/forward_streams_test.cc
+++ b/src/libpollenledge/process/forward_streams_test.cc
@@ -184,7 +184,8 @@
     EXPECT_EQ(SentToVersion(), "old");
   }
   {
-    SCOPED_TRACE("Without a record it is rejected as not run, within a second.");
+    SCOPED_TRACE(
+        "Without a record it is rejected as not run, within a second.");
     Arrive(3, "again3", "nobody-knows");
     for (int i = 0; i < 10 && Rejection() == "none"; ++i) {
       Submit(event::StreamLookedUp{3, std::nullopt, true});
@@ -236,9 +237,8 @@
 TEST_F(ForwardStreamsTest, AStreamWhoseVersionHasLeftIsRejectedAtOnce) {
   const std::string began = BeginStream(1, "a");
   Submit(event::CallerDisconnected{1});
-  List(began == "old"
-           ? std::map<std::string, std::string>{{"new1", "v2"}}
-           : std::map<std::string, std::string>{{"old1", "v1"}});
+  List(began == "old" ? std::map<std::string, std::string>{{"new1", "v2"}}
+                      : std::map<std::string, std::string>{{"old1", "v1"}});
   Arrive(2, "again", "a");
   EXPECT_EQ(Rejection(), "version-gone");
   EXPECT_EQ(Find<action::Reject>()->not_run.retry_after, Duration(0));
--- a/src/libpollenledge/process/stream_versions_test.cc
+++ b/src/libpollenledge/process/stream_versions_test.cc
@@ -120,11 +120,13 @@
   List({kOld});
   versions_.OnRouteMoved({"s"}, now_);
   EXPECT_TRUE(versions_.IsMixed("s", now_));
-  EXPECT_EQ(versions_.OnlyVersion("s", now_ + StreamVersions::kMaxStreamLifetime),
-            "v1");
+  EXPECT_EQ(
+      versions_.OnlyVersion("s", now_ + StreamVersions::kMaxStreamLifetime),
+      "v1");
 }
 
-// Guards against a node with an old list: a peer's stream tells it of a version.
+// Guards against a node with an old list: a peer's stream tells it of a
+// version.
 TEST_F(StreamVersionsTest, AStreamOfAPeerShowsAVersionThatIsNotListedYet) {
   versions_.OnRecordsRead({kOld}, now_);
   List({kOld});
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -31,6 +31,8 @@
 class ForwardFleet {
  public:
   static constexpr std::size_t kUpstreamCount = 12;
+  static constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+  static constexpr Duration kSecond = std::chrono::seconds(1);
 
   /// Starts `nodes` nodes and runs them for 2 s, so that they know each other.
   /// `limit_per_s` limits the customer of kMeteredKey over all nodes.
@@ -223,6 +225,11 @@
   bool upstreams_fail = false;
   // Probability that a heartbeat datagram is lost.
   double datagram_loss = 0;
+  // Returns whether a network partition separates a node from an upstream.
+  // Unset: no partition.
+  std::function<bool(std::size_t, std::size_t)> is_cut_from_upstream;
+  // How long a node waits until connecting to such an upstream fails.
+  Duration connect_failure_time = kMillisecond;
   // Returns whether a network partition separates the sender from the receiver.
   // Unset: no partition.
   std::function<bool(std::size_t, std::size_t)> is_partitioned;
@@ -323,6 +330,12 @@
     attempts_[send.id] = {node, send.upstream.name, number};
     const auto index =
         static_cast<std::size_t>(std::stoul(send.upstream.name.substr(1)));
+    if (is_cut_from_upstream && is_cut_from_upstream(node, index)) {
+      Schedule(connect_failure_time, [this, id = send.id, number] {
+        if (IsRunning(id, number)) EndAttempt(id, ForwardOutcome::kNotSent);
+      });
+      return;
+    }
     Schedule(kMillisecond, [this, id = send.id, number, index] {
       if (!IsRunning(id, number)) return;
       RecordArrival(attempts_.at(id).node, index);
@@ -454,8 +467,6 @@
                      id, end, end == ForwardOutcome::kCompleted ? 200 : 0, {}});
   }
 
-  static constexpr Duration kMillisecond = std::chrono::milliseconds(1);
-  static constexpr Duration kSecond = std::chrono::seconds(1);
   // How long a crashed upstream stays down.
   static constexpr Duration kUpstreamRestartTime = 2 * kSecond;
   static constexpr Duration kServiceTime = 30 * kMillisecond;
