--- a/src/libpollenledge/process/forward_cut_test.cc
+++ b/src/libpollenledge/process/forward_cut_test.cc
@@ -80,7 +80,7 @@
                       CutCase{"SmallSilent", 6, 4, 300 * kMillisecond},
                       CutCase{"LargeReset", 24, 8, kMillisecond},
                       CutCase{"LargeSilent", 24, 8, 300 * kMillisecond}),
-    [](const auto& info) { return info.param.name; });
+    [](const auto& test) { return test.param.name; });
 
 }  // namespace
 }  // namespace pollenledge::testing
