--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -117,6 +117,11 @@
   std::optional<Duration> keep_alive_timeout_;
 };
 
+/// Connects to `address`, sends nothing and closes the connection again. Calls
+/// `callback` with true if connecting succeeded within `timeout`.
+void ProbeConnect(boost::asio::io_context& loop, const std::string& address,
+                  Duration timeout, std::function<void(bool)> callback);
+
 /// A pool of idle client connections, by address. Not thread-safe.
 class ClientConnectionPool {
  public:
--- a/src/include/pollenledge/connection/forwarding_codec.h
+++ b/src/include/pollenledge/connection/forwarding_codec.h
@@ -24,6 +24,15 @@
   friend bool operator==(const AttemptFields&, const AttemptFields&) = default;
 };
 
+/// The values that change in a request that is relayed to another node.
+struct RelayFields {
+  Duration time_left{0};
+  std::optional<std::int64_t> last_event_id;
+  std::string first_attempt;  ///< Empty if no stream is resumed.
+
+  friend bool operator==(const RelayFields&, const RelayFields&) = default;
+};
+
 /// Information decoded from the head of an upstream's response.
 struct ResponseInfo {
   std::optional<std::string> trace_id;  ///< Of the request that it responds to.
@@ -47,6 +56,11 @@
   std::function<std::vector<HttpField>(const HttpHead& request,
                                        const AttemptFields& fields)>
       encode_attempt;
+  /// Returns the header fields to send to another node: those of the caller's
+  /// request, so that the other node handles it as if it had received it.
+  std::function<std::vector<HttpField>(const HttpHead& request,
+                                       const RelayFields& fields)>
+      encode_relay;
   /// Decodes the head of an upstream's response.
   std::function<ResponseInfo(const HttpHead& response)> decode_response;
   /// Returns the header fields of a response that the node generates itself.
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -84,6 +84,10 @@
   std::optional<StreamBinding> binding;
   bool store_responded = false;
 };
+/// An upstream accepted a connection for `ProbeUpstream`.
+struct UpstreamReached {
+  UpstreamId upstream;
+};
 /// A heartbeat message was received from another node.
 struct HeartbeatReceived {
   Heartbeat heartbeat;
@@ -116,8 +120,8 @@
     forward_event::UpstreamsListed, forward_event::HeartbeatReceived,
     forward_event::SuspectsRead, forward_event::SuspectLifted,
     forward_event::FleetSizeRead, forward_event::VersionRecordsRead,
-    forward_event::StreamLookedUp, forward_event::DrainStarted,
-    forward_event::Ticked>;
+    forward_event::StreamLookedUp, forward_event::UpstreamReached,
+    forward_event::DrainStarted, forward_event::Ticked>;
 
 /// Actions that a forwarding node requests in response to an event.
 namespace forward_action {
@@ -144,6 +148,26 @@
   /// the given one. A new connection is then asked which one it leads to.
   bool verify_incarnation = false;
 };
+/// Send the request to another node, which forwards it to an upstream.
+/// `AttemptEnded` follows; its end is `kRejected` if the other node's response
+/// says that the request did not run.
+struct RelayRequest {
+  ForwardId id = 0;
+  std::string address;  ///< The other node's peer address.
+  TimePoint deadline;
+  TimePoint send_before;  ///< As in `SendAttempt`.
+  RouteKind kind = RouteKind::kIdempotent;
+  bool reuse_connection = true;  ///< As in `SendAttempt`.
+  std::optional<std::int64_t> last_event_id;
+  /// The caller's request that began the stream to resume; empty if none is.
+  std::string first_attempt;
+};
+/// Connect to an upstream and send nothing. `UpstreamReached` follows if it
+/// accepts the connection.
+struct ProbeUpstream {
+  UpstreamId upstream;
+  std::string address;
+};
 /// Reject the request: respond that it did not run and will not run.
 struct Reject {
   ForwardId id = 0;
@@ -200,7 +224,8 @@
 }  // namespace forward_action
 
 using ForwardAction =
-    std::variant<forward_action::SendAttempt, forward_action::Reject,
+    std::variant<forward_action::SendAttempt, forward_action::RelayRequest,
+                 forward_action::ProbeUpstream, forward_action::Reject,
                  forward_action::Fail, forward_action::DeliverResponse,
                  forward_action::CancelAttempt, forward_action::SendHeartbeat,
                  forward_action::ReadTables, forward_action::PersistSuspects,
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -16,6 +16,7 @@
 #include "pollenledge/process/forward_events.h"
 #include "pollenledge/process/limit_buckets.h"
 #include "pollenledge/process/membership.h"
+#include "pollenledge/process/path_monitor.h"
 #include "pollenledge/process/rate_limit_permits.h"
 #include "pollenledge/process/retry_budget.h"
 #include "pollenledge/process/stream_outbox.h"
@@ -96,6 +97,7 @@
   const LimitBuckets& limits() const { return limits_; }
   const UpstreamRateLimits& rate_limits() const { return rate_limits_; }
   const RateLimitPermits& permits() const { return permits_; }
+  const PathMonitor& paths() const { return paths_; }
   const StreamVersions& stream_versions() const { return stream_versions_; }
   const UsageLedger& usage() const { return usage_; }
   UsageLedger& usage() { return usage_; }
@@ -177,6 +179,8 @@
     std::string current_upstream;  ///< Of the current attempt; empty: none.
     std::uint64_t current_incarnation = 0;  ///< Of `current_upstream`.
     std::string current_version;            ///< Software of `current_upstream`.
+    std::string relay;  ///< Node that it was relayed to and that has not ended.
+    std::vector<std::string> tried_relays;
     std::int64_t pending_prompt_tokens = 0;  ///< Of the current attempt.
     TimePoint sent_at;
     TimePoint last_event_at;
@@ -219,6 +223,7 @@
   void On(const forward_event::FleetSizeRead& read);
   void On(const forward_event::VersionRecordsRead& read);
   void On(const forward_event::StreamLookedUp& lookup);
+  void On(const forward_event::UpstreamReached& reached);
   void On(const forward_event::DrainStarted& drain);
   void On(const forward_event::Ticked& tick);
 
@@ -261,6 +266,25 @@
   void DispatchQueue(const std::string& service, FairQueue* queue);
   void DispatchAllQueued();
 
+  // Relaying through other nodes.
+  void OnConnectFailed(const Request& request, const std::string& upstream);
+  /// An upstream of `service` has responded or accepted a connection.
+  void OnUpstreamContact(const std::string& service);
+  void ProbeLostPaths();
+  /// Returns the nodes that the request may be relayed to.
+  std::vector<const MemberRecord*> RelayCandidates(
+      const Request& request) const;
+  /// Returns null if there is none.
+  const MemberRecord* ChooseRelay(const Request& request);
+  bool MayRelay(const Request& request) const;
+  /// Relays the request. Returns false if it may not be relayed or no other
+  /// node has a path.
+  bool Relay(Request* request);
+  /// Relays the request after an attempt of this node that failed because it
+  /// has no path.
+  bool RelayAfter(Request* request, ForwardOutcome end);
+  void OnRelayEnded(Request* request, const forward_event::AttemptEnded& ended);
+
   // Streams that are resumed.
   /// Sets the key of the request's stream and, if this node knows it, its
   /// binding.
@@ -536,6 +560,8 @@
   bool suspects_loaded_ = false;
   bool has_new_rejections_ = false;  ///< Since `EndRejectedRequests`.
   std::map<QueueKey, FairQueue> queues_;
+  PathMonitor paths_;
+  TimePoint probed_at_;
   StreamVersions stream_versions_;
   TimePoint streams_told_at_;
   StreamOutbox stream_outbox_;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -83,6 +83,7 @@
     /// The connection carried earlier requests, whose responses an upstream may
     /// send again.
     bool connection_was_used = false;
+    bool is_relayed_on = false;  ///< The current attempt is at another node.
     HttpHead response_head;
     ResponseInfo response_info;
     /// The current attempt's response is a stream whose events are forwarded.
@@ -92,7 +93,12 @@
   };
 
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
-                 const HttpHead& head, const std::string& body);
+                 const HttpHead& head, const std::string& body,
+                 bool is_relayed);
+  /// Returns the handlers of a server that receives requests from callers, or
+  /// from other nodes that relay them.
+  CallerHandlers RequestHandlers(bool is_relayed);
+  void StartRelayServer();
   void OnCallerDisconnected(const std::shared_ptr<CallerConnection>& caller);
   CallerHandlers AdminHandlers();
   void OnAdminRequest(const std::shared_ptr<CallerConnection>& caller,
@@ -103,6 +109,8 @@
   void OnReadinessRequest(const std::shared_ptr<CallerConnection>& caller);
 
   void Execute(const forward_action::SendAttempt& send);
+  void Execute(const forward_action::RelayRequest& relay);
+  void Execute(const forward_action::ProbeUpstream& probe);
   void Execute(const forward_action::Reject& reject);
   void Execute(const forward_action::Fail& fail);
   void Execute(const forward_action::DeliverResponse& deliver);
@@ -115,9 +123,15 @@
   void Execute(const forward_action::LookUpStream& look_up);
   void Execute(const forward_action::WriteLogLine& line);
 
+  /// Prepares the exchange for a new attempt.
+  void ResetResponse(Exchange* exchange, RouteKind kind);
   /// Starts the exchange of an attempt on its connection.
   void StartAttempt(Exchange* exchange,
                     const forward_action::SendAttempt& send);
+  /// Sends the request with these header fields on its connection.
+  void StartExchange(ForwardId id, Exchange* exchange,
+                     const std::vector<HttpField>& fields,
+                     TimePoint send_before);
   /// Asks the upstream's process which incarnation it is, on the connection of
   /// the attempt, and starts the attempt if it is the expected one.
   void VerifyUpstream(const Exchange& exchange,
@@ -172,6 +186,8 @@
   CallerServer readiness_server_;
   CallerServer admin_server_;
   std::optional<CallerServer> metrics_server_;
+  /// Receives requests of other nodes; empty if its address is in use.
+  std::optional<CallerServer> relay_server_;
   CallerServer caller_server_;
 };
 
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -62,6 +62,9 @@
   /// Streams started since the node's start, by service.
   std::vector<LateStreamCount> late_stream_counts;
 
+  /// Services to whose upstreams the node has no path.
+  std::vector<std::string> unreachable_services;
+
   /// Returns a copy without usage and stream counters.
   MemberRecord WithoutCounters() const;
 
@@ -251,6 +254,8 @@
   /// processor time come first. Nodes that are draining are left out.
   std::vector<const MemberRecord*> PreferredMembers(std::size_t count,
                                                     TimePoint now) const;
+  /// Returns the other live nodes, by name.
+  std::vector<const MemberRecord*> LiveOthers(TimePoint now) const;
   /// Returns the number of live nodes, including this one.
   int AliveCount(TimePoint now) const;
   /// Returns this node's position among the live nodes, sorted by name.
--- a/src/include/pollenledge/process/upstream_balancer.h
+++ b/src/include/pollenledge/process/upstream_balancer.h
@@ -160,6 +160,10 @@
   int UsableCount(
       const std::string& service,
       const std::optional<std::string>& software_version = {}) const;
+  /// Returns the upstreams of `service` that may be sent requests.
+  std::vector<ForwardUpstreamInfo> Usable(const std::string& service) const;
+  /// Ends the backoff of all upstreams of `service`.
+  void ClearBackoffs(const std::string& service, TimePoint now);
   /// Returns true if this incarnation of the upstream is in the current list.
   bool IsListed(const UpstreamId& id) const;
   /// Returns true if this incarnation serves `service` and may be sent
--- a/src/include/pollenledge/request/forward_request.h
+++ b/src/include/pollenledge/request/forward_request.h
@@ -40,6 +40,8 @@
   /// In a request to resume a stream, the `trace_id` of the caller's request
   /// that received the first event; empty if it is not stated.
   std::string first_attempt;
+  /// The request came from another node, which has no path to the upstreams.
+  bool is_relayed = false;
 
   friend bool operator==(const ForwardSpec&, const ForwardSpec&) = default;
 };
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -228,6 +228,34 @@
   socket_.close(ignored);
 }
 
+void ProbeConnect(boost::asio::io_context& loop, const std::string& address,
+                  Duration timeout, std::function<void(bool)> callback) {
+  struct Probe {
+    explicit Probe(boost::asio::io_context& io) : socket(io), timer(io) {}
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+  };
+  const Result<tcp::endpoint> endpoint = ParseTcpEndpoint(address);
+  if (!Ok(endpoint)) {
+    callback(false);
+    return;
+  }
+  auto probe = std::make_shared<Probe>(loop);
+  probe->timer.expires_after(timeout);
+  probe->timer.async_wait([probe](const SystemError& error) {
+    SystemError ignored;  // The connect fails in either case.
+    if (!error) probe->socket.close(ignored);
+  });
+  probe->socket.async_connect(
+      Value(endpoint),
+      [probe, callback = std::move(callback)](const SystemError& error) {
+        probe->timer.cancel();
+        SystemError ignored;  // Nothing was sent.
+        probe->socket.close(ignored);
+        callback(!error);
+      });
+}
+
 std::shared_ptr<ClientConnection> ClientConnectionPool::Acquire(
     const std::string& address, Duration max_idle, TimePoint now) {
   auto& idle = idle_[address];
--- a/src/libpollenledge/connection/heartbeat_link_test.cc
+++ b/src/libpollenledge/connection/heartbeat_link_test.cc
@@ -22,6 +22,7 @@
   record.cpu_percent = 50;
   record.customer_usage = {{"c", 12.5}};
   record.late_stream_counts = {{"s", 9, 2}};
+  record.unreachable_services = {"s2"};
   heartbeat.records = {record};
   heartbeat.requests_levels = true;
   heartbeat.levels_authoritative = true;
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -39,6 +39,8 @@
   # Part of a processor core that the node may use, in percent; 0: not known.
   processorPercent @11 :UInt16;
   lateness @12 :List(LatenessCount);
+  # Services to whose upstreams the node has no path.
+  unreachableServices @13 :List(Text);
 }
 
 # What is left of a customer's limit, and what of the receiver's own use is
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -220,7 +220,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8962e57ec3622dad, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(8962e57ec3622dad, 3, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1621,6 +1621,9 @@
   inline bool hasLateness() const;
   inline  ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>::Reader getLateness() const;
 
+  inline bool hasUnreachableServices() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableServices() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1716,6 +1719,14 @@
   inline void adoptLateness(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::LatenessCount,  ::capnp::Kind::STRUCT>> disownLateness();
 
+  inline bool hasUnreachableServices();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnreachableServices();
+  inline void setUnreachableServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnreachableServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnreachableServices(unsigned int size);
+  inline void adoptUnreachableServices(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableServices();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6494,6 +6505,44 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool MemberRecord::Reader::hasUnreachableServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasUnreachableServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MemberRecord::Reader::getUnreachableServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MemberRecord::Builder::getUnreachableServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setUnreachableServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void MemberRecord::Builder::setUnreachableServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MemberRecord::Builder::initUnreachableServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptUnreachableServices(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MemberRecord::Builder::disownUnreachableServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool LimitLevel::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -146,6 +146,9 @@
     record.late_stream_counts.push_back(
         {count.getService(), count.getStreams(), count.getLate()});
   }
+  for (const auto service : reader.getUnreachableServices()) {
+    record.unreachable_services.push_back(service);
+  }
   return record;
 }
 
@@ -179,6 +182,11 @@
     lateness[i].setStreams(record.late_stream_counts[i].streams);
     lateness[i].setLate(record.late_stream_counts[i].late);
   }
+  auto unreachable = builder.initUnreachableServices(
+      static_cast<unsigned>(record.unreachable_services.size()));
+  for (unsigned i = 0; i < unreachable.size(); ++i) {
+    unreachable.set(i, record.unreachable_services[i]);
+  }
 }
 
 UpstreamLoadReport FromWire(wire::HeardLoad::Reader reader) {
--- a/src/libpollenledge/process/forward_cut_test.cc
+++ b/src/libpollenledge/process/forward_cut_test.cc
@@ -79,8 +79,7 @@
     ::testing::Values(CutCase{"SmallReset", 6, 2, kMillisecond},
                       CutCase{"SmallSilent", 6, 4, 300 * kMillisecond},
                       CutCase{"LargeReset", 24, 8, kMillisecond},
-                      CutCase{"LargeSilent", 24, 8, 300 * kMillisecond}),
-    [](const auto& test) { return test.param.name; });
+                      CutCase{"LargeSilent", 24, 8, 300 * kMillisecond}));
 
 }  // namespace
 }  // namespace pollenledge::testing
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -54,6 +54,7 @@
 // Dispatch.
 
 void ForwardNode::Dispatch(Request* request) {
+  if (paths_.IsLost(request->service) && Relay(request)) return;
   ForwardUpstream* upstream = ChooseUpstream(*request);
   if (upstream == nullptr) {
     Enqueue(request);
@@ -239,13 +240,13 @@
   request->response_started = true;
   request->may_have_run = true;
   request->last_event_at = now();
-  BindStream(request);
+  if (request->relay.empty()) BindStream(request);
   RecordPromptProcessed(request);
   CountUsage(request, now_.wall);
   const bool late =
       ToSeconds(now() - request->arrived_at) >
       kLateTargetShare * ToSeconds(request->route->latency_target);
-  CountStream(request->service, late);
+  if (request->relay.empty()) CountStream(request->service, late);
   if (ForwardUpstream* upstream = upstreams_.Find(request->current_upstream)) {
     upstreams_.OnResponseStarted(
         upstream, now() - request->sent_at <= request->route->latency_target,
@@ -267,8 +268,14 @@
 
 void ForwardNode::On(const forward_event::AttemptEnded& ended) {
   Request* request = FindRequest(ended.id);
+  if (request != nullptr && !request->relay.empty()) {
+    OnRelayEnded(request, ended);
+    return;
+  }
   if (request == nullptr || request->current_upstream.empty()) return;
   const std::string upstream = request->current_upstream;
+  if (ended.end == ForwardOutcome::kNotSent)
+    OnConnectFailed(*request, upstream);
   if (ended.load.has_value()) {
     if (ForwardUpstream* known = upstreams_.Find(upstream)) {
       upstreams_.OnLoadReport(known, *ended.load, now());
@@ -300,7 +307,7 @@
   const std::string service = request->service;
   if (ended.end == ForwardOutcome::kCompleted) {
     Finish(request);
-  } else if (!Retry(request, ended.end)) {
+  } else if (!Retry(request, ended.end) && !RelayAfter(request, ended.end)) {
     // The upstream's own error response is forwarded to the caller.
     if (ended.end == ForwardOutcome::kFailed && !request->response_started) {
       Finish(request);
@@ -348,7 +355,7 @@
 }
 
 bool ForwardNode::Retry(Request* request, ForwardOutcome end) {
-  if (!MayRetry(*request)) return false;
+  if (!MayRetry(*request) || paths_.IsLost(request->service)) return false;
   if (request->customer != nullptr && !AreKeysFresh(now())) return false;
   ForwardUpstream* upstream = ChooseUpstream(*request);
   if (upstream == nullptr) return false;
@@ -444,6 +451,7 @@
   Request* request = FindRequest(disconnected.id);
   if (request == nullptr) return;
   const std::string service = request->service;
+  if (!request->relay.empty()) Emit(forward_action::CancelAttempt{request->id});
   if (!request->current_upstream.empty()) {
     RememberLeftStream(*request);
     Emit(forward_action::CancelAttempt{request->id});
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -381,13 +381,16 @@
   DispatchAllQueued();
   SendHeartbeats();
   if (now() - streams_told_at_ >= kStreamTellInterval) TellStreams();
+  if (paths_.IsAnyLost() && now() - probed_at_ >= PathMonitor::kProbeInterval)
+    ProbeLostPaths();
   if (now() - limits_updated_at_ >= kHeartbeatPeriod) UpdateLimits();
   ExpireSuspects();
 }
 
 void ForwardNode::OnCheckDue(Request* request) {
   if (now() >= request->deadline) {
-    const bool was_sent = !request->current_upstream.empty();
+    const bool was_sent =
+        !request->current_upstream.empty() || !request->relay.empty();
     if (was_sent) {
       Emit(forward_action::CancelAttempt{request->id});
       FinalizeAttempt(request, ForwardOutcome::kConnectionLost);
@@ -464,6 +467,8 @@
 
 TimePoint ForwardNode::NextTickTime(TimePoint now) const {
   TimePoint next = std::min(NextHeartbeatTime(now), now + kMaxTickInterval);
+  if (paths_.IsAnyLost())
+    next = std::min(next, probed_at_ + PathMonitor::kProbeInterval);
   if (stream_versions_.HasUntold(now))
     next = std::min(next, streams_told_at_ + kStreamTellInterval);
   if (!scheduled_checks_.empty())
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -347,6 +347,7 @@
   self.tables_version = TablesVersion();
   self.active_requests = static_cast<std::uint32_t>(requests_.size());
   self.draining = draining();
+  self.unreachable_services = paths_.LostServices();
   self.customer_usage = limits_.Uses();
   self.late_stream_counts = stream_counts_;
   membership_.UpdateSelf(self);
--- /dev/null
+++ b/src/libpollenledge/process/forward_relay.cc
@@ -0,0 +1,192 @@
+#include <algorithm>
+#include <utility>
+
+#include "pollenledge/process/forward_node.h"
+
+// Requests that pass through another node, in `ForwardNode`, because this one
+// has no path to the upstreams. A request passes through one node at most.
+
+namespace pollenledge {
+namespace {
+
+/// Maximum number of nodes that one request is relayed to.
+constexpr std::size_t kMaxRelays = 2;
+/// Number of upstreams that are probed at a time.
+constexpr std::size_t kProbesAtATime = 2;
+constexpr int kStatusUnavailable = 503;
+
+}  // namespace
+
+// The path to the upstreams.
+
+void ForwardNode::OnConnectFailed(const Request& request,
+                                  const std::string& upstream) {
+  const std::string& service = request.service;
+  const int usable = upstreams_.UsableCount(service);
+  if (!paths_.OnConnectFailed(service, upstream,
+                              static_cast<std::size_t>(usable)))
+    return;
+  Emit(forward_action::WriteLogLine{
+      LogLevel::kWarn,
+      "upstreams_unreachable",
+      {{"service", service},
+       {"last_upstream", upstream},
+       {"usable_upstreams", std::to_string(usable)},
+       {"relays_known", std::to_string(RelayCandidates(request).size())}}});
+}
+
+void ForwardNode::OnUpstreamContact(const std::string& service) {
+  if (!paths_.OnContact(service)) return;
+  // The failures before were those of this node's path.
+  upstreams_.ClearBackoffs(service, now());
+  Emit(forward_action::WriteLogLine{
+      LogLevel::kInfo, "upstreams_reachable", {{"service", service}}});
+  DispatchQueued(service);
+}
+
+void ForwardNode::ProbeLostPaths() {
+  probed_at_ = now();
+  for (const std::string& service : paths_.LostServices()) {
+    std::vector<ForwardUpstreamInfo> usable = upstreams_.Usable(service);
+    std::shuffle(usable.begin(), usable.end(), random_);
+    if (usable.size() > kProbesAtATime) usable.resize(kProbesAtATime);
+    for (const ForwardUpstreamInfo& upstream : usable) {
+      Emit(forward_action::ProbeUpstream{upstream.id, upstream.address});
+    }
+  }
+}
+
+void ForwardNode::On(const forward_event::UpstreamReached& reached) {
+  const ForwardUpstream* upstream = upstreams_.Find(reached.upstream.name);
+  if (upstream != nullptr) OnUpstreamContact(upstream->info.service);
+}
+
+// Relaying.
+
+std::vector<const MemberRecord*> ForwardNode::RelayCandidates(
+    const Request& request) const {
+  std::vector<const MemberRecord*> candidates;
+  for (const MemberRecord* member : membership_.LiveOthers(now())) {
+    const bool lacks_path =
+        std::find(member->unreachable_services.begin(),
+                  member->unreachable_services.end(),
+                  request.service) != member->unreachable_services.end();
+    const bool tried =
+        std::find(request.tried_relays.begin(), request.tried_relays.end(),
+                  member->id.name) != request.tried_relays.end();
+    if (!lacks_path && !tried && !member->draining)
+      candidates.push_back(member);
+  }
+  return candidates;
+}
+
+const MemberRecord* ForwardNode::ChooseRelay(const Request& request) {
+  std::vector<const MemberRecord*> candidates = RelayCandidates(request);
+  const auto is_near = [this](const MemberRecord* member) {
+    return member->domain == options_.self.domain;
+  };
+  // Traffic within the failure domain is cheaper.
+  const auto far =
+      std::partition(candidates.begin(), candidates.end(), is_near);
+  if (far != candidates.begin()) candidates.erase(far, candidates.end());
+  if (candidates.empty()) return nullptr;
+  return candidates[random_() % candidates.size()];
+}
+
+bool ForwardNode::MayRelay(const Request& request) const {
+  if (request.spec.is_relayed || request.tried_relays.size() >= kMaxRelays)
+    return false;
+  if (request.may_have_run && !request.route->IsRetrySafe()) return false;
+  if (request.customer != nullptr && !AreKeysFresh(now())) return false;
+  return now() < request.deadline;
+}
+
+bool ForwardNode::Relay(Request* request) {
+  if (!MayRelay(*request)) return false;
+  const MemberRecord* peer = ChooseRelay(*request);
+  if (peer == nullptr) return false;
+  // The other node acquires the units and counts the usage.
+  if (request->acquired_units > 0) {
+    limits_.Refund(request->customer->name, request->acquired_units);
+    request->acquired_units = 0;
+  }
+  request->usage_counted = true;
+  request->relay = peer->id.name;
+  request->tried_relays.push_back(peer->id.name);
+  request->sent_at = now();
+  request->last_event_at = now();
+  request->first_event_received = false;
+  LogRequest(LogLevel::kInfo, "relayed", *request,
+             {{"peer", peer->id.name},
+              {"attempts", std::to_string(request->attempts)},
+              {"path_lost", paths_.IsLost(request->service) ? "yes" : "no"}});
+  const bool resumes = request->last_event_id.has_value();
+  Emit(forward_action::RelayRequest{
+      .id = request->id,
+      .address = peer->peer_address,
+      .deadline = request->deadline,
+      .send_before = LatestSendTime(*request),
+      .kind = request->route->kind,
+      .reuse_connection = request->route->IsRetrySafe(),
+      .last_event_id = request->last_event_id,
+      .first_attempt = !resumes ? ""
+                       : request->spec.first_attempt.empty()
+                           ? request->spec.trace_id
+                           : request->spec.first_attempt});
+  ScheduleCheck(request);
+  return true;
+}
+
+bool ForwardNode::RelayAfter(Request* request, ForwardOutcome end) {
+  const bool has_no_path =
+      end == ForwardOutcome::kNotSent || paths_.IsLost(request->service);
+  // What an upstream has said about the request counts.
+  const bool has_response =
+      end == ForwardOutcome::kRejected || end == ForwardOutcome::kFailed;
+  if (!has_no_path || has_response) return false;
+  if (suspects_.RejectedSuspect(request->suspect_fingerprints, now()))
+    return false;
+  return Relay(request);
+}
+
+void ForwardNode::OnRelayEnded(Request* request,
+                               const forward_event::AttemptEnded& ended) {
+  const std::string peer = std::exchange(request->relay, "");
+  LogRequest(LogLevel::kInfo, "relay_ended", *request,
+             {{"peer", peer},
+              {"end", ToString(ended.end)},
+              {"status", std::to_string(ended.status)},
+              {"took_ms", FormatMilliseconds(now() - request->sent_at)}});
+  const bool not_run = ended.end == ForwardOutcome::kNotSent ||
+                       ended.end == ForwardOutcome::kRejected;
+  if (!not_run) request->may_have_run = true;
+  switch (ended.end) {
+    case ForwardOutcome::kCompleted:
+    case ForwardOutcome::kFailed:
+      if (request->response_started && ended.end == ForwardOutcome::kFailed) {
+        Fail(request, 502, ToString(ended.end));
+      } else {
+        Finish(request);
+      }
+      return;
+    case ForwardOutcome::kRejected:
+      // Another node may have room or a path. What the last one says goes to
+      // the caller.
+      if (ended.status == kStatusUnavailable && Relay(request)) return;
+      if (request->may_have_run || request->response_started) {
+        Fail(request, 502, ToString(ended.end));
+      } else {
+        Finish(request);
+      }
+      return;
+    case ForwardOutcome::kNotSent:
+    case ForwardOutcome::kConnectionLost:
+    case ForwardOutcome::kInvalidResponse:
+    case ForwardOutcome::kCancelled:
+      if (Relay(request)) return;
+      GiveUp(request, ended.end, ToString(ended.end));
+      return;
+  }
+}
+
+}  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -119,23 +119,38 @@
            },
            [](const auto&) {}, [] { return CallerLimits(); }}),
       admin_server_(loop, options_.admin_address, AdminHandlers()),
-      caller_server_(
-          loop, options_.caller_address,
-          {[this](const auto& caller, const HttpHead& head,
-                  const std::string& body) { OnRequest(caller, head, body); },
-           [this](const auto& caller) { OnCallerDisconnected(caller); },
-           [this] {
-             return node_.tables_index() == nullptr
-                        ? CallerLimits()
-                        : node_.tables_index()->tables().limits;
-           }}) {
+      caller_server_(loop, options_.caller_address, RequestHandlers(false)) {
   if (!options_.metrics_address.empty()) {
     metrics_server_.emplace(loop, options_.metrics_address, AdminHandlers());
   }
+  StartRelayServer();
   // The first event gives the node the wall-clock time.
   Submit(forward_event::Ticked{});
 }
 
+void ForwardService::StartRelayServer() {
+  // A node that can't relay still serves its own callers.
+  try {
+    relay_server_.emplace(loop_, options_.peer_address, RequestHandlers(true));
+  } catch (const std::exception& error) {
+    Log(LogLevel::kError, "relay_address_unavailable",
+        {{"address", options_.peer_address}, {"error", error.what()}});
+  }
+}
+
+CallerHandlers ForwardService::RequestHandlers(bool is_relayed) {
+  return {[this, is_relayed](const auto& caller, const HttpHead& head,
+                             const std::string& body) {
+            OnRequest(caller, head, body, is_relayed);
+          },
+          [this](const auto& caller) { OnCallerDisconnected(caller); },
+          [this] {
+            return node_.tables_index() == nullptr
+                       ? CallerLimits()
+                       : node_.tables_index()->tables().limits;
+          }};
+}
+
 CallerHandlers ForwardService::AdminHandlers() {
   return {[this](const auto& caller, const HttpHead& head, const std::string&) {
             OnAdminRequest(caller, head);
@@ -172,7 +187,8 @@
 // Callers.
 
 void ForwardService::OnRequest(const std::shared_ptr<CallerConnection>& caller,
-                               const HttpHead& head, const std::string& body) {
+                               const HttpHead& head, const std::string& body,
+                               bool is_relayed) {
   const ForwardId id = next_id_++;
   caller->request_id = id;
   Result<ForwardSpec> spec = codec_.decode_request(head);
@@ -186,6 +202,7 @@
                     ErrorOf(spec).message);
     return;
   }
+  Value(spec).is_relayed = is_relayed;
   Value(spec).content_fingerprint = ComputeFingerprint({head.target, body});
   exchange.spec = Value(spec);
   Submit(forward_event::RequestArrived{id, std::move(Value(spec))});
@@ -260,24 +277,28 @@
 
 // Attempts.
 
-void ForwardService::Execute(const forward_action::SendAttempt& send) {
-  Exchange* exchange = FindExchange(send.id);
-  if (exchange == nullptr) return;
-  const TimePoint now = BootClockNow();
+void ForwardService::ResetResponse(Exchange* exchange, RouteKind kind) {
   exchange->response_head = HttpHead();
   exchange->response_info = ResponseInfo();
   DiscardBufferedResponse(exchange);
   exchange->forwarding_events = false;
-  exchange->expects_stream = send.kind == RouteKind::kStreaming;
+  exchange->is_relayed_on = false;
+  exchange->expects_stream = kind == RouteKind::kStreaming;
   if (exchange->event_splitter.has_value()) {
     exchange->event_splitter->DropPartial();
   } else {
     exchange->event_splitter.emplace(exchange->spec.last_event_id);
   }
+}
+
+void ForwardService::Execute(const forward_action::SendAttempt& send) {
+  Exchange* exchange = FindExchange(send.id);
+  if (exchange == nullptr) return;
+  ResetResponse(exchange, send.kind);
   exchange->upstream_connection = upstream_pool_.Acquire(
       send.address,
       send.reuse_connection ? kMaxIdleForRetryable : kMaxIdleForNonIdempotent,
-      now);
+      BootClockNow());
   metrics_.IncrementCounter("attempts_total");
   if (send.previous_end.has_value()) {
     metrics_.IncrementCounter(
@@ -293,6 +314,32 @@
   }
 }
 
+void ForwardService::Execute(const forward_action::RelayRequest& relay) {
+  Exchange* exchange = FindExchange(relay.id);
+  if (exchange == nullptr) return;
+  const TimePoint now = BootClockNow();
+  ResetResponse(exchange, relay.kind);
+  exchange->is_relayed_on = true;
+  exchange->upstream_connection = upstream_pool_.Acquire(
+      relay.address,
+      relay.reuse_connection ? kMaxIdleForRetryable : kMaxIdleForNonIdempotent,
+      now);
+  metrics_.IncrementCounter("relays_total");
+  const std::vector<HttpField> fields = codec_.encode_relay(
+      exchange->request_head,
+      {relay.deadline - now, relay.last_event_id, relay.first_attempt});
+  StartExchange(relay.id, exchange, fields, relay.send_before);
+}
+
+void ForwardService::Execute(const forward_action::ProbeUpstream& probe) {
+  metrics_.IncrementCounter("upstream_probes_total");
+  ProbeConnect(loop_, probe.address, kConnectTimeout,
+               [this, upstream = probe.upstream](bool connected) {
+                 if (connected)
+                   Submit(forward_event::UpstreamReached{upstream});
+               });
+}
+
 void ForwardService::VerifyUpstream(const Exchange& exchange,
                                     const forward_action::SendAttempt& send) {
   metrics_.IncrementCounter("upstream_verifications_total");
@@ -341,13 +388,18 @@
 
 void ForwardService::StartAttempt(Exchange* exchange,
                                   const forward_action::SendAttempt& send) {
-  const ForwardId id = send.id;
-  exchange->connection_was_used =
-      exchange->upstream_connection->request_count() > 0;
   const Duration remaining = send.deadline - BootClockNow();
   const std::vector<HttpField> fields = codec_.encode_attempt(
       exchange->request_head, {send.upstream, send.customer, send.priority,
                                remaining, send.last_event_id});
+  StartExchange(send.id, exchange, fields, send.send_before);
+}
+
+void ForwardService::StartExchange(ForwardId id, Exchange* exchange,
+                                   const std::vector<HttpField>& fields,
+                                   TimePoint send_before) {
+  exchange->connection_was_used =
+      exchange->upstream_connection->request_count() > 0;
   ExchangeHandlers handlers;
   handlers.on_head = [this, id](const HttpHead& head) {
     return OnResponseHead(id, head);
@@ -361,7 +413,7 @@
   exchange->upstream_connection->Start(
       RenderRequest(exchange->request_head, fields, exchange->request_body),
       exchange->request_head.method, kConnectTimeout, std::move(handlers),
-      send.send_before);
+      send_before);
 }
 
 bool ForwardService::OnResponseHead(ForwardId id, const HttpHead& head) {
@@ -487,6 +539,15 @@
                                            ClientExchangeResult end) const {
   if (end == ClientExchangeResult::kNotSent) return ForwardOutcome::kNotSent;
   if (IsRefusal(exchange)) return ForwardOutcome::kRejected;
+  // Another node's own response says so by its status.
+  const bool is_complete_response =
+      end == ClientExchangeResult::kComplete ||
+      end == ClientExchangeResult::kCompleteAtClose;
+  if (exchange.is_relayed_on && is_complete_response &&
+      !exchange.response_info.is_signed &&
+      ImpliesNotRun(exchange.response_head.status)) {
+    return ForwardOutcome::kRejected;
+  }
   if (end == ClientExchangeResult::kConnectionLost)
     return ForwardOutcome::kConnectionLost;
   if (end == ClientExchangeResult::kInvalid)
@@ -654,6 +715,7 @@
   on_drained_ = std::move(on_drained);
   Submit(forward_event::DrainStarted{});
   caller_server_.CloseAfterResponses();
+  if (relay_server_.has_value()) relay_server_->CloseAfterResponses();
   ContinueDrain();
 }
 
@@ -663,10 +725,17 @@
   if (balancer_noticed) {
     caller_server_.StopAccepting();
     caller_server_.CloseIdleConnections();
+    if (relay_server_.has_value()) {
+      relay_server_->StopAccepting();
+      relay_server_->CloseIdleConnections();
+    }
   }
+  const std::size_t relay_connections =
+      relay_server_.has_value() ? relay_server_->CountOpenConnections() : 0;
   const bool timed_out = elapsed >= options_.node_options.drain_timeout;
-  if (timed_out || (balancer_noticed && exchanges_.empty() &&
-                    caller_server_.CountOpenConnections() == 0)) {
+  if (timed_out ||
+      (balancer_noticed && exchanges_.empty() &&
+       caller_server_.CountOpenConnections() == 0 && relay_connections == 0)) {
     on_drained_();
     return;
   }
--- a/src/libpollenledge/process/forward_upstream_signals.cc
+++ b/src/libpollenledge/process/forward_upstream_signals.cc
@@ -34,6 +34,7 @@
 void ForwardNode::On(const forward_event::ResponseHeadReceived& received) {
   Request* request = FindRequest(received.id);
   if (request == nullptr || request->current_upstream.empty()) return;
+  OnUpstreamContact(request->service);
   const UpstreamSignals& signals = received.signals;
   const UpstreamId upstream{request->current_upstream,
                             request->current_incarnation};
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -129,6 +129,15 @@
   return members;
 }
 
+std::vector<const MemberRecord*> Membership::LiveOthers(TimePoint now) const {
+  std::vector<const MemberRecord*> live;
+  for (const auto& [name, known] : others_) {
+    if (StatusOf(known, now) == MemberStatus::kAlive)
+      live.push_back(&known.record);
+  }
+  return live;
+}
+
 int Membership::AliveCount(TimePoint now) const {
   int count = 1;
   for (const auto& [name, known] : others_) {
--- a/src/libpollenledge/process/upstream_balancer.cc
+++ b/src/libpollenledge/process/upstream_balancer.cc
@@ -473,6 +473,25 @@
       }));
 }
 
+std::vector<ForwardUpstreamInfo> UpstreamBalancer::Usable(
+    const std::string& service) const {
+  std::vector<ForwardUpstreamInfo> usable;
+  for (const auto& [name, upstream] : upstreams_) {
+    if (upstream.info.service == service && IsUsable(upstream))
+      usable.push_back(upstream.info);
+  }
+  return usable;
+}
+
+void UpstreamBalancer::ClearBackoffs(const std::string& service,
+                                     TimePoint now) {
+  for (auto& [name, upstream] : upstreams_) {
+    if (upstream.info.service != service) continue;
+    upstream.backoff_until = std::min(upstream.backoff_until, now);
+    upstream.consecutive_rejections = 0;
+  }
+}
+
 void UpstreamBalancer::ApplyStatements(ForwardUpstream* upstream) const {
   const UpstreamId& id = upstream->info.id;
   const auto leaving = stated_leaving_.find(id.name);
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -81,9 +81,11 @@
   /// when the upstream begins to write the response.
   ForwardId SubmitRequest(std::size_t node, const std::string& route,
                           const std::string& content,
-                          const std::vector<std::uint64_t>& segments = {}) {
+                          const std::vector<std::uint64_t>& segments = {},
+                          bool is_relayed = false) {
     const ForwardId id = next_id_++;
     ForwardSpec spec;
+    spec.is_relayed = is_relayed;
     for (const std::uint64_t segment : segments) {
       spec.prompt_segments.push_back({segment, kSegmentTokens});
     }
@@ -365,7 +367,47 @@
       }
     });
   }
+  // Another node handles the request as a caller's and responds to this one.
+  void Execute(std::size_t node, const forward_action::RelayRequest& relay) {
+    const int number = ++attempt_number_;
+    attempts_[relay.id] = {node, "", number};
+    const std::size_t peer = std::stoul(relay.address);
+    const std::string route = routes_.at(relay.id);
+    const std::string content = contents_.at(relay.id);
+    ++log_line_counts["relay"];
+    Schedule(kMillisecond, [this, id = relay.id, number, peer, route, content] {
+      if (!IsRunning(id, number)) return;
+      relayed_from_[next_id_] = id;
+      SubmitRequest(peer, route, content, {}, true);
+    });
+  }
+  void Execute(std::size_t node, const forward_action::ProbeUpstream& probe) {
+    const auto index =
+        static_cast<std::size_t>(std::stoul(probe.upstream.name.substr(1)));
+    if (is_cut_from_upstream && is_cut_from_upstream(node, index)) return;
+    Schedule(kMillisecond, [this, node, upstream = probe.upstream] {
+      Submit(node, forward_event::UpstreamReached{upstream});
+    });
+  }
+  // Ends the attempt of the node that relayed a request.
+  bool EndRelay(ForwardId id, ForwardOutcome end, int status) {
+    const auto found = relayed_from_.find(id);
+    if (found == relayed_from_.end()) return false;
+    const ForwardId origin = found->second;
+    relayed_from_.erase(found);
+    Schedule(kMillisecond, [this, origin, end, status] {
+      const auto attempt = attempts_.find(origin);
+      if (attempt == attempts_.end()) return;
+      const std::size_t node = attempt->second.node;
+      attempts_.erase(attempt);
+      Submit(node, forward_event::AttemptEnded{origin, end, status, {}});
+    });
+    return true;
+  }
   void Execute(std::size_t, const forward_action::Reject& refuse) {
+    if (EndRelay(refuse.id, ForwardOutcome::kRejected,
+                 refuse.not_run.http_status))
+      return;
     ++response_counts["refused"];
     longest_wait_of_rejected = std::max<Duration>(
         longest_wait_of_rejected, now_ - submitted_at_.at(refuse.id));
@@ -376,10 +418,12 @@
     }
   }
   void Execute(std::size_t, const forward_action::Fail& fail) {
+    if (EndRelay(fail.id, ForwardOutcome::kFailed, fail.status)) return;
     ++response_counts["failed"];
     responses[fail.id] = "failed";
   }
   void Execute(std::size_t, const forward_action::DeliverResponse& deliver) {
+    if (EndRelay(deliver.id, ForwardOutcome::kCompleted, 200)) return;
     ++response_counts["delivered"];
     responses[deliver.id] = "delivered";
   }
@@ -488,6 +532,8 @@
   std::map<ForwardId, Attempt> attempts_;
   std::map<ForwardId, std::string> contents_;
   std::map<ForwardId, std::string> routes_;
+  // The request that another node relayed, by that of the receiving node.
+  std::map<ForwardId, ForwardId> relayed_from_;
   std::map<ForwardId, TimePoint> submitted_at_;
   std::map<ForwardId, bool> crashes_on_start_;
   // By request or prompt segment and crash.
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -200,6 +200,30 @@
   return fields;
 }
 
+std::vector<HttpField> EncodeRelay(const HttpHead& request,
+                                   const RelayFields& relay) {
+  constexpr std::array<const char*, 3> kReplaced = {
+      kRemainingTime, kLastEventId, kFirstAttempt};
+  const std::string* connection = request.Find("Connection");
+  const std::string_view connection_value =
+      connection == nullptr ? std::string_view() : *connection;
+  std::vector<HttpField> fields;
+  for (const HttpField& field : request.fields) {
+    const bool is_kept = IsOneOf(field.name, kAlwaysForwarded) ||
+                         EqualsIgnoreCase(field.name, kApiKey) ||
+                         !IsHopByHop(field.name, connection_value);
+    if (is_kept && !IsOneOf(field.name, kReplaced)) fields.push_back(field);
+  }
+  const std::int64_t remaining_ms =
+      std::max<std::int64_t>(1, relay.time_left.count() / 1000);
+  fields.push_back({kRemainingTime, std::to_string(remaining_ms)});
+  if (relay.last_event_id.has_value())
+    fields.push_back({kLastEventId, std::to_string(*relay.last_event_id)});
+  if (!relay.first_attempt.empty())
+    fields.push_back({kFirstAttempt, relay.first_attempt});
+  return fields;
+}
+
 /// Decodes `running,waiting,slots[,work_percent[,...]]`. Only some services
 /// report `work_percent`, how long work takes now in percent of the usual time.
 /// Further values, as later versions may add, are ignored.
@@ -301,7 +325,7 @@
 }  // namespace
 
 ForwardingCodec PlatformHeaderCodec() {
-  return {DecodeRequest,     EncodeAttempt,   DecodeResponse,
+  return {DecodeRequest,     EncodeAttempt,   EncodeRelay,      DecodeResponse,
           EncodeOwnResponse, kUpstreamReport, DecodeIncarnation};
 }
 
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -31,6 +31,18 @@
         return probe.getsockname()[1]
 
 
+def free_peer_port():
+    """A port that is free for both TCP and UDP."""
+    while True:
+        port = free_port(socket.SOCK_DGRAM)
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            try:
+                probe.bind(("0.0.0.0", port))
+                return port
+            except OSError:
+                continue
+
+
 class Server(ThreadingHTTPServer):
     """An HTTP server that does not report connections lost to killed clients."""
 
@@ -725,7 +737,7 @@
         self.store.put("servers/garbage", b"\xff\xfe not json")
         self.runners = [Runner(f"i-{i}", self.store) for i in range(self.runner_count)]
         hosts = [f"127.0.0.{i + 1}" for i in range(self.node_count)]
-        peer_port = free_port(socket.SOCK_DGRAM)
+        peer_port = free_peer_port()
         self.nodes = [Node(f"n{i + 1}", host, peer_port, hosts[:3], self.store, self.cloud)
                       for i, host in enumerate(hosts)]
         self.wait_until(lambda: all(node.readiness_status() == 200 for node in self.nodes))
