--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -389,6 +389,9 @@
 
   // What upstreams state about themselves.
   void ApplyLeaving(const UpstreamId& upstream, const std::string& source);
+  /// An upstream of the request's service states that too many rejections make
+  /// it fail.
+  void ApplyBrittleness(const Request& request, const UpstreamSignals& signals);
   void ApplyPause(const UpstreamId& upstream, Duration pause,
                   const Request& request);
   /// Adds to `heartbeat` what peers are told of the upstreams' statements.
@@ -464,6 +467,8 @@
   void SendHeartbeats();
   TimePoint NextHeartbeatTime(TimePoint now) const;
   void UpdateLimits();
+  /// Updates among which nodes brittle upstreams are shared.
+  void ShareUpstreams();
   /// Returns the load reports received since the last ones were sent to peers.
   std::vector<UpstreamLoadReport> NewLoadReports();
   /// Returns the collectors as this node sees them; it may be among them.
@@ -543,6 +548,7 @@
   LimitBuckets limits_;
   /// Minimum number of nodes among which limits and retries are shared.
   int min_node_count_;
+  int fleet_size_ = 0;  ///< As last read from the store.
   TimePoint limits_updated_at_;
   TimePoint loads_reported_at_;
   CollectorSelector collectors_;
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -254,6 +254,9 @@
   /// processor time come first. Nodes that are draining are left out.
   std::vector<const MemberRecord*> PreferredMembers(std::size_t count,
                                                     TimePoint now) const;
+  /// Returns the names of the known nodes that have not left, including this
+  /// one, in order.
+  std::vector<std::string> KnownNames() const;
   /// Returns the other live nodes, by name.
   std::vector<const MemberRecord*> LiveOthers(TimePoint now) const;
   /// Returns the number of live nodes, including this one.
--- a/src/include/pollenledge/process/upstream_balancer.h
+++ b/src/include/pollenledge/process/upstream_balancer.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pollenledge/process/membership.h"
@@ -94,10 +95,30 @@
 /// wait in an overloaded upstream thus waits here, where it is ordered by rank
 /// and can be rejected.
 ///
+/// While the upstreams of a service state that they are brittle, so that a
+/// second with too many rejections makes them fail, each node uses a fixed part
+/// of each upstream's slots. The parts of all nodes together leave some free,
+/// so that no upstream needs to reject, however old the nodes' load reports are
+/// and whatever comes at once.
+///
 /// Not thread-safe. Memory grows with the number of upstreams.
 class UpstreamBalancer {
  public:
-  explicit UpstreamBalancer(std::uint64_t seed) : random_(seed) {}
+  /// Time for which a service counts as brittle after an upstream stated it.
+  static constexpr Duration kBrittleTime = std::chrono::seconds(5);
+
+  /// `node` is the name of this node.
+  explicit UpstreamBalancer(std::uint64_t seed, std::string node = "")
+      : random_(seed), node_(std::move(node)) {}
+
+  /// Sets the names of the nodes that use the upstreams, including this one's,
+  /// in order, and how many there are if some are not known.
+  void SetNodes(std::vector<std::string> names, int count);
+  int node_count() const { return node_count_; }
+  /// Records that an upstream of `service` stated that it is brittle. Returns
+  /// true if the service did not count as brittle before.
+  bool OnBrittle(const std::string& service, TimePoint now);
+  bool IsBrittle(const std::string& service, TimePoint now) const;
 
   /// Applies a newer list. Returns the names of the upstreams that left the
   /// list or started to leave.
@@ -175,6 +196,12 @@
   }
 
  private:
+  /// Returns the number of requests that this node may have running on an
+  /// upstream of a brittle service.
+  int BrittleLimit(const ForwardUpstream& upstream);
+  /// Returns the number of the known nodes that come before this one in the
+  /// order in which the slots of `upstream` are given out.
+  std::size_t RankAt(const std::string& upstream) const;
   /// Returns the upstreams that match the criteria, have capacity and are not
   /// skipped after failures.
   std::vector<ForwardUpstream*> Candidates(const UpstreamCriteria& criteria,
@@ -223,6 +250,11 @@
   std::map<std::string, std::uint64_t> stated_leaving_;
   std::map<std::string, Pause> pauses_;  ///< By upstream name, likewise.
   std::mt19937_64 random_;
+  std::string node_;
+  std::vector<std::string> nodes_;
+  int node_count_ = 1;
+  std::map<std::string, std::size_t> ranks_;  ///< By upstream, see `RankAt`.
+  std::map<std::string, TimePoint> brittle_until_;  ///< By service.
 };
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/request/upstream_signals.h
+++ b/src/include/pollenledge/request/upstream_signals.h
@@ -18,6 +18,11 @@
   /// A limit was stated in a form that could not be parsed. Nothing is then
   /// known about the limit.
   bool limit_is_unreadable = false;
+  /// Rejections per second, for want of room, that the upstream survives.
+  /// Unset: it survives any number.
+  std::optional<double> max_rejections_per_s;
+  /// Such a number was stated in a form that could not be parsed.
+  bool max_rejections_is_unreadable = false;
   /// The upstream stops soon; this is final for its incarnation.
   bool leaving = false;
   /// The upstream wants no requests from this node for so long. Only stated
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -78,7 +78,7 @@
 ForwardNode::ForwardNode(ForwardNodeOptions options)
     : options_(std::move(options)),
       random_(options_.random_seed),
-      upstreams_(options_.random_seed + 1),
+      upstreams_(options_.random_seed + 1, options_.self.id.name),
       membership_(options_.self, options_.seeds, options_.random_seed + 2,
                   kHeartbeatOptions),
       limits_({.min_nodes = kMinNodeCount}),
@@ -352,6 +352,7 @@
 }
 
 void ForwardNode::On(const forward_event::FleetSizeRead& read) {
+  fleet_size_ = read.nodes;
   min_node_count_ = std::max(kMinNodeCount, read.nodes);
   limits_.SetMinNodes(min_node_count_);
   UpdateLimits();
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -407,6 +407,16 @@
   LogOverdrawnLimits();
   const int nodes = std::max(min_node_count_, node_count);
   retry_budget_.SetMaxBalance(options_.retry_slack / nodes);
+  ShareUpstreams();
+}
+
+void ForwardNode::ShareUpstreams() {
+  std::vector<std::string> names = membership_.KnownNames();
+  const int known = static_cast<int>(names.size());
+  // A node that has just started may know few of the others.
+  const int least =
+      membership_.IsJoining(now()) ? min_node_count_ : fleet_size_;
+  upstreams_.SetNodes(std::move(names), std::max(known, least));
 }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -451,6 +451,9 @@
     report("loads_unreadable_total", "load_unreadable");
   if (signals.limit_is_unreadable)
     report("upstream_limits_unreadable_total", "upstream_limit_unreadable");
+  if (signals.max_rejections_is_unreadable)
+    report("upstream_rejections_unreadable_total",
+           "upstream_max_rejections_unreadable");
   if (signals.retry_after_is_unreadable)
     report("upstream_pauses_unreadable_total", "upstream_pause_unreadable");
 }
--- a/src/libpollenledge/process/forward_upstream_signals.cc
+++ b/src/libpollenledge/process/forward_upstream_signals.cc
@@ -38,6 +38,10 @@
   const UpstreamSignals& signals = received.signals;
   const UpstreamId upstream{request->current_upstream,
                             request->current_incarnation};
+  // A number that can't be read still says that the upstream fails.
+  if (signals.max_rejections_per_s.has_value() ||
+      signals.max_rejections_is_unreadable)
+    ApplyBrittleness(*request, signals);
   if (signals.leaving) ApplyLeaving(upstream, request->spec.trace_id);
   if (signals.retry_after.has_value())
     ApplyPause(upstream, *signals.retry_after, *request);
@@ -60,6 +64,18 @@
   BroadcastUpstreamStatements();
 }
 
+void ForwardNode::ApplyBrittleness(const Request& request,
+                                   const UpstreamSignals& signals) {
+  if (!upstreams_.OnBrittle(request.service, now())) return;
+  LogRequest(LogLevel::kInfo, "upstreams_brittle", request,
+             {{"upstream", request.current_upstream},
+              {"max_rejections_per_s",
+               signals.max_rejections_per_s.has_value()
+                   ? std::to_string(*signals.max_rejections_per_s)
+                   : "unreadable"},
+              {"nodes", std::to_string(upstreams_.node_count())}});
+}
+
 void ForwardNode::ApplyPause(const UpstreamId& upstream, Duration pause,
                              const Request& request) {
   upstreams_.OnPauseRequested(upstream, now() + pause, now());
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -129,6 +129,15 @@
   return members;
 }
 
+std::vector<std::string> Membership::KnownNames() const {
+  std::vector<std::string> names = {self_.id.name};
+  for (const auto& [name, known] : others_) {
+    if (!known.record.left) names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
 std::vector<const MemberRecord*> Membership::LiveOthers(TimePoint now) const {
   std::vector<const MemberRecord*> live;
   for (const auto& [name, known] : others_) {
--- a/src/libpollenledge/process/upstream_balancer.cc
+++ b/src/libpollenledge/process/upstream_balancer.cc
@@ -61,6 +61,9 @@
 /// request without waiting for a round trip.
 constexpr double kMaxRequestsPerSlot = 1.1;
 
+/// Share of a brittle upstream's slots that all nodes together use.
+constexpr double kBrittleSlotShare = 0.8;
+
 double DecayedErrorRate(const ForwardUpstream& upstream, TimePoint now) {
   const double halvings = ToSeconds(now - upstream.error_rate_updated_at) /
                           ToSeconds(kErrorRateHalfLife);
@@ -167,6 +170,7 @@
 std::vector<ForwardUpstream*> UpstreamBalancer::Candidates(
     const UpstreamCriteria& criteria, TimePoint now) {
   std::vector<ForwardUpstream*> usable;
+  const bool is_brittle = IsBrittle(criteria.service, now);
   for (auto& [name, upstream] : upstreams_) {
     if (upstream.info.service != criteria.service) continue;
     if (!MatchesVersion(upstream, criteria)) continue;
@@ -174,6 +178,7 @@
         std::max(upstream.backoff_until, upstream.paused_until);
     if (!IsUsable(upstream) || now < usable_from) continue;
     if (!upstream.HasCapacity(now)) continue;
+    if (is_brittle && upstream.in_flight >= BrittleLimit(upstream)) continue;
     if (std::find(criteria.exclude.begin(), criteria.exclude.end(), name) !=
         criteria.exclude.end()) {
       continue;
@@ -359,8 +364,13 @@
     case ForwardOutcome::kCancelled:
       break;
     case ForwardOutcome::kNotSent:
+      StartBackoff(upstream, now);
+      break;
     case ForwardOutcome::kRejected:
       StartBackoff(upstream, now);
+      // One rejection of each node in a second is already much.
+      if (IsBrittle(upstream->info.service, now))
+        upstream->backoff_until = now + kMaxBackoff;
       break;
     case ForwardOutcome::kFailed:
     case ForwardOutcome::kConnectionLost:
@@ -461,6 +471,48 @@
       now + std::min<Duration>(kInitialBackoff * (1 << doublings), kMaxBackoff);
 }
 
+bool UpstreamBalancer::OnBrittle(const std::string& service, TimePoint now) {
+  const bool is_new = !IsBrittle(service, now);
+  brittle_until_[service] = now + kBrittleTime;
+  return is_new;
+}
+
+bool UpstreamBalancer::IsBrittle(const std::string& service,
+                                 TimePoint now) const {
+  const auto found = brittle_until_.find(service);
+  return found != brittle_until_.end() && now < found->second;
+}
+
+void UpstreamBalancer::SetNodes(std::vector<std::string> names, int count) {
+  node_count_ = std::max(count, static_cast<int>(names.size()));
+  if (names == nodes_) return;
+  nodes_ = std::move(names);
+  ranks_.clear();
+}
+
+std::size_t UpstreamBalancer::RankAt(const std::string& upstream) const {
+  const std::uint64_t seed = XXH64(upstream.data(), upstream.size(), 0);
+  const std::uint64_t own = RendezvousWeight(node_, seed);
+  return static_cast<std::size_t>(
+      std::count_if(nodes_.begin(), nodes_.end(), [&](const std::string& name) {
+        return RendezvousWeight(name, seed) < own;
+      }));
+}
+
+int UpstreamBalancer::BrittleLimit(const ForwardUpstream& upstream) {
+  const int slots = static_cast<int>(kBrittleSlotShare * upstream.info.slots);
+  const int nodes = std::max(1, node_count_);
+  const std::string& name = upstream.info.id.name;
+  const auto [rank, is_new] = ranks_.try_emplace(name, 0);
+  if (is_new) rank->second = RankAt(name);
+  // The known nodes stand for all: the rest of the slots goes to as large a
+  // part of them.
+  const std::size_t rest = static_cast<std::size_t>(slots % nodes) *
+                           std::max<std::size_t>(1, nodes_.size()) /
+                           static_cast<std::size_t>(nodes);
+  return slots / nodes + (rank->second < rest ? 1 : 0);
+}
+
 int UpstreamBalancer::UsableCount(
     const std::string& service,
     const std::optional<std::string>& software_version) const {
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -150,6 +151,13 @@
     upstreams_[upstream].requests_per_s = requests_per_s;
   }
 
+  /// Makes all upstreams brittle: from now on each rejects requests beyond its
+  /// slots, states `max_rejections_per_s`, and crashes if it has to reject more
+  /// than that in a second.
+  void MakeBrittle(int max_rejections_per_s) {
+    max_rejections_per_s_ = max_rejections_per_s;
+  }
+
   /// Sets the number of requests that each upstream runs concurrently.
   void SetSlots(int slots) {
     slots_ = slots;
@@ -223,6 +231,8 @@
   // Times of the first attempts and of the retries.
   std::vector<TimePoint> first_send_times;
   std::vector<TimePoint> retry_times;
+  // Crashes of brittle upstreams that had to reject too much.
+  int brittle_crashes = 0;
   // Whether upstreams fail every attempt.
   bool upstreams_fail = false;
   // Probability that a heartbeat datagram is lost.
@@ -243,12 +253,14 @@
     TimePoint down_until;
     std::optional<double> requests_per_s;  // The limit that it states.
     std::vector<Arrival> arrivals;
+    std::deque<TimePoint> rejections;          // Of the last second.
     std::map<std::size_t, TimePoint> told_at;  // By node, of this limit.
   };
   struct Attempt {
     std::size_t node = 0;
     std::string upstream;
     int number = 0;  // Unique over the fleet; a retry gets a new one.
+    bool has_arrived = false;
   };
 
   struct PersistedCrash {
@@ -341,10 +353,14 @@
     Schedule(kMillisecond, [this, id = send.id, number, index] {
       if (!IsRunning(id, number)) return;
       RecordArrival(attempts_.at(id).node, index);
+      attempts_.at(id).has_arrived = true;
       if (now_ < upstreams_[index].down_until) {
         EndAttempt(id, ForwardOutcome::kNotSent);
       } else if (upstreams_fail) {
         EndAttempt(id, ForwardOutcome::kFailed);
+      } else if (max_rejections_per_s_.has_value() &&
+                 RunningAt(index) > slots_) {
+        RejectForWantOfRoom(id, index);
       } else if (contents_[id] == kCrashingContent) {
         crash_times.push_back(now_);
         CrashUpstream(index);
@@ -475,6 +491,29 @@
     });
   }
 
+  // The number of attempts that an upstream has, with the newest one.
+  int RunningAt(std::size_t index) const {
+    return static_cast<int>(std::count_if(
+        attempts_.begin(), attempts_.end(), [&](const auto& entry) {
+          return entry.second.upstream == upstreams_[index].name &&
+                 entry.second.has_arrived;
+        }));
+  }
+
+  void RejectForWantOfRoom(ForwardId id, std::size_t index) {
+    std::deque<TimePoint>& rejections = upstreams_[index].rejections;
+    rejections.push_back(now_);
+    while (now_ - rejections.front() >= kSecond) rejections.pop_front();
+    SubmitHead(id);
+    if (static_cast<int>(rejections.size()) <= *max_rejections_per_s_) {
+      EndAttempt(id, ForwardOutcome::kRejected);
+      return;
+    }
+    rejections.clear();
+    ++brittle_crashes;
+    CrashUpstream(index);
+  }
+
   void RecordArrival(std::size_t node, std::size_t upstream_index) {
     FakeUpstream& upstream = upstreams_[upstream_index];
     const auto told = upstream.told_at.find(node);
@@ -490,6 +529,8 @@
         std::stoul(attempt.upstream.substr(1)))];
     UpstreamSignals signals;
     signals.max_requests_per_s = upstream.requests_per_s;
+    if (max_rejections_per_s_.has_value())
+      signals.max_rejections_per_s = *max_rejections_per_s_;
     if (signals.max_requests_per_s.has_value()) {
       upstream.told_at.try_emplace(attempt.node, now_);
     } else {
@@ -524,6 +565,7 @@
   double retry_slack_;
   double limit_per_s_;
   int slots_ = 64;
+  std::optional<int> max_rejections_per_s_;
   std::uint64_t incarnation_ = 0;
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<ForwardNode>> nodes_;
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -37,6 +37,8 @@
 constexpr char kLoad[] = "Server-Load";
 // Requests per second that the upstream accepts from all nodes together.
 constexpr char kRateLimit[] = "Server-Limit";
+// Rejections per second, over all nodes, above which the upstream fails.
+constexpr char kBrittle[] = "Server-Brittle";
 // The upstream stops soon.
 constexpr char kLeaving[] = "Server-Leaving";
 // With a rejection: seconds for which the upstream wants no requests from here.
@@ -282,6 +284,12 @@
     if (EqualsIgnoreCase(field.name, kRateLimit))
       DecodeRateLimit(field.value, &signals);
   }
+  if (const std::string* brittle = response.Find(kBrittle)) {
+    signals.max_rejections_per_s = ParseDecimal(*brittle);
+    signals.max_rejections_is_unreadable =
+        !signals.max_rejections_per_s.has_value() ||
+        *signals.max_rejections_per_s < 0;
+  }
   const std::string* leaving = response.Find(kLeaving);
   signals.leaving = leaving != nullptr && *leaving == "1";
   const std::string* retry_after = response.Find(kRetryAfter);
--- a/src/platform/platform_test.cc
+++ b/src/platform/platform_test.cc
@@ -63,6 +63,45 @@
   }
 }
 
+TEST(PlatformHeaders, DecodesHowManyRejectionsAnUpstreamSurvives) {
+  const auto decode = [](const std::string& text) {
+    HttpHead head;
+    head.status = 200;
+    if (text != "none") head.fields = {{"Server-Brittle", text}};
+    return PlatformHeaderCodec().decode_response(head).signals;
+  };
+  EXPECT_EQ(decode("6").max_rejections_per_s, 6);
+  EXPECT_FALSE(decode("6").max_rejections_is_unreadable);
+  EXPECT_EQ(decode("none").max_rejections_per_s, std::nullopt);
+  for (const char* text : {"", "x", "-1", "nan", "1e999"}) {
+    EXPECT_TRUE(decode(text).max_rejections_is_unreadable) << text;
+  }
+}
+
+// A relayed request must reach the other node as its caller sent it, but with
+// the time that is left and the point to resume at.
+TEST(PlatformHeaders, EncodesARequestForAnotherNode) {
+  HttpHead head;
+  head.fields = {{"Host", "h"},
+                 {"Api-Key", "k"},
+                 {"Attempt-Id", "a"},
+                 {"Deadline-Ms", "9000"},
+                 {"Connection", "X-A, Api-Key"},
+                 {"X-A", "1"},
+                 {"Tenant", "other"}};
+  const std::vector<HttpField> fields = PlatformHeaderCodec().encode_relay(
+      head, {std::chrono::milliseconds(1500), 7, "first"});
+  const std::vector<std::pair<std::string, std::string>> expected = {
+      {"Host", "h"},       {"Api-Key", "k"},        {"Attempt-Id", "a"},
+      {"Tenant", "other"}, {"Deadline-Ms", "1500"}, {"Last-Event-Id", "7"},
+      {"Resumes", "first"}};
+  ASSERT_EQ(fields.size(), expected.size());
+  for (std::size_t i = 0; i < fields.size(); ++i) {
+    EXPECT_EQ(fields[i].name, expected[i].first);
+    EXPECT_EQ(fields[i].value, expected[i].second);
+  }
+}
+
 TEST(PlatformHeaders, DecodesTheIncarnationOfAReport) {
   const auto decode = PlatformHeaderCodec().decode_incarnation;
   EXPECT_EQ(decode(R"({"busy":false,"born":1772393587012})"), 1772393587012U);
