--- a/src/platform/platform_decode.cc
+++ b/src/platform/platform_decode.cc
@@ -1,5 +1,6 @@
 #include "platform/platform_decode.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
@@ -11,6 +12,9 @@
 
 using Json = nlohmann::json;
 
+/// Far more than any upstream has.
+constexpr std::uint64_t kMaxSlots = 1'000'000;
+
 Duration ReadMilliseconds(const Json& json, const char* name, double fallback) {
   return FromMilliseconds(json.value(name, fallback));
 }
@@ -124,6 +128,19 @@
   return customer;
 }
 
+/// Returns the whole number `name` of `json`, or `fallback` if there is none.
+/// Throws if it is of another type or greater than `max`.
+std::uint64_t ReadWholeNumber(const Json& json, const char* name,
+                              std::uint64_t fallback, std::uint64_t max) {
+  const auto field = json.find(name);
+  if (field == json.end()) return fallback;
+  if (!field->is_number_unsigned() || field->get<std::uint64_t>() > max) {
+    throw std::invalid_argument(std::string(name) +
+                                " is not a whole number in its range");
+  }
+  return field->get<std::uint64_t>();
+}
+
 /// "version" is that of the software, not of the model's weights. Returns an
 /// empty string if there is none; throws if it is neither text nor an integer.
 std::string ParseSoftwareVersion(const Json& upstream) {
@@ -177,13 +194,15 @@
     ForwardUpstreamInfo info;
     info.id.name = entry.key.substr(std::string(kUpstreamKeyPrefix).size());
     // "born" is the time at which this incarnation of the upstream started.
-    info.id.incarnation = json.value("born", std::uint64_t{0});
+    info.id.incarnation = ReadWholeNumber(
+        json, "born", 0, std::numeric_limits<std::uint64_t>::max());
     info.address = json.at("address").get<std::string>();
     info.service = json.at("service").get<std::string>();
     // The platform calls a failure domain "zone".
     info.domain = json.at("zone").get<std::string>();
     info.software_version = ParseSoftwareVersion(json);
-    info.slots = json.value("batch_slots", 1);
+    info.slots =
+        static_cast<int>(ReadWholeNumber(json, "batch_slots", 1, kMaxSlots));
     const auto state = json.at("state").get<std::string>();
     if (state != "ready" && state != "draining") {
       throw std::invalid_argument("state \"" + state + "\" is unknown");
--- a/src/platform/platform_test.cc
+++ b/src/platform/platform_test.cc
@@ -63,7 +63,7 @@
   }
 }
 
-TEST(PlatformHeaders, DecodesHowManyRejectionsAnUpstreamSurvives) {
+TEST(PlatformHeadersTest, DecodesHowManyRejectionsAnUpstreamSurvives) {
   const auto decode = [](const std::string& text) {
     HttpHead head;
     head.status = 200;
@@ -80,7 +80,7 @@
 
 // A relayed request must reach the other node as its caller sent it, but with
 // the time that is left and the point to resume at.
-TEST(PlatformHeaders, EncodesARequestForAnotherNode) {
+TEST(PlatformHeadersTest, EncodesARequestForAnotherNode) {
   HttpHead head;
   head.fields = {{"Host", "h"},
                  {"Api-Key", "k"},
@@ -102,7 +102,7 @@
   }
 }
 
-TEST(PlatformHeaders, DecodesTheIncarnationOfAReport) {
+TEST(PlatformHeadersTest, DecodesTheIncarnationOfAReport) {
   const auto decode = PlatformHeaderCodec().decode_incarnation;
   EXPECT_EQ(decode(R"({"busy":false,"born":1772393587012})"), 1772393587012U);
   for (const char* report :
@@ -111,7 +111,7 @@
   }
 }
 
-TEST(PlatformHeaders, DecodesWhichAttemptBeganAStream) {
+TEST(PlatformHeadersTest, DecodesWhichAttemptBeganAStream) {
   HttpHead head;
   head.fields = {{"Attempt-Id", "b"}, {"Last-Event-Id", "7"}, {"Resumes", "a"}};
   const Result<ForwardSpec> spec = PlatformHeaderCodec().decode_request(head);
@@ -120,6 +120,50 @@
   EXPECT_EQ(Value(spec).last_event_id, 7);
 }
 
+// Guards against an odd entry of another writer that ends the process or is
+// used as an upstream.
+TEST(PlatformDecode, OddEntriesOfOtherWritersAreErrors) {
+  constexpr std::size_t kMaxValueBytes = 1048576;
+  constexpr std::size_t kDepth = 30'000;
+  const std::string valid =
+      R"("service":"s","zone":"z","state":"ready","address":"10.0.0.1:80")";
+  const auto with = [&valid](const std::string& field) {
+    return "{" + valid + "," + field + "}";
+  };
+  const std::vector<std::string> odd = {
+      std::string(kDepth, '[') + std::string(kDepth, ']'),
+      std::string(kMaxValueBytes, '['),
+      std::string(kMaxValueBytes, '\xff'),
+      with("\"x\":" + std::string(kDepth, '[')),
+      with(R"("batch_slots":1e400)"),
+      with(R"("batch_slots":)" + std::string(400, '9')),
+      with(R"("batch_slots":"8")"),
+      with(R"("born":-1e300)"),
+      with(R"("born":"now")"),
+      with(R"("born":1180591620717411303424)"),
+      with(R"("born":1.5)"),
+      with(R"("batch_slots":-8)"),
+      with(R"("batch_slots":4294967296)"),
+      with(R"("warmup_left_ms":[])"),
+      R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.1:-1"})",
+      R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.1:0"})",
+      R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.1:99999"})",
+      R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.1:4294967376"})",
+      R"({"service":"s","zone":"z","state":"ready","address":"host:80"})",
+      R"({"service":"s","zone":"z","state":"ready","address":80})",
+      R"({"service":"s","zone":"z","state":"odd","address":"10.0.0.1:80"})",
+  };
+  for (const std::string& text : odd) {
+    EXPECT_FALSE(Ok(DecodeUpstream({"servers/i-1", text, 3})))
+        << text.substr(0, 200);
+  }
+  EXPECT_TRUE(Ok(DecodeUpstream({"servers/i-1", "{" + valid + "}", 3})));
+  // The same forms as the operator's configuration.
+  for (const std::string& text : odd) {
+    EXPECT_FALSE(Ok(DecodeTables(text))) << text.substr(0, 200);
+  }
+}
+
 TEST(PlatformDecode, MalformedDocumentsReturnErrors) {
   EXPECT_FALSE(Ok(DecodeTables("{")));
   EXPECT_FALSE(Ok(DecodeTables(R"({"version":"x","routes":[]})")));
