--- a/src/libpollenledge/process/forward_brittle_test.cc
+++ b/src/libpollenledge/process/forward_brittle_test.cc
@@ -44,8 +44,7 @@
   EXPECT_GT(fleet.response_counts["delivered"], 1800);
 }
 
-INSTANTIATE_TEST_SUITE_P(Nodes, BrittleUpstreams,
-                         ::testing::Values(6, 24, 91));
+INSTANTIATE_TEST_SUITE_P(Nodes, BrittleUpstreams, ::testing::Values(6, 24, 91));
 
 // Guards against a limit that outlives the statement.
 TEST(BrittleUpstream, IsUsedFullyAgainAfterwards) {
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -438,6 +438,20 @@
         connection.sendall(b"0\r\n\r\n")
         return True
 
+    def sleep(self, connection, attempt, seconds):
+        time.sleep(seconds)
+        connection.sendall(self.complete_response(attempt))
+        return True
+
+    def do_sleep600(self, connection, attempt):
+        return self.sleep(connection, attempt, 0.6)
+
+    def do_sleep1500(self, connection, attempt):
+        return self.sleep(connection, attempt, 1.5)
+
+    def do_sleep3000(self, connection, attempt):
+        return self.sleep(connection, attempt, 3.0)
+
     # Closes the connection without a response.
     def do_cut(self, connection, attempt):
         return False
