Records of streams are written together; an upstream without a version makes no service mixed

And an entry of another writer that lacks its version, with all else in order, counted as a version of its own: the service became mixed, and each take-up would have needed a record.

Ruled out: to take such an entry for malformed. Deployments whose upstreams state no version at all have to be served.

Change: a node writes records each 100 ms, or when 32 wait. Where upstreams of a service state versions, one that doesn't gets no streams that can be resumed.

Figures: RecordsOfManyNodesAreWrittenTogether, 20 records of as many nodes: 20 calls before, 2 after.

--- a/src/include/pollenledge/process/stream_record_sync.h
+++ b/src/include/pollenledge/process/stream_record_sync.h
@@ -29,6 +29,9 @@
  public:
   /// Time before a failed call is repeated.
   static constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
+  /// Time between two writes of records of streams, unless a whole call's worth
+  /// of them waits: a collector gets a few from each of many nodes.
+  static constexpr Duration kMinWriteInterval = std::chrono::milliseconds(100);
   /// Maximum number of records of streams that wait to be written. If there are
   /// more, the oldest are dropped.
   static constexpr std::size_t kMaxPendingRecords = 20'000;
@@ -69,8 +72,8 @@
   void WritePending();
   void GrantLease();
   void OnRecordsWritten(std::size_t count, const Result<KvTxnReply>& reply);
-  void RetryLater(boost::asio::steady_timer* timer,
-                  void (StreamRecordSync::*retry)());
+  void RunLater(boost::asio::steady_timer* timer, Duration delay,
+                void (StreamRecordSync::*next)());
 
   AsyncStore* store_;
   std::string version_prefix_;
@@ -82,7 +85,7 @@
   bool updating_versions_ = false;
   bool streams_lost_ = false;
   std::deque<StreamRecord> pending_;
-  bool writing_streams_ = false;  ///< A call or a retry is pending.
+  bool writing_streams_ = false;  ///< A call or a later one is pending.
   std::int64_t lease_ = 0;        ///< Of new records of streams; 0: none.
   TimePoint lease_granted_at_;
 };
--- a/src/include/pollenledge/process/stream_versions.h
+++ b/src/include/pollenledge/process/stream_versions.h
@@ -41,7 +41,9 @@
 
   // Versions.
 
-  /// Applies a list of upstreams. Returns the services that became mixed.
+  /// Applies a list of upstreams. Returns the services that became mixed. An
+  /// upstream that states no version while others of its service do counts as
+  /// none: it gets no streams that can be resumed, see `StatesVersions`.
   std::set<std::string> OnListed(const std::vector<ForwardUpstreamInfo>& list,
                                  TimePoint now);
   /// Replaces the set of versions that the store has a record of. Returns the
@@ -59,6 +61,8 @@
   bool IsMixed(const std::string& service, TimePoint now) const {
     return !OnlyVersion(service, now).has_value();
   }
+  /// True if upstreams of `service` state versions.
+  bool StatesVersions(const std::string& service) const;
   /// True if the store has a record of this version.
   bool IsRecorded(const StreamBinding& version) const;
   /// Returns the listed versions of these services that have no record yet;
--- a/src/libpollenledge/process/forward_streams.cc
+++ b/src/libpollenledge/process/forward_streams.cc
@@ -173,6 +173,8 @@
   if (!request.stream.has_value()) return;
   query->software_version = RequiredVersion(request);
   if (request.binding.has_value()) return;
+  if (stream_versions_.StatesVersions(request.service))
+    query->exclude_versions.push_back("");
   std::vector<std::string> unrecorded;
   int unrecorded_upstreams = 0;
   for (const StreamBinding& version :
@@ -181,8 +183,11 @@
     unrecorded_upstreams +=
         upstreams_.UsableCount(request.service, version.software_version);
   }
-  if (unrecorded_upstreams < upstreams_.UsableCount(request.service))
-    query->exclude_versions = std::move(unrecorded);
+  if (unrecorded.empty() ||
+      unrecorded_upstreams == upstreams_.UsableCount(request.service))
+    return;
+  query->exclude_versions.insert(query->exclude_versions.end(),
+                                 unrecorded.begin(), unrecorded.end());
 }
 
 void ForwardNode::BindStream(Request* request) {
--- a/src/libpollenledge/process/forward_streams_test.cc
+++ b/src/libpollenledge/process/forward_streams_test.cc
@@ -286,6 +286,30 @@
   }
 }
 
+// Guards against an odd entry without a version that makes a service mixed.
+TEST_F(ForwardStreamsTest, AnUpstreamWithoutAVersionGetsNoResumableStreams) {
+  List({{"old1", "v1"}, {"odd", ""}}, 1, 100);
+  now_ += 2 * StreamVersions::kMaxStreamLifetime;
+  List({{"old1", "v1"}, {"odd", ""}}, 1, 100);
+  EXPECT_EQ(node_.stream_versions().OnlyVersion("s", now_), "v1");
+  for (ForwardId id = 1; id <= 20; ++id) {
+    Arrive(id, std::to_string(id));
+    EXPECT_EQ(SentTo(), "old1");
+    Submit(event::AttemptEnded{id, ForwardOutcome::kCompleted, 200, {}});
+  }
+  {
+    SCOPED_TRACE("If none states a version, all are used.");
+    List({{"odd", ""}}, 1, 100);
+    now_ += 2 * StreamVersions::kMaxStreamLifetime;
+    Submit(event::VersionRecordsRead{{{"s", ""}}});
+    List({{"odd", ""}}, 1, 100);
+    Arrive(21, "21");
+    EXPECT_EQ(SentTo(), "odd");
+    Arrive(22, "again", "elsewhere");
+    EXPECT_EQ(SentTo(), "odd");
+  }
+}
+
 // Guards against take-ups without room that hold up streams of other versions.
 TEST_F(ForwardStreamsTest, AVersionWithoutRoomHoldsUpNoOther) {
   List({{"old1", "v1"}, {"new1", "v2"}}, 1, 4);
--- a/src/libpollenledge/process/stream_record_sync.cc
+++ b/src/libpollenledge/process/stream_record_sync.cc
@@ -83,7 +83,7 @@
 void StreamRecordSync::OnVersionsListed(const Result<StoreListing>& listing) {
   if (!Ok(listing)) {
     LogFailure("version_records_unknown", ErrorOf(listing));
-    RetryLater(&versions_timer_, &StreamRecordSync::ReadVersions);
+    RunLater(&versions_timer_, kRetryInterval, &StreamRecordSync::ReadVersions);
     return;
   }
   std::vector<StreamBinding> versions;
@@ -129,7 +129,7 @@
       return;
     }
     LogFailure("version_records_not_written", ErrorOf(reply));
-    RetryLater(&versions_timer_, &StreamRecordSync::ReadVersions);
+    RunLater(&versions_timer_, kRetryInterval, &StreamRecordSync::ReadVersions);
   });
 }
 
@@ -183,16 +183,17 @@
 
 void StreamRecordSync::GrantLease() {
   lease_granted_at_ = BootClockNow();
-  store_->GrantLease(
-      2 * stream_lifetime_, [this](const Result<StoreLease>& lease) {
-        if (!Ok(lease)) {
-          LogFailure("stream_lease_failed", ErrorOf(lease));
-          RetryLater(&streams_timer_, &StreamRecordSync::WritePending);
-          return;
-        }
-        lease_ = Value(lease).id;
-        WritePending();
-      });
+  store_->GrantLease(2 * stream_lifetime_,
+                     [this](const Result<StoreLease>& lease) {
+                       if (!Ok(lease)) {
+                         LogFailure("stream_lease_failed", ErrorOf(lease));
+                         RunLater(&streams_timer_, kRetryInterval,
+                                  &StreamRecordSync::WritePending);
+                         return;
+                       }
+                       lease_ = Value(lease).id;
+                       WritePending();
+                     });
 }
 
 void StreamRecordSync::OnRecordsWritten(std::size_t count,
@@ -201,14 +202,19 @@
     pending_.erase(pending_.begin(),
                    pending_.begin() + static_cast<std::ptrdiff_t>(
                                           std::min(count, pending_.size())));
-    WritePending();
+    if (pending_.size() >= kMaxWritesPerCall) {
+      WritePending();
+    } else {
+      RunLater(&streams_timer_, kMinWriteInterval,
+               &StreamRecordSync::WritePending);
+    }
     return;
   }
   LogFailure("stream_records_not_written", NotWritten(reply));
   const bool lease_ended =
       !Ok(reply) && ErrorOf(reply).code == ErrorCode::kNotFound;
   if (lease_ended) lease_ = 0;
-  RetryLater(&streams_timer_, &StreamRecordSync::WritePending);
+  RunLater(&streams_timer_, kRetryInterval, &StreamRecordSync::WritePending);
 }
 
 void StreamRecordSync::Find(const Fingerprint& stream, FindCallback callback) {
@@ -230,11 +236,12 @@
   });
 }
 
-void StreamRecordSync::RetryLater(boost::asio::steady_timer* timer,
-                                  void (StreamRecordSync::*retry)()) {
-  timer->expires_after(kRetryInterval);
-  timer->async_wait([this, retry](const boost::system::error_code& error) {
-    if (!error) (this->*retry)();
+void StreamRecordSync::RunLater(boost::asio::steady_timer* timer,
+                                Duration delay,
+                                void (StreamRecordSync::*next)()) {
+  timer->expires_after(delay);
+  timer->async_wait([this, next](const boost::system::error_code& error) {
+    if (!error) (this->*next)();
   });
 }
 
--- a/src/libpollenledge/process/stream_record_sync_test.cc
+++ b/src/libpollenledge/process/stream_record_sync_test.cc
@@ -148,6 +148,7 @@
   for (int i = 0; i < 100; ++i) records.push_back(Record(i));
   const int commits_before = store_.commits;
   writer.RecordStreams(records);
+  RunLoop();
   EXPECT_EQ(store_.commits - commits_before, 4) << "32 records in a call";
   StreamRecordSync reader = MakeSync();
   reader.Start();
@@ -202,9 +203,23 @@
   EXPECT_TRUE(streams_lost_);
   EXPECT_TRUE(versions_.empty());
   sync.RecordStreams({Record(1)});
+  RunLoop();
   EXPECT_EQ(FindVersion(&sync, 1), "v2");
 }
 
+// Guards against a call for each node of a large fleet that tells its few
+// records.
+TEST_F(StreamRecordSyncTest, RecordsOfManyNodesAreWrittenTogether) {
+  StreamRecordSync sync = MakeSync();
+  sync.RecordStreams({Record(0)});
+  EXPECT_EQ(store_.commits, 1) << "The first is written at once";
+  for (int i = 1; i < 20; ++i) sync.RecordStreams({Record(i)});
+  EXPECT_EQ(store_.commits, 1);
+  RunLoop();
+  EXPECT_EQ(store_.commits, 2);
+  EXPECT_EQ(FindVersion(&sync, 19), "v2");
+}
+
 // Guards against records of another writer.
 TEST_F(StreamRecordSyncTest, MalformedRecordsAreIgnored) {
   for (const char* text : {"", "{", "[]", R"({"service":"s"})",
--- a/src/libpollenledge/process/stream_versions.cc
+++ b/src/libpollenledge/process/stream_versions.cc
@@ -26,7 +26,14 @@
     if (state.listed) state.last_seen = now;
     state.listed = false;
   }
+  std::set<std::string> stating;
   for (const ForwardUpstreamInfo& upstream : list) {
+    if (!upstream.software_version.empty()) stating.insert(upstream.service);
+  }
+  for (const ForwardUpstreamInfo& upstream : list) {
+    const bool is_odd = upstream.software_version.empty() &&
+                        stating.count(upstream.service) > 0;
+    if (is_odd) continue;
     VersionState& state =
         versions_[{upstream.service, upstream.software_version}];
     state.last_seen = now;
@@ -89,6 +96,11 @@
   return mixed;
 }
 
+bool StreamVersions::StatesVersions(const std::string& service) const {
+  const auto stated = versions_.upper_bound({service, ""});
+  return stated != versions_.end() && stated->first.service == service;
+}
+
 bool StreamVersions::IsRecorded(const StreamBinding& version) const {
   const auto found = versions_.find(version);
   return found != versions_.end() && found->second.recorded;
