Upstreams that crash together are no lost path, and relaying again draws on the retry budget

Cause: connects that failed to three upstreams in a row counted as a lost path; where 40 in 100 of them crash each 1.5 s that happens by chance. A request then passed through another node, was rejected there after its own retries, and passed through a second one, with each node's retries.

A second relay, and one after an attempt that may have arrived, draws on the retry budget.

--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -84,9 +84,10 @@
   std::optional<StreamBinding> binding;
   bool store_responded = false;
 };
-/// An upstream accepted a connection for `ProbeUpstream`.
-struct UpstreamReached {
+/// The result of `ProbeUpstream`.
+struct UpstreamProbed {
   UpstreamId upstream;
+  bool reached = false;  ///< It accepted the connection.
 };
 /// A heartbeat message was received from another node.
 struct HeartbeatReceived {
@@ -120,7 +121,7 @@
     forward_event::UpstreamsListed, forward_event::HeartbeatReceived,
     forward_event::SuspectsRead, forward_event::SuspectLifted,
     forward_event::FleetSizeRead, forward_event::VersionRecordsRead,
-    forward_event::StreamLookedUp, forward_event::UpstreamReached,
+    forward_event::StreamLookedUp, forward_event::UpstreamProbed,
     forward_event::DrainStarted, forward_event::Ticked>;
 
 /// Actions that a forwarding node requests in response to an event.
@@ -162,8 +163,7 @@
   /// The caller's request that began the stream to resume; empty if none is.
   std::string first_attempt;
 };
-/// Connect to an upstream and send nothing. `UpstreamReached` follows if it
-/// accepts the connection.
+/// Connect to an upstream and send nothing. `UpstreamProbed` follows.
 struct ProbeUpstream {
   UpstreamId upstream;
   std::string address;
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -223,7 +223,7 @@
   void On(const forward_event::FleetSizeRead& read);
   void On(const forward_event::VersionRecordsRead& read);
   void On(const forward_event::StreamLookedUp& lookup);
-  void On(const forward_event::UpstreamReached& reached);
+  void On(const forward_event::UpstreamProbed& probed);
   void On(const forward_event::DrainStarted& drain);
   void On(const forward_event::Ticked& tick);
 
@@ -267,10 +267,11 @@
   void DispatchAllQueued();
 
   // Relaying through other nodes.
-  void OnConnectFailed(const Request& request, const std::string& upstream);
+  void OnConnectFailed(const std::string& service, const std::string& upstream);
   /// An upstream of `service` has responded or accepted a connection.
   void OnUpstreamContact(const std::string& service);
-  void ProbeLostPaths();
+  /// Connects to upstreams of the services whose path is suspected or lost.
+  void ProbePaths();
   /// Returns the nodes that the request may be relayed to.
   std::vector<const MemberRecord*> RelayCandidates(
       const Request& request) const;
@@ -283,6 +284,9 @@
   /// Relays the request after an attempt of this node that failed because it
   /// has no path.
   bool RelayAfter(Request* request, ForwardOutcome end);
+  /// Relays the request after another attempt. That draws on the retry budget
+  /// if an upstream may have received the earlier one.
+  bool RelayAgain(Request* request, ForwardOutcome end);
   void OnRelayEnded(Request* request, const forward_event::AttemptEnded& ended);
 
   // Streams that are resumed.
--- a/src/libpollenledge/process/forward_cut_test.cc
+++ b/src/libpollenledge/process/forward_cut_test.cc
@@ -74,6 +74,26 @@
   EXPECT_GT(ServedShare(sent[true]), 0.95);
 }
 
+// Guards against upstreams that crash together being taken for a lost path:
+// requests that pass through other nodes then reach upstreams more often than
+// the retry budget allows (rule BUDGET).
+TEST(CrashedUpstreams, AreNoLostPathWhileOthersRespond) {
+  ForwardFleet fleet(6, 1);
+  for (int round = 0; round < 6; ++round) {
+    for (std::size_t upstream = 0; upstream < 5; ++upstream) {
+      fleet.CrashUpstream((upstream + static_cast<std::size_t>(round) * 5) %
+                          ForwardFleet::kUpstreamCount);
+    }
+    for (int i = 0; i < 300; ++i) {
+      const std::string content =
+          std::to_string(round) + "-" + std::to_string(i);
+      fleet.SubmitRequest(static_cast<std::size_t>(i) % 6, "read", content);
+      fleet.RunFor(10 * kMillisecond);
+    }
+  }
+  EXPECT_EQ(fleet.log_line_counts["upstreams_unreachable"], 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Fleets, NodesCutFromUpstreams,
     ::testing::Values(CutCase{"SmallReset", 6, 2, kMillisecond},
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -275,7 +275,7 @@
   if (request == nullptr || request->current_upstream.empty()) return;
   const std::string upstream = request->current_upstream;
   if (ended.end == ForwardOutcome::kNotSent)
-    OnConnectFailed(*request, upstream);
+    OnConnectFailed(request->service, upstream);
   if (ended.load.has_value()) {
     if (ForwardUpstream* known = upstreams_.Find(upstream)) {
       upstreams_.OnLoadReport(known, *ended.load, now());
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -382,8 +382,9 @@
   DispatchAllQueued();
   SendHeartbeats();
   if (now() - streams_told_at_ >= kStreamTellInterval) TellStreams();
-  if (paths_.IsAnyLost() && now() - probed_at_ >= PathMonitor::kProbeInterval)
-    ProbeLostPaths();
+  if (!paths_.DoubtfulServices().empty() &&
+      now() - probed_at_ >= PathMonitor::kProbeInterval)
+    ProbePaths();
   if (now() - limits_updated_at_ >= kHeartbeatPeriod) UpdateLimits();
   ExpireSuspects();
 }
@@ -468,7 +469,7 @@
 
 TimePoint ForwardNode::NextTickTime(TimePoint now) const {
   TimePoint next = std::min(NextHeartbeatTime(now), now + kMaxTickInterval);
-  if (paths_.IsAnyLost())
+  if (!paths_.DoubtfulServices().empty())
     next = std::min(next, probed_at_ + PathMonitor::kProbeInterval);
   if (stream_versions_.HasUntold(now))
     next = std::min(next, streams_told_at_ + kStreamTellInterval);
--- a/src/libpollenledge/process/forward_relay.cc
+++ b/src/libpollenledge/process/forward_relay.cc
@@ -11,28 +11,28 @@
 
 /// Maximum number of nodes that one request is relayed to.
 constexpr std::size_t kMaxRelays = 2;
-/// Number of upstreams that are probed at a time.
-constexpr std::size_t kProbesAtATime = 2;
+/// Number of upstreams of a service that are probed at a time.
+constexpr std::size_t kProbesAtATime = 4;
 constexpr int kStatusUnavailable = 503;
 
 }  // namespace
 
 // The path to the upstreams.
 
-void ForwardNode::OnConnectFailed(const Request& request,
+void ForwardNode::OnConnectFailed(const std::string& service,
                                   const std::string& upstream) {
-  const std::string& service = request.service;
   const int usable = upstreams_.UsableCount(service);
   if (!paths_.OnConnectFailed(service, upstream,
                               static_cast<std::size_t>(usable)))
     return;
+  const bool is_lost = paths_.IsLost(service);
   Emit(forward_action::WriteLogLine{
-      LogLevel::kWarn,
-      "upstreams_unreachable",
+      is_lost ? LogLevel::kWarn : LogLevel::kInfo,
+      is_lost ? "upstreams_unreachable" : "upstream_path_suspected",
       {{"service", service},
        {"last_upstream", upstream},
-       {"usable_upstreams", std::to_string(usable)},
-       {"relays_known", std::to_string(RelayCandidates(request).size())}}});
+       {"usable_upstreams", std::to_string(usable)}}});
+  if (!is_lost) ProbePaths();
 }
 
 void ForwardNode::OnUpstreamContact(const std::string& service) {
@@ -44,11 +44,16 @@
   DispatchQueued(service);
 }
 
-void ForwardNode::ProbeLostPaths() {
+void ForwardNode::ProbePaths() {
   probed_at_ = now();
-  for (const std::string& service : paths_.LostServices()) {
+  for (const std::string& service : paths_.DoubtfulServices()) {
     std::vector<ForwardUpstreamInfo> usable = upstreams_.Usable(service);
     std::shuffle(usable.begin(), usable.end(), random_);
+    // Those that have not failed tell more.
+    std::stable_partition(usable.begin(), usable.end(),
+                          [&](const ForwardUpstreamInfo& upstream) {
+                            return !paths_.HasFailed(service, upstream.id.name);
+                          });
     if (usable.size() > kProbesAtATime) usable.resize(kProbesAtATime);
     for (const ForwardUpstreamInfo& upstream : usable) {
       Emit(forward_action::ProbeUpstream{upstream.id, upstream.address});
@@ -56,9 +61,15 @@
   }
 }
 
-void ForwardNode::On(const forward_event::UpstreamReached& reached) {
-  const ForwardUpstream* upstream = upstreams_.Find(reached.upstream.name);
-  if (upstream != nullptr) OnUpstreamContact(upstream->info.service);
+void ForwardNode::On(const forward_event::UpstreamProbed& probed) {
+  const ForwardUpstream* upstream = upstreams_.Find(probed.upstream.name);
+  if (upstream == nullptr) return;
+  const std::string service = upstream->info.service;
+  if (probed.reached) {
+    OnUpstreamContact(service);
+  } else if (paths_.StateOf(service) != PathState::kReachable) {
+    OnConnectFailed(service, probed.upstream.name);
+  }
 }
 
 // Relaying.
@@ -138,14 +149,25 @@
 }
 
 bool ForwardNode::RelayAfter(Request* request, ForwardOutcome end) {
-  const bool has_no_path =
-      end == ForwardOutcome::kNotSent || paths_.IsLost(request->service);
+  if (paths_.StateOf(request->service) == PathState::kReachable) return false;
   // What an upstream has said about the request counts.
   const bool has_response =
       end == ForwardOutcome::kRejected || end == ForwardOutcome::kFailed;
-  if (!has_no_path || has_response) return false;
+  if (has_response) return false;
   if (suspects_.RejectedSuspect(request->suspect_fingerprints, now()))
     return false;
+  return RelayAgain(request, end);
+}
+
+bool ForwardNode::RelayAgain(Request* request, ForwardOutcome end) {
+  if (!MayRelay(*request) || RelayCandidates(*request).empty()) return false;
+  // An attempt that reached no other process added no load.
+  if (end != ForwardOutcome::kNotSent &&
+      !retry_budget_.TryAcquire(request->service)) {
+    LogRequest(LogLevel::kInfo, "retry_denied", *request,
+               {{"reason", "budget"}, {"after", ToString(end)}});
+    return false;
+  }
   return Relay(request);
 }
 
@@ -172,7 +194,8 @@
     case ForwardOutcome::kRejected:
       // Another node may have room or a path. What the last one says goes to
       // the caller.
-      if (ended.status == kStatusUnavailable && Relay(request)) return;
+      if (ended.status == kStatusUnavailable && RelayAgain(request, ended.end))
+        return;
       if (request->may_have_run || request->response_started) {
         Fail(request, 502, ToString(ended.end));
       } else {
@@ -183,7 +206,7 @@
     case ForwardOutcome::kConnectionLost:
     case ForwardOutcome::kInvalidResponse:
     case ForwardOutcome::kCancelled:
-      if (Relay(request)) return;
+      if (RelayAgain(request, ended.end)) return;
       GiveUp(request, ended.end, ToString(ended.end));
       return;
   }
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -335,8 +335,7 @@
   metrics_.IncrementCounter("upstream_probes_total");
   ProbeConnect(loop_, probe.address, kConnectTimeout,
                [this, upstream = probe.upstream](bool connected) {
-                 if (connected)
-                   Submit(forward_event::UpstreamReached{upstream});
+                 Submit(forward_event::UpstreamProbed{upstream, connected});
                });
 }
 
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -400,10 +400,14 @@
   void Execute(std::size_t node, const forward_action::ProbeUpstream& probe) {
     const auto index =
         static_cast<std::size_t>(std::stoul(probe.upstream.name.substr(1)));
-    if (is_cut_from_upstream && is_cut_from_upstream(node, index)) return;
-    Schedule(kMillisecond, [this, node, upstream = probe.upstream] {
-      Submit(node, forward_event::UpstreamReached{upstream});
-    });
+    const bool is_cut =
+        is_cut_from_upstream && is_cut_from_upstream(node, index);
+    const bool is_down = now_ < upstreams_[index].down_until;
+    Schedule(is_cut ? connect_failure_time : kMillisecond,
+             [this, node, upstream = probe.upstream, is_cut, is_down] {
+               Submit(node, forward_event::UpstreamProbed{upstream,
+                                                          !is_cut && !is_down});
+             });
   }
   // Ends the attempt of the node that relayed a request.
   bool EndRelay(ForwardId id, ForwardOutcome end, int status) {
