--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -278,6 +278,9 @@
   /// Returns null if there is none.
   const MemberRecord* ChooseRelay(const Request& request);
   bool MayRelay(const Request& request) const;
+  /// Returns the id of the caller's request that began the stream which the
+  /// request goes on with; empty if it begins one.
+  static std::string FirstAttemptOf(const Request& request);
   /// Relays the request. Returns false if it may not be relayed or no other
   /// node has a path.
   bool Relay(Request* request);
--- a/src/libpollenledge/process/forward_relay.cc
+++ b/src/libpollenledge/process/forward_relay.cc
@@ -112,6 +112,12 @@
   return now() < request.deadline;
 }
 
+std::string ForwardNode::FirstAttemptOf(const Request& request) {
+  if (!request.last_event_id.has_value()) return "";
+  return request.spec.first_attempt.empty() ? request.spec.trace_id
+                                            : request.spec.first_attempt;
+}
+
 bool ForwardNode::Relay(Request* request) {
   if (!MayRelay(*request)) return false;
   const MemberRecord* peer = ChooseRelay(*request);
@@ -131,7 +137,6 @@
              {{"peer", peer->id.name},
               {"attempts", std::to_string(request->attempts)},
               {"path_lost", paths_.IsLost(request->service) ? "yes" : "no"}});
-  const bool resumes = request->last_event_id.has_value();
   Emit(forward_action::RelayRequest{
       .id = request->id,
       .address = peer->peer_address,
@@ -140,10 +145,7 @@
       .kind = request->route->kind,
       .reuse_connection = request->route->IsRetrySafe(),
       .last_event_id = request->last_event_id,
-      .first_attempt = !resumes ? ""
-                       : request->spec.first_attempt.empty()
-                           ? request->spec.trace_id
-                           : request->spec.first_attempt});
+      .first_attempt = FirstAttemptOf(*request)});
   ScheduleCheck(request);
   return true;
 }
--- /dev/null
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -0,0 +1,371 @@
+#include <utility>
+
+#include "pollenledge/process/forward_service.h"
+
+// Attempts at upstreams and other nodes, in `ForwardService`.
+
+namespace pollenledge {
+namespace {
+
+/// A reachable upstream accepts a connection within one round trip. This is
+/// several round trips and still leaves time to try another upstream.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+/// Maximum idle time of a connection that is reused: the first one for suspects
+/// and for requests that may run only once, the second one for others. An
+/// upstream may be closing a connection that has been idle longer; a request
+/// sent at that moment is lost and cannot be retried if it may run only once.
+constexpr Duration kMaxIdleForNonIdempotent = std::chrono::milliseconds(300);
+constexpr Duration kMaxIdleForRetryable = std::chrono::seconds(30);
+/// Maximum size of a response that is not a stream; it is buffered until it is
+/// complete.
+constexpr std::size_t kMaxBufferedResponseBytes = std::size_t{4} * 1024 * 1024;
+/// Maximum size of all buffered responses together: a fifth of the memory of
+/// the smallest machine.
+constexpr std::size_t kMaxTotalBufferedBytes = std::size_t{32} * 1024 * 1024;
+/// Maximum size of an upstream's report about itself; the rest is ignored.
+constexpr std::size_t kMaxReportBytes = std::size_t{64} * 1024;
+/// Maximum size of a stream event that has been received only in part.
+constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
+constexpr int kStatusOk = 200;
+constexpr int kMinStatusServerError = 500;
+
+bool IsSuccess(int status) {
+  return status >= kStatusOk && status < kStatusOk + 100;
+}
+
+/// Returns true for statuses from which a caller concludes that the request did
+/// not run. Such a status must not be forwarded from an upstream whose response
+/// does not say explicitly that the request did not run.
+bool ImpliesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string RenderRequest(const HttpHead& request,
+                          const std::vector<HttpField>& fields,
+                          const std::string& body) {
+  std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+  for (const HttpField& field : fields) {
+    text += field.name;
+    text += ": ";
+    text += field.value;
+    text += "\r\n";
+  }
+  const bool has_body = !body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) {
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  text += "\r\n";
+  text += body;
+  return text;
+}
+
+}  // namespace
+
+void ForwardService::ResetResponse(Exchange* exchange, RouteKind kind) {
+  exchange->response_head = HttpHead();
+  exchange->response_info = ResponseInfo();
+  DiscardBufferedResponse(exchange);
+  exchange->forwarding_events = false;
+  exchange->is_relayed_on = false;
+  exchange->expects_stream = kind == RouteKind::kStreaming;
+  if (exchange->event_splitter.has_value()) {
+    exchange->event_splitter->DropPartial();
+  } else {
+    exchange->event_splitter.emplace(exchange->spec.last_event_id);
+  }
+}
+
+void ForwardService::Execute(const forward_action::SendAttempt& send) {
+  Exchange* exchange = FindExchange(send.id);
+  if (exchange == nullptr) return;
+  ResetResponse(exchange, send.kind);
+  exchange->upstream_connection = upstream_pool_.Acquire(
+      send.address,
+      send.reuse_connection ? kMaxIdleForRetryable : kMaxIdleForNonIdempotent,
+      BootClockNow());
+  metrics_.IncrementCounter("attempts_total");
+  if (send.previous_end.has_value()) {
+    metrics_.IncrementCounter(
+        "repeats_total",
+        std::string("after=\"") + ToString(*send.previous_end) + "\"");
+  }
+  // An open connection leads to the process that it was opened to.
+  const bool is_new = exchange->upstream_connection->request_count() == 0;
+  if (send.verify_incarnation && is_new) {
+    VerifyUpstream(*exchange, send);
+  } else {
+    StartAttempt(exchange, send);
+  }
+}
+
+void ForwardService::Execute(const forward_action::RelayRequest& relay) {
+  Exchange* exchange = FindExchange(relay.id);
+  if (exchange == nullptr) return;
+  const TimePoint now = BootClockNow();
+  ResetResponse(exchange, relay.kind);
+  exchange->is_relayed_on = true;
+  exchange->upstream_connection = upstream_pool_.Acquire(
+      relay.address,
+      relay.reuse_connection ? kMaxIdleForRetryable : kMaxIdleForNonIdempotent,
+      now);
+  metrics_.IncrementCounter("relays_total");
+  const std::vector<HttpField> fields = codec_.encode_relay(
+      exchange->request_head,
+      {relay.deadline - now, relay.last_event_id, relay.first_attempt});
+  StartExchange(relay.id, exchange, fields, relay.send_before);
+}
+
+void ForwardService::Execute(const forward_action::ProbeUpstream& probe) {
+  metrics_.IncrementCounter("upstream_probes_total");
+  ProbeConnect(loop_, probe.address, kConnectTimeout,
+               [this, upstream = probe.upstream](bool connected) {
+                 Submit(forward_event::UpstreamProbed{upstream, connected});
+               });
+}
+
+void ForwardService::VerifyUpstream(const Exchange& exchange,
+                                    const forward_action::SendAttempt& send) {
+  metrics_.IncrementCounter("upstream_verifications_total");
+  const auto report = std::make_shared<std::string>();
+  ExchangeHandlers handlers;
+  handlers.on_head = [](const HttpHead&) { return true; };
+  handlers.on_body = [report](const std::string& bytes) {
+    if (report->size() + bytes.size() <= kMaxReportBytes) *report += bytes;
+  };
+  handlers.on_finished = [this, send, report](ClientExchangeResult end) {
+    OnUpstreamReport(send, end, *report);
+  };
+  exchange.upstream_connection->Start(
+      "GET " + codec_.report_path + " HTTP/1.1\r\nHost: " + send.address +
+          "\r\n\r\n",
+      "GET", kConnectTimeout, std::move(handlers), send.send_before);
+}
+
+void ForwardService::OnUpstreamReport(const forward_action::SendAttempt& send,
+                                      ClientExchangeResult end,
+                                      const std::string& report) {
+  Exchange* exchange = FindExchange(send.id);
+  if (exchange == nullptr) return;
+  const std::optional<std::uint64_t> incarnation =
+      codec_.decode_incarnation(report);
+  const bool is_other =
+      incarnation.has_value() && *incarnation != send.upstream.incarnation;
+  const bool is_complete = end == ClientExchangeResult::kComplete ||
+                           end == ClientExchangeResult::kCompleteAtClose;
+  if (is_other || !is_complete || BootClockNow() >= send.send_before) {
+    Log(LogLevel::kInfo, "upstream_not_verified",
+        {{"request", exchange->spec.trace_id},
+         {"upstream", send.upstream.name},
+         {"incarnation", std::to_string(send.upstream.incarnation)},
+         {"reported",
+          incarnation.has_value() ? std::to_string(*incarnation) : "none"}});
+    OnAttemptEnd(send.id, ClientExchangeResult::kNotSent);
+    return;
+  }
+  if (!exchange->upstream_connection->reusable()) {
+    exchange->upstream_connection = upstream_pool_.Acquire(
+        send.address, kMaxIdleForNonIdempotent, BootClockNow());
+  }
+  StartAttempt(exchange, send);
+}
+
+void ForwardService::StartAttempt(Exchange* exchange,
+                                  const forward_action::SendAttempt& send) {
+  const Duration remaining = send.deadline - BootClockNow();
+  const std::vector<HttpField> fields = codec_.encode_attempt(
+      exchange->request_head, {send.upstream, send.customer, send.priority,
+                               remaining, send.last_event_id});
+  StartExchange(send.id, exchange, fields, send.send_before);
+}
+
+void ForwardService::StartExchange(ForwardId id, Exchange* exchange,
+                                   const std::vector<HttpField>& fields,
+                                   TimePoint send_before) {
+  exchange->connection_was_used =
+      exchange->upstream_connection->request_count() > 0;
+  ExchangeHandlers handlers;
+  handlers.on_head = [this, id](const HttpHead& head) {
+    return OnResponseHead(id, head);
+  };
+  handlers.on_body = [this, id](const std::string& bytes) {
+    OnResponseBody(id, bytes);
+  };
+  handlers.on_finished = [this, id](ClientExchangeResult end) {
+    OnAttemptEnd(id, end);
+  };
+  exchange->upstream_connection->Start(
+      RenderRequest(exchange->request_head, fields, exchange->request_body),
+      exchange->request_head.method, kConnectTimeout, std::move(handlers),
+      send_before);
+}
+
+bool ForwardService::OnResponseHead(ForwardId id, const HttpHead& head) {
+  Exchange* exchange = FindExchange(id);
+  if (exchange == nullptr) return false;
+  ResponseInfo info = codec_.decode_response(head);
+  if (info.trace_id.has_value() && *info.trace_id != exchange->spec.trace_id) {
+    metrics_.IncrementCounter("foreign_answers_total");
+    Log(LogLevel::kWarn, "foreign_answer",
+        {{"request", exchange->spec.trace_id}, {"answer_to", *info.trace_id}});
+    return false;
+  }
+  ReportUnreadableSignals(*exchange, info.signals);
+  exchange->response_head = head;
+  exchange->response_info = std::move(info);
+  exchange->forwarding_events = exchange->expects_stream &&
+                                head.status == kStatusOk &&
+                                exchange->response_info.is_signed &&
+                                exchange->response_info.trace_id.has_value() &&
+                                !exchange->response_info.is_encoded;
+  Submit(
+      forward_event::ResponseHeadReceived{id, exchange->response_info.signals});
+  return FindExchange(id) != nullptr;
+}
+
+void ForwardService::ReportUnreadableSignals(const Exchange& exchange,
+                                             const UpstreamSignals& signals) {
+  const auto report = [&](const char* counter, const char* event) {
+    metrics_.IncrementCounter(counter);
+    Log(LogLevel::kWarn, event,
+        {{"request", exchange.spec.trace_id},
+         {"upstream", exchange.upstream_connection->address()}});
+  };
+  if (signals.load_is_unreadable)
+    report("loads_unreadable_total", "load_unreadable");
+  if (signals.limit_is_unreadable)
+    report("upstream_limits_unreadable_total", "upstream_limit_unreadable");
+  if (signals.max_rejections_is_unreadable)
+    report("upstream_rejections_unreadable_total",
+           "upstream_max_rejections_unreadable");
+  if (signals.retry_after_is_unreadable)
+    report("upstream_pauses_unreadable_total", "upstream_pause_unreadable");
+}
+
+void ForwardService::OnResponseBody(ForwardId id, const std::string& bytes) {
+  Exchange* exchange = FindExchange(id);
+  if (exchange == nullptr) return;
+  if (!exchange->forwarding_events) {
+    if (exchange->response_body.size() + bytes.size() >
+            kMaxBufferedResponseBytes ||
+        buffered_response_bytes_ + bytes.size() > kMaxTotalBufferedBytes) {
+      RejectResponse(id, "response is too large");
+      return;
+    }
+    buffered_response_bytes_ += bytes.size();
+    exchange->response_body += bytes;
+    return;
+  }
+  const bool is_first = exchange->event_splitter->emitted_events() == 0;
+  const EventBatch batch = exchange->event_splitter->Append(bytes);
+  if (exchange->event_splitter->partial_bytes() > kMaxEventBytes) {
+    RejectResponse(id, "event is too large");
+    return;
+  }
+  if (batch.event_count == 0) return;
+  StartResponse(exchange);
+  exchange->caller->SendChunk(batch.bytes);
+  if (is_first) {
+    metrics_.Observe("first_event_seconds", "",
+                     BootClockNow() - exchange->arrived_at);
+  }
+  const std::optional<std::int64_t> last_id =
+      exchange->event_splitter->last_event_id();
+  Submit(forward_event::FirstEventReceived{id});
+  Submit(forward_event::EventsForwarded{id, last_id});
+}
+
+void ForwardService::RejectResponse(ForwardId id, const char* reason) {
+  Exchange* exchange = FindExchange(id);
+  Log(LogLevel::kWarn, "answer_rejected",
+      {{"request", exchange->spec.trace_id},
+       {"upstream", exchange->upstream_connection->address()},
+       {"reason", reason},
+       {"held_bytes", std::to_string(buffered_response_bytes_)}});
+  metrics_.IncrementCounter("answers_rejected_total");
+  exchange->upstream_connection->Abort();
+  exchange->upstream_connection.reset();
+  DiscardBufferedResponse(exchange);
+  Submit(forward_event::AttemptEnded{id, ForwardOutcome::kInvalidResponse,
+                                     exchange->response_head.status,
+                                     exchange->response_info.signals.load});
+}
+
+void ForwardService::DiscardBufferedResponse(Exchange* exchange) {
+  buffered_response_bytes_ -= exchange->response_body.size();
+  exchange->response_body = std::string();
+}
+
+void ForwardService::OnAttemptEnd(ForwardId id, ClientExchangeResult end) {
+  Exchange* exchange = FindExchange(id);
+  if (exchange == nullptr) return;
+  upstream_pool_.Release(exchange->upstream_connection);
+  exchange->upstream_connection.reset();
+  const ForwardOutcome forward_end = ClassifyEnd(*exchange, end);
+  Submit(forward_event::AttemptEnded{id, forward_end,
+                                     exchange->response_head.status,
+                                     exchange->response_info.signals.load});
+}
+
+bool ForwardService::IsRefusal(const Exchange& exchange) {
+  // A refusal that names no request may be that of an earlier request on the
+  // same connection, sent once more.
+  const bool is_of_this_request = exchange.response_info.trace_id.has_value() ||
+                                  !exchange.connection_was_used;
+  return exchange.response_info.not_run && is_of_this_request;
+}
+
+ForwardOutcome ForwardService::ClassifyEnd(const Exchange& exchange,
+                                           ClientExchangeResult end) const {
+  if (end == ClientExchangeResult::kNotSent) return ForwardOutcome::kNotSent;
+  if (IsRefusal(exchange)) return ForwardOutcome::kRejected;
+  // Another node's own response says so by its status.
+  const bool is_complete_response =
+      end == ClientExchangeResult::kComplete ||
+      end == ClientExchangeResult::kCompleteAtClose;
+  if (exchange.is_relayed_on && is_complete_response &&
+      !exchange.response_info.is_signed &&
+      ImpliesNotRun(exchange.response_head.status)) {
+    return ForwardOutcome::kRejected;
+  }
+  if (end == ClientExchangeResult::kConnectionLost)
+    return ForwardOutcome::kConnectionLost;
+  if (end == ClientExchangeResult::kInvalid)
+    return ForwardOutcome::kInvalidResponse;
+  const int status = exchange.response_head.status;
+  const bool ended_at_close = end == ClientExchangeResult::kCompleteAtClose;
+  if (exchange.forwarding_events && ended_at_close &&
+      !exchange.event_splitter->IsCompleteAtClose()) {
+    return ForwardOutcome::kConnectionLost;
+  }
+  if (exchange.forwarding_events) {
+    const bool is_complete = !exchange.event_splitter->has_partial() &&
+                             !exchange.event_splitter->has_gap();
+    return is_complete ? ForwardOutcome::kCompleted
+                       : ForwardOutcome::kInvalidResponse;
+  }
+  // The caller's stream has begun, so a response of another kind can't go
+  // there.
+  const bool is_failure = status >= kMinStatusServerError;
+  if (exchange.response_started && !is_failure)
+    return ForwardOutcome::kInvalidResponse;
+  if (IsSuccess(status)) {
+    const bool is_verified = exchange.response_info.is_signed &&
+                             exchange.response_info.trace_id.has_value() &&
+                             !exchange.response_info.is_encoded;
+    return is_verified ? ForwardOutcome::kCompleted
+                       : ForwardOutcome::kInvalidResponse;
+  }
+  if (ImpliesNotRun(status)) return ForwardOutcome::kInvalidResponse;
+  return is_failure ? ForwardOutcome::kFailed : ForwardOutcome::kCompleted;
+}
+
+void ForwardService::Execute(const forward_action::CancelAttempt& cancel) {
+  Exchange* exchange = FindExchange(cancel.id);
+  if (exchange == nullptr || exchange->upstream_connection == nullptr) return;
+  exchange->upstream_connection->Abort();
+  exchange->upstream_connection.reset();
+  metrics_.IncrementCounter("attempts_cancelled_total");
+}
+
+}  // namespace pollenledge
