--- a/review/4/case.py
+++ b/review/4/case.py
@@ -45,11 +45,13 @@
     await asyncio.sleep(1.5)
     if not record.find("run"):
         raise CannotRun("nothing is served before the disruption")
+    # The moment is the same in each run: a node has listed the runners, and all nodes watch them.
+    before = store.listings
+    while store.listings == before or [prefix for prefix, _ in store.watches].count("servers/") < len(nodes):
+        await asyncio.sleep(0.01)
     if TROUBLE:
-        while (cut := store.cut_watches()) == 0:
-            await asyncio.sleep(0.02)
-        record.add("watches_cut", count=cut)
-        await asyncio.sleep(0.15)
+        record.add("watches_cut", prefixes=store.cut_watches())
+    await asyncio.sleep(0.15)
     for runner in runners[:LEAVING]:
         await runner.unlist()
         record.add("gone", runner=runner.name)
--- a/review/standins.py
+++ b/review/standins.py
@@ -111,7 +111,8 @@
         self.leases = {}  # id: [end, seconds]
         self.next_lease = 7
         self.changed = asyncio.Condition()
-        self.watches = set()  # writers of watches that wait
+        self.watches = set()  # (prefix, writer) of watches that wait
+        self.listings = 0  # of the runners, so far
 
     async def open_door(self):
         door = Door()
@@ -157,9 +158,9 @@
             self.changed.notify_all()
 
     def cut_watches(self):
-        """Cuts the watches that wait."""
-        cut = len(self.watches)
-        for writer in list(self.watches):
+        """Cuts the watches that wait. Returns their prefixes."""
+        cut = sorted(prefix for prefix, _ in self.watches)
+        for _, writer in list(self.watches):
             writer.close()
         return cut
 
@@ -196,6 +197,7 @@
         if method == "GET" and url.path == "/-/kv-range":
             keys = sorted(k for k in self.items if k.startswith(query["prefix"])
                           and k > query.get("after", ""))
+            self.listings += query["prefix"] == "servers/"
             return 200, {"entries": [self.items[k] for k in keys[:500]],
                          "has_more": len(keys) > 500, "as_of": self.revision}
         if method == "GET" and url.path == "/-/kv-watch":
@@ -247,7 +249,7 @@
             return [e for revision, e in self.log
                     if revision > after and e["key"].startswith(query["prefix"])]
 
-        self.watches.add(writer)
+        self.watches.add((query["prefix"], writer))
         try:
             while not events() and time.monotonic() < end:
                 async with self.changed:
@@ -256,7 +258,7 @@
                     except asyncio.TimeoutError:
                         pass
         finally:
-            self.watches.discard(writer)
+            self.watches.discard((query["prefix"], writer))
         return 200, {"events": events(), "as_of": self.revision}
 
 
