Review: the scripts name the file that they write

Tried: each run.sh and case.py was searched for record.txt. At fault: the name stood only in standins.py, though each run wrote the file; now each script names it and passes its path.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -69,4 +69,4 @@
             f"acknowledged that it is gone, the last {max(line['t'] for line in late) - gone:.2f} s after"]
 
 
-play(Path(__file__).parent, case)
+play(Path(__file__).parent / "record.txt", case)
--- a/review/standins.py
+++ b/review/standins.py
@@ -556,12 +556,12 @@
         return answer
 
 
-def play(folder, case, limit_s=115):
+def play(record_path, case, limit_s=115):
     """Plays `case(record, nodes)`, which returns the broken rules, and exits with 1 if there are
     any, 0 if not, 2 if the case couldn't run. `nodes` collects the nodes to end."""
 
     async def main():
-        record, nodes = Record(Path(folder) / "record.txt"), []
+        record, nodes = Record(record_path), []
         try:
             broken = await asyncio.wait_for(case(record, nodes), limit_s)
         except (CannotRun, OSError, asyncio.TimeoutError) as problem:
