--- a/src/include/pollenledge/connection/async_store.h
+++ b/src/include/pollenledge/connection/async_store.h
@@ -89,6 +89,18 @@
   /// Returns the newest era that the store named; 0 if it named none.
   virtual std::int64_t era() const { return 0; }
 
+  /// Receives the outcome of a call that is not a watch: whether the store
+  /// answered it, and when it was sent.
+  using ContactCallback =
+      std::function<void(bool responded, TimePoint sent_at)>;
+
+  /// Adds a callback for the outcome of each call that is not a watch. It is
+  /// called before the callback of the call itself. A call that the store turns
+  /// away counts as not answered.
+  void OnContact(ContactCallback callback) {
+    contact_callbacks_.push_back(std::move(callback));
+  }
+
   /// Adds a callback for each time that the store is found to have been
   /// restored from an older copy. It is called before the callback of the call
   /// that found it.
@@ -122,8 +134,14 @@
   void NotifyRestored() {
     for (const std::function<void()>& callback : restore_callbacks_) callback();
   }
+  void NotifyContact(bool responded, TimePoint sent_at) {
+    for (const ContactCallback& callback : contact_callbacks_) {
+      callback(responded, sent_at);
+    }
+  }
 
  private:
+  std::vector<ContactCallback> contact_callbacks_;
   std::vector<std::function<void()>> restore_callbacks_;
 };
 
--- a/src/include/pollenledge/connection/http.h
+++ b/src/include/pollenledge/connection/http.h
@@ -33,6 +33,8 @@
   /// `HttpClient` sends nothing at this time or later. `MakeHttpCall` ignores
   /// it.
   std::optional<TimePoint> send_before;
+  /// `HttpClient` opens a connection for this call. `MakeHttpCall` ignores it.
+  bool new_connection = false;
 };
 
 /// Makes the call and blocks until the response was read, which may have at
--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -49,6 +49,8 @@
   void OnRestored();
   void OnRead(TimePoint started, const Result<StoreItem>& item);
   void OnChanges(const StoreChanges& changes);
+  /// Reads soon: the read starts the next watch.
+  void OnWatchEnded();
   /// Decodes the entry, or returns the cached index if the entry has the newest
   /// revision decoded so far. Returns null if the entry cannot be decoded.
   std::shared_ptr<const ForwardingIndex> DecodeIndex(const KvEntry& entry);
@@ -60,6 +62,7 @@
   StoreReadPolicy read_policy_;
   MayLackWrites may_lack_writes_;
   bool read_in_progress_ = false;
+  TimePoint read_started_at_;
   Submit submit_;
   boost::asio::steady_timer read_timer_;
   StoreWatch watch_;
--- a/src/include/pollenledge/process/node_settings.h
+++ b/src/include/pollenledge/process/node_settings.h
@@ -25,6 +25,8 @@
   Duration grace{0};          ///< From the stop signal to process exit.
   Duration tables_bound{0};   ///< Changed tables are active within this time.
   Duration leaving_bound{0};  ///< A leaving upstream gets no work after this.
+  /// Interval at which upstreams write their entries to the store.
+  Duration upstream_heartbeat{0};
   /// Maximum age of the tables for requests with an API key; 0: no limit.
   Duration key_freshness{0};
   double retry_ratio = 0;    ///< Retries per request of a service, fleet-wide.
--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -5,25 +5,32 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "pollenledge/connection/async_store.h"
+#include "pollenledge/connection/store_contact.h"
 #include "pollenledge/process/forward_events.h"
 #include "pollenledge/process/store_watch.h"
+#include "pollenledge/process/upstream_list_times.h"
 
 namespace pollenledge {
 
 /// Tracks the entries that upstreams write to the store about themselves.
 ///
-/// If entries expire while the store is failing, the upstreams write them again
-/// after it recovers. An upstream whose entry is missing is therefore kept
-/// while the store fails. It is also kept for `kReregistrationTimeout` after
-/// the first listing that succeeds again, if most entries of its service are
-/// missing or the store was restored from an older copy. At any other time it
-/// is removed at once. A restored store may also list an upstream as it was
-/// earlier; one incarnation that was leaving stays so, and one that was removed
-/// stays removed until its entry is written at a later revision than its
-/// removal.
+/// Entries can expire while their upstreams live only if the store was away for
+/// longer than it takes an entry to expire. The upstreams write them again
+/// after it recovers. So an upstream whose entry is missing is kept while the
+/// store may have been away that long, and for `kReregistrationTimeout` after
+/// it recovered if most entries of its service are missing. After the store was
+/// restored from an older copy each missing one is kept for that time. At any
+/// other time it is removed at once, also while calls to the store fail.
+///
+/// An upstream that was removed stays removed until its entry is written again:
+/// later errors do not bring it back. A restored store may also list an
+/// upstream as it was earlier; one incarnation that was leaving stays so, and
+/// one that was removed stays removed until its entry is written at a later
+/// revision than its removal.
 ///
 /// Deterministic: a function of the listings and changes that it is given. Not
 /// thread-safe.
@@ -37,14 +44,18 @@
   /// Decodes one entry; an error marks it as malformed.
   using Decode = std::function<Result<ForwardUpstreamInfo>(const KvEntry&)>;
 
-  explicit UpstreamDirectory(Decode decode) : decode_(std::move(decode)) {}
+  /// An entry expires no sooner than `min_expiry` after the store went away.
+  UpstreamDirectory(Decode decode, Duration min_expiry)
+      : decode_(std::move(decode)), contact_(min_expiry) {}
 
-  /// Applies a complete listing.
-  void OnListed(const StoreListing& listing, TimePoint now);
-  /// Applies a change that a watch reported.
-  void OnChanged(const StoreChange& change);
+  /// Records that the store answered a call that was sent at `sent_at`.
+  void OnStoreResponded(TimePoint sent_at, TimePoint now);
   /// Records that a call to the store failed.
   void OnStoreError();
+  /// Applies a complete listing. `OnStoreResponded` must have been called.
+  void OnListed(const StoreListing& listing, TimePoint now);
+  /// Applies a change that a watch reported.
+  void OnChanged(const StoreChange& change, TimePoint now);
   /// Records that the store was restored from an older copy. Upstreams write
   /// again what it lost, as after a failure.
   void OnRestored();
@@ -59,8 +70,10 @@
     std::int64_t revision = 0;
     /// Not set if the entry is malformed.
     std::optional<ForwardUpstreamInfo> info;
-    bool missing = false;  ///< The entry was removed or not listed.
+    /// The entry was removed or not listed, but may be written again.
+    bool missing = false;
   };
+  using KnownEntries = std::map<std::string, KnownEntry>;  ///< By key.
 
   /// An upstream that was removed from the list.
   struct RemovedEntry {
@@ -70,6 +83,19 @@
   /// Number of removed upstreams that are remembered.
   static constexpr std::size_t kMaxRemovedEntries = 1024;
 
+  /// Returns true if entries may have expired although their upstreams live,
+  /// and may not have been written again yet.
+  bool MayHaveExpired(TimePoint now) const;
+  /// Returns the end of the time in which upstreams write again what the store
+  /// lost when it was last away; empty if it never was.
+  std::optional<TimePoint> ReregistrationEnd() const;
+  /// Marks the entry as missing and records that its service lost it.
+  void MarkMissing(const std::string& key, KnownEntry* known);
+  /// Removes those missing entries that will not be written again.
+  void RemoveGone(TimePoint now);
+  /// Returns true if the store lost more entries of the service than it kept:
+  /// it was away, and these upstreams did not leave.
+  bool LostMostOf(const std::string& service) const;
   void ApplyEntry(const KvEntry& entry);
   /// Returns true if the entry is the copy of one that was removed before the
   /// store was restored.
@@ -78,14 +104,17 @@
   void RememberRemoval(const std::string& key, const KnownEntry& known);
 
   Decode decode_;
-  std::map<std::string, KnownEntry> known_entries_;      ///< By key.
+  StoreContact contact_;
+  KnownEntries known_entries_;
   std::map<std::string, RemovedEntry> removed_entries_;  ///< By key.
-  bool store_failing_ = false;
-  /// The store was restored, and upstreams may not yet have written again what
-  /// it lost.
-  bool store_restored_ = false;
-  /// When the store last recovered from a failure.
-  std::optional<TimePoint> store_recovered_at_;
+  /// Keys of the entries that went missing since the store may have been away,
+  /// also of those that were written again, by service.
+  std::map<std::string, std::set<std::string>> lost_entries_;
+  /// The store was restored and not listed since.
+  bool restored_unlisted_ = false;
+  /// When the store was first listed after it was restored. Upstreams may not
+  /// yet have written again what it lost.
+  std::optional<TimePoint> restored_listed_at_;
 };
 
 /// Keeps a node's list of upstreams up to date with the store, by a watch and
@@ -98,10 +127,11 @@
   /// Receives each new list of upstreams.
   using Submit = std::function<void(ForwardEvent)>;
 
-  /// Follows the entries below `prefix`. They are listed each `list_period`
-  /// unless `read_policy` reports that a peer confirmed the list.
+  /// Follows the entries below `prefix`. They are listed each
+  /// `times.list_period` unless `read_policy` reports that a peer confirmed the
+  /// list.
   UpstreamSync(boost::asio::io_context& loop, AsyncStore* store,
-               std::string prefix, Duration list_period,
+               std::string prefix, UpstreamListTimes times,
                UpstreamDirectory::Decode decode, StoreReadPolicy read_policy,
                Submit submit);
 
@@ -112,10 +142,13 @@
   /// Lists the entries if a listing is due, else checks again later.
   void ListIfDue();
   void ScheduleCheck(Duration delay);
-  /// Returns the time between two listings: half of `list_period` if this node
-  /// publishes what it reads, else `list_period`.
+  /// Returns the time between two listings: half of the period if this node
+  /// publishes what it reads, else the whole one.
   Duration ListPeriod() const;
   void List();
+  /// Lists now, or once `times_.retry_delay` has passed since the last listing
+  /// began.
+  void ListSoon();
   void OnListed(TimePoint started, const Result<StoreListing>& listing);
   void OnChanges(const StoreChanges& changes);
   void OnRestored();
@@ -127,13 +160,15 @@
 
   AsyncStore* store_;
   std::string prefix_;
-  Duration list_period_;
+  UpstreamListTimes times_;
   UpstreamDirectory directory_;
   StoreReadPolicy read_policy_;
   Submit submit_;
   boost::asio::steady_timer list_timer_;
   boost::asio::steady_timer republish_timer_;
   StoreWatch watch_;
+  TimePoint list_started_at_;
+  bool listing_ = false;       ///< A listing is in progress.
   std::int64_t revision_ = 0;  ///< Newest known revision of the store.
   std::vector<ForwardUpstreamInfo> published_;  ///< The last list submitted.
 };
--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -43,8 +43,9 @@
 
 void HttpClient::Call(const HttpCall& call, Callback callback) {
   auto pending = std::make_shared<PendingCall>(loop_, std::move(callback));
-  pending->connection =
-      pool_.Acquire(call.address, call.timeout, BootClockNow());
+  const Duration max_idle =
+      call.new_connection ? Duration::zero() : call.timeout;
+  pending->connection = pool_.Acquire(call.address, max_idle, BootClockNow());
   pending->timer.expires_after(call.timeout);
   pending->timer.async_wait(
       [this, pending](const boost::system::error_code& error) {
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -1,5 +1,6 @@
 #include "pollenledge/process/config_sync.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "pollenledge/connection/loop_clock.h"
@@ -30,11 +31,10 @@
       may_lack_writes_(std::move(may_lack_writes)),
       submit_(std::move(submit)),
       read_timer_(loop),
-      // A failed watch only delays changes: the periodic reads continue.
       watch_(
           loop, store, key_, kWatchPollDelay, read_policy_.needs_watch,
           [this](const StoreChanges& changes) { OnChanges(changes); },
-          [](const Error&) {}) {
+          [this](const Error&) { OnWatchEnded(); }) {
   store->OnRestored([this] { OnRestored(); });
 }
 
@@ -60,6 +60,17 @@
   ReadNow();
 }
 
+void ConfigSync::OnWatchEnded() {
+  // What changes from now on is missed until a read has started the next watch.
+  // A store that cuts each watch is not read more often than this.
+  if (read_in_progress_) return;
+  const Duration since_last = BootClockNow() - read_started_at_;
+  read_timer_.expires_after(std::max(kReadRetryDelay - since_last, Duration()));
+  read_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) ReadNow();
+  });
+}
+
 void ConfigSync::ReadNow() {
   if (!read_in_progress_) Read();
 }
@@ -67,6 +78,7 @@
 void ConfigSync::Read() {
   read_in_progress_ = true;
   const TimePoint started = BootClockNow();
+  read_started_at_ = started;
   store_->Read(key_, [this, started](const Result<StoreItem>& item) {
     read_in_progress_ = false;
     OnRead(started, item);
--- a/src/libpollenledge/process/node_settings.cc
+++ b/src/libpollenledge/process/node_settings.cc
@@ -74,6 +74,10 @@
   settings.leaving_bound =
       Milliseconds(&reader, "leaving_bound_ms", 2000,
                    "A leaving upstream gets no new work after this time.");
+  settings.upstream_heartbeat =
+      Milliseconds(&reader, "upstream_heartbeat_ms", 1200,
+                   "Interval at which upstreams write their entries to the "
+                   "store; an entry expires after three of them.");
   settings.key_freshness = Milliseconds(
       &reader, "key_freshness_ms", 0,
       "Maximum age of the tables for running requests with an API key; 0: no "
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -14,17 +14,45 @@
 /// between two polls. In a large fleet something changes all the time, and each
 /// poll is a call to the store.
 constexpr int kWatchPollsPerPeriod = 6;
-/// Number of times per period that a node which receives the list from others
-/// checks whether it still does.
-constexpr int kChecksPerPeriod = 4;
-/// Delay after a failed listing, so that a store that rejects calls is not
-/// overloaded.
-constexpr Duration kListRetryDelay = std::chrono::milliseconds(400);
 
 }  // namespace
 
+void UpstreamDirectory::OnStoreResponded(TimePoint sent_at, TimePoint now) {
+  const std::optional<TimePoint> recovered_before = contact_.recovered_at();
+  contact_.OnResponded(sent_at, now);
+  if (contact_.recovered_at() == recovered_before) return;
+  // What was lost in an earlier outage says nothing of this one.
+  lost_entries_.clear();
+  for (const auto& [key, known] : known_entries_) {
+    if (known.missing && known.info.has_value())
+      lost_entries_[known.info->service].insert(key);
+  }
+}
+
+void UpstreamDirectory::OnStoreError() { contact_.OnFailed(); }
+
+void UpstreamDirectory::OnRestored() {
+  restored_unlisted_ = true;
+  restored_listed_at_.reset();
+}
+
+std::optional<TimePoint> UpstreamDirectory::ReregistrationEnd() const {
+  std::optional<TimePoint> lost_at = contact_.recovered_at();
+  if (restored_listed_at_.has_value())
+    lost_at =
+        std::max(lost_at.value_or(*restored_listed_at_), *restored_listed_at_);
+  if (!lost_at.has_value()) return std::nullopt;
+  return *lost_at + kReregistrationTimeout;
+}
+
+bool UpstreamDirectory::MayHaveExpired(TimePoint now) const {
+  if (restored_unlisted_ || contact_.MayBeAway(now)) return true;
+  const std::optional<TimePoint> end = ReregistrationEnd();
+  return end.has_value() && now < *end;
+}
+
 void UpstreamDirectory::OnListed(const StoreListing& listing, TimePoint now) {
-  if (std::exchange(store_failing_, false)) store_recovered_at_ = now;
+  if (std::exchange(restored_unlisted_, false)) restored_listed_at_ = now;
   std::set<std::string> listed;
   for (const KvEntry& entry : listing.entries) {
     listed.insert(entry.key);
@@ -33,12 +61,13 @@
   for (auto& [key, known] : known_entries_) {
     // An entry with a newer revision than the listing was written after it.
     if (listed.count(key) == 0 && known.revision <= listing.store_revision) {
-      known.missing = true;
+      MarkMissing(key, &known);
     }
   }
+  RemoveGone(now);
 }
 
-void UpstreamDirectory::OnChanged(const StoreChange& change) {
+void UpstreamDirectory::OnChanged(const StoreChange& change, TimePoint now) {
   if (!change.removed) {
     ApplyEntry(change.entry);
     return;
@@ -46,14 +75,47 @@
   const auto found = known_entries_.find(change.entry.key);
   if (found == known_entries_.end()) return;
   if (found->second.revision > change.entry.mod_revision) return;
-  found->second.missing = true;
+  MarkMissing(found->first, &found->second);
+  RemoveGone(now);
 }
 
-void UpstreamDirectory::OnStoreError() { store_failing_ = true; }
+void UpstreamDirectory::MarkMissing(const std::string& key, KnownEntry* known) {
+  known->missing = true;
+  if (known->info.has_value()) lost_entries_[known->info->service].insert(key);
+}
 
-void UpstreamDirectory::OnRestored() {
-  store_failing_ = true;
-  store_restored_ = true;
+bool UpstreamDirectory::LostMostOf(const std::string& service) const {
+  const auto lost = lost_entries_.find(service);
+  if (lost == lost_entries_.end()) return false;
+  const auto kept = static_cast<std::size_t>(std::count_if(
+      known_entries_.begin(), known_entries_.end(), [&](const auto& entry) {
+        return entry.second.info.has_value() &&
+               entry.second.info->service == service &&
+               lost->second.count(entry.first) == 0;
+      }));
+  return lost->second.size() > kept;
+}
+
+void UpstreamDirectory::RemoveGone(TimePoint now) {
+  const bool may_have_expired = MayHaveExpired(now);
+  const bool may_be_away = contact_.MayBeAway(now);
+  // Each missing entry may be written again while the store is away, and after
+  // it was restored; else those of services that lost most of theirs.
+  const bool keeps_all =
+      may_have_expired &&
+      (may_be_away || restored_unlisted_ ||
+       (restored_listed_at_.has_value() &&
+        now < *restored_listed_at_ + kReregistrationTimeout));
+  for (auto it = known_entries_.begin(); it != known_entries_.end();) {
+    const KnownEntry& known = it->second;
+    const bool may_return =
+        keeps_all || (may_have_expired && known.info.has_value() &&
+                      LostMostOf(known.info->service));
+    const bool is_gone = known.missing && !may_return;
+    if (is_gone) RememberRemoval(it->first, known);
+    it = is_gone ? known_entries_.erase(it) : std::next(it);
+  }
+  if (!may_have_expired) lost_entries_.clear();
 }
 
 bool UpstreamDirectory::IsCopyOfRemoved(const KvEntry& entry,
@@ -106,70 +168,56 @@
 }
 
 std::vector<ForwardUpstreamInfo> UpstreamDirectory::Upstreams(TimePoint now) {
-  const bool removes_missing =
-      !store_failing_ && (!store_recovered_at_.has_value() ||
-                          now >= *store_recovered_at_ + kReregistrationTimeout);
-  for (auto it = known_entries_.begin(); it != known_entries_.end();) {
-    const bool expired = it->second.missing && removes_missing;
-    if (expired) RememberRemoval(it->first, it->second);
-    it = expired ? known_entries_.erase(it) : std::next(it);
-  }
-  if (removes_missing) store_restored_ = false;
-  // Number of present entries minus number of missing ones, by service.
-  std::map<std::string, int> present_minus_missing;
-  for (const auto& [key, known] : known_entries_) {
-    if (known.info.has_value()) {
-      present_minus_missing[known.info->service] += known.missing ? -1 : 1;
-    }
-  }
+  RemoveGone(now);
   std::vector<ForwardUpstreamInfo> upstreams;
   for (const auto& [key, known] : known_entries_) {
-    if (!known.info.has_value()) continue;
-    // If at least half of the service's entries are present, the store probably
-    // did not lose the missing ones: the upstream left, and only this node
-    // missed the change.
-    const bool probably_left = !store_failing_ && !store_restored_ &&
-                               known.missing &&
-                               present_minus_missing[known.info->service] >= 0;
-    if (!probably_left) upstreams.push_back(*known.info);
+    if (known.info.has_value()) upstreams.push_back(*known.info);
   }
   return upstreams;
 }
 
 std::optional<TimePoint> UpstreamDirectory::NextDue(TimePoint now) const {
-  if (store_failing_ || !store_recovered_at_.has_value()) return std::nullopt;
-  const TimePoint due = *store_recovered_at_ + kReregistrationTimeout;
-  if (due <= now) return std::nullopt;
+  const std::optional<TimePoint> due = ReregistrationEnd();
+  if (!due.has_value() || *due <= now) return std::nullopt;
   return due;
 }
 
 UpstreamSync::UpstreamSync(boost::asio::io_context& loop, AsyncStore* store,
-                           std::string prefix, Duration list_period,
+                           std::string prefix, UpstreamListTimes times,
                            UpstreamDirectory::Decode decode,
                            StoreReadPolicy read_policy, Submit submit)
     : store_(store),
       prefix_(std::move(prefix)),
-      list_period_(list_period),
-      directory_(std::move(decode)),
+      times_(times),
+      directory_(std::move(decode), times.min_expiry),
       read_policy_(std::move(read_policy)),
       submit_(std::move(submit)),
       list_timer_(loop),
       republish_timer_(loop),
       watch_(
-          loop, store, prefix_, list_period / kWatchPollsPerPeriod,
+          loop, store, prefix_, times.list_period / kWatchPollsPerPeriod,
           read_policy_.needs_watch,
           [this](const StoreChanges& changes) { OnChanges(changes); },
           [this](const Error& error) { OnWatchError(error); }) {
   store->OnRestored([this] { OnRestored(); });
+  store->OnContact([this](bool responded, TimePoint sent_at) {
+    if (responded) {
+      directory_.OnStoreResponded(sent_at, BootClockNow());
+    } else {
+      directory_.OnStoreError();
+    }
+  });
 }
 
 void UpstreamSync::Start() { List(); }
 
 void UpstreamSync::ListIfDue() {
-  if (read_policy_.needs_read(list_period_, BootClockNow())) {
+  if (listing_) return;  // Its end schedules the next check.
+  const Duration max_age = times_.list_period - times_.check_interval;
+  if (read_policy_.needs_read(max_age, BootClockNow())) {
     List();
   } else {
-    ScheduleCheck(list_period_ / kChecksPerPeriod);
+    ScheduleCheck(times_.check_interval);
   }
 }
 
@@ -182,21 +230,42 @@
 
 Duration UpstreamSync::ListPeriod() const {
   // The other nodes receive the list later than this one.
-  return read_policy_.publishes_reads() ? list_period_ / 2 : list_period_;
+  return read_policy_.publishes_reads() ? times_.list_period / 2
+                                        : times_.list_period;
 }
 
 void UpstreamSync::List() {
   const TimePoint started = BootClockNow();
+  list_started_at_ = started;
+  listing_ = true;
+  list_timer_.cancel();
   store_->List(prefix_, [this, started](const Result<StoreListing>& listing) {
+    listing_ = false;
     OnListed(started, listing);
-    ScheduleCheck(Ok(listing) ? ListPeriod() : kListRetryDelay);
+    // The period counts from when the store was read.
+    const Duration elapsed = BootClockNow() - started;
+    ScheduleCheck(Ok(listing) ? std::max(ListPeriod() - elapsed, Duration())
+                              : times_.retry_delay);
+  });
+}
+
+void UpstreamSync::ListSoon() {
+  if (listing_) return;
+  const TimePoint earliest = list_started_at_ + times_.retry_delay;
+  const Duration delay = earliest - BootClockNow();
+  if (delay <= Duration::zero()) {
+    List();
+    return;
+  }
+  list_timer_.expires_after(delay);
+  list_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !listing_) List();
   });
 }
 
 void UpstreamSync::OnListed(TimePoint started,
                             const Result<StoreListing>& listing) {
   if (!Ok(listing)) {
-    directory_.OnStoreError();
     watch_.OnReadFailed();
     return;
   }
@@ -208,7 +277,7 @@
 
 void UpstreamSync::OnChanges(const StoreChanges& changes) {
   for (const StoreChange& change : changes.changes) {
-    directory_.OnChanged(change);
+    directory_.OnChanged(change, BootClockNow());
   }
   revision_ = std::max(revision_, changes.store_revision);
   Publish(std::nullopt);
@@ -221,9 +290,11 @@
 }
 
 void UpstreamSync::OnWatchError(const Error& error) {
-  // A watch fails with `kNotFound` when the store has discarded the history.
-  // This is not a failure of the store: the next listing catches up.
-  if (error.code != ErrorCode::kNotFound) directory_.OnStoreError();
+  // A watch that ends is no failure of the store. What changes from now on is
+  // missed until a listing has started the next one.
+  Log(LogLevel::kDebug, "upstreams_listed_after_watch",
+      {{"error", error.message}});
+  ListSoon();
 }
 
 void UpstreamSync::Publish(std::optional<TimePoint> read_at) {
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -98,7 +98,9 @@
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         upstream_sync_(
             loop_, &store_, kUpstreamKeyPrefix,
-            PollInterval(settings.leaving_bound), DecodeUpstream,
+            MakeUpstreamListTimes(settings.leaving_bound,
+                                  settings.upstream_heartbeat),
+            DecodeUpstream,
             MakeStoreReadPolicy(&ForwardNode::NeedsUpstreamsRead),
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
         suspect_sync_(
--- a/src/platform/platform_store.cc
+++ b/src/platform/platform_store.cc
@@ -5,11 +5,13 @@
 #include <Poco/URI.h>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
 
+#include "pollenledge/connection/loop_clock.h"
 #include "pollenledge/process/log.h"
 
 namespace pollenledge {
@@ -20,10 +22,14 @@
 /// Timeout of a call that is not a watch. The store usually responds within a
 /// few milliseconds, but sometimes takes several hundred milliseconds.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
+/// Time after which a read that is not answered is sent once more.
+constexpr Duration kReadHedgeDelay = std::chrono::milliseconds(200);
 /// A watch times out if no response has arrived this long after its wait.
 constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(1500);
 /// Grows by one each time the store is restored from an older copy.
 constexpr char kEra[] = "Store-Era";
+/// Kind of the calls that wait for changes.
+constexpr char kWatchCall[] = "watch";
 constexpr int kStatusOk = 200;
 /// The lease or key does not exist.
 constexpr int kStatusNoLeaseOrKey = 404;
@@ -129,17 +135,18 @@
   return 0;
 }
 
-/// The outcome of a call as it is named in the metrics. Statuses that are part
-/// of the store's API count as "ok".
+/// Returns true if the store answered the call by a status that is part of its
+/// API; by any other it turns the call away.
+bool IsAnswered(const Result<HttpResponse>& response) {
+  if (!Ok(response)) return false;
+  const int status = Value(response).status;
+  return status == kStatusOk || status == kStatusNoLeaseOrKey ||
+         status == kStatusConditionFailed || status == kStatusHistoryGone;
+}
+
+/// The outcome of a call as it is named in the metrics.
 const char* OutcomeName(const Result<HttpResponse>& response) {
-  if (Ok(response)) {
-    const int status = Value(response).status;
-    return status == kStatusOk || status == kStatusNoLeaseOrKey ||
-                   status == kStatusConditionFailed ||
-                   status == kStatusHistoryGone
-               ? "ok"
-               : "refused";
-  }
+  if (Ok(response)) return IsAnswered(response) ? "ok" : "refused";
   return ErrorOf(response).code == ErrorCode::kUnavailable ? "unavailable"
                                                            : "unknown";
 }
@@ -156,14 +163,61 @@
 void PlatformStore::Call(const char* kind, HttpCall call,
                          HttpClient::Callback callback) {
   call.address = address_;
-  client_.Call(call, [this, kind, callback = std::move(callback)](
-                         Result<HttpResponse> response) {
-    call_observer_(kind, OutcomeName(response));
-    if (Ok(response) && !UpdateEra(kind, Value(response))) {
-      response = Error{ErrorCode::kUnknownOutcome,
-                       "the response is of an earlier era of the store"};
-    }
-    callback(std::move(response));
+  // A watch that ends shows nothing: the store cuts waiting ones at any time.
+  const bool is_watch = std::string_view(kind) == kWatchCall;
+  const TimePoint sent_at = BootClockNow();
+  client_.Call(
+      call, [this, kind, is_watch, sent_at,
+             callback = std::move(callback)](Result<HttpResponse> response) {
+        call_observer_(kind, OutcomeName(response));
+        if (!is_watch) NotifyContact(IsAnswered(response), sent_at);
+        if (Ok(response) && !UpdateEra(kind, Value(response))) {
+          response = Error{ErrorCode::kUnknownOutcome,
+                           "the response is of an earlier era of the store"};
+        }
+        callback(std::move(response));
+      });
+}
+
+/// A read and the calls that were sent for it.
+struct PlatformStore::HedgedRead {
+  HedgedRead(boost::asio::io_context& loop, const char* read_kind,
+             HttpCall read_call, HttpClient::Callback on_end)
+      : kind(read_kind),
+        call(std::move(read_call)),
+        callback(std::move(on_end)),
+        hedge_timer(loop) {}
+
+  const char* kind;
+  HttpCall call;
+  HttpClient::Callback callback;  ///< Empty once the read has ended.
+  boost::asio::steady_timer hedge_timer;
+  int unanswered = 0;  ///< Calls without a response so far.
+};
+
+void PlatformStore::CallRead(const char* kind, const HttpCall& call,
+                             HttpClient::Callback callback) {
+  auto read =
+      std::make_shared<HedgedRead>(loop_, kind, call, std::move(callback));
+  read->hedge_timer.expires_after(kReadHedgeDelay);
+  read->hedge_timer.async_wait(
+      [this, read](const boost::system::error_code& error) {
+        if (error || read->callback == nullptr) return;
+        read->call.new_connection = true;
+        SendRead(read);
+      });
+  SendRead(read);
+}
+
+void PlatformStore::SendRead(const std::shared_ptr<HedgedRead>& read) {
+  ++read->unanswered;
+  Call(read->kind, read->call, [read](Result<HttpResponse> response) {
+    --read->unanswered;
+    if (read->callback == nullptr) return;
+    if (!Ok(response) && read->unanswered > 0) return;
+    read->hedge_timer.cancel();
+    const HttpClient::Callback done = std::exchange(read->callback, nullptr);
+    done(std::move(response));
   });
 }
 
@@ -214,22 +268,23 @@
 }
 
 void PlatformStore::Read(const std::string& key, Callback<StoreItem> callback) {
-  Call("read", MakeGet("/-/kv-key?key=" + EscapeQueryValue(key)),
-       [this, callback = std::move(callback)](Result<HttpResponse> response) {
-         if (Ok(response) && Value(response).status == kStatusNoLeaseOrKey) {
-           callback(StoreItem{});
-           return;
-         }
-         if (auto error = CheckResponse<StoreItem>(response)) {
-           callback(*error);
-           return;
-         }
-         callback(
-             ParseBody<StoreItem>(Value(response), [this](const Json& json) {
-               return StoreItem{ToEntry(json), ToPosition(json.value(
-                                                   "as_of", std::int64_t{0}))};
-             }));
-       });
+  CallRead(
+      "read", MakeGet("/-/kv-key?key=" + EscapeQueryValue(key)),
+      [this, callback = std::move(callback)](Result<HttpResponse> response) {
+        if (Ok(response) && Value(response).status == kStatusNoLeaseOrKey) {
+          callback(StoreItem{});
+          return;
+        }
+        if (auto error = CheckResponse<StoreItem>(response)) {
+          callback(*error);
+          return;
+        }
+        callback(
+            ParseBody<StoreItem>(Value(response), [this](const Json& json) {
+              return StoreItem{ToEntry(json), ToPosition(json.value(
+                                                  "as_of", std::int64_t{0}))};
+            }));
+      });
 }
 
 void PlatformStore::List(const std::string& prefix,
@@ -243,45 +298,46 @@
                              Callback<StoreListing> callback) {
   std::string path = "/-/kv-range?prefix=" + EscapeQueryValue(prefix);
   if (!after_key.empty()) path += "&after=" + EscapeQueryValue(after_key);
-  Call("list", MakeGet(path),
-       [this, prefix, collected = std::move(collected),
-        callback = std::move(callback)](Result<HttpResponse> response) mutable {
-         if (auto error = CheckResponse<StoreListing>(response)) {
-           callback(*error);
-           return;
-         }
-         bool has_more = false;
-         Result<StoreListing> page = ParseBody<StoreListing>(
-             Value(response), [this, &has_more](const Json& json) {
-               has_more = json.value("has_more", false);
-               return StoreListing{
-                   ToEntries(json.at("entries")),
-                   ToPosition(json.at("as_of").get<std::int64_t>())};
-             });
-         if (!Ok(page)) {
-           callback(std::move(page));
-           return;
-         }
-         if (!IsCurrent(collected.store_revision)) {
-           callback(Error{ErrorCode::kUnavailable,
-                          "the store was restored between two pages"});
-           return;
-         }
-         // A watch from the first page's revision also brings the changes made
-         // while the other pages were read.
-         if (collected.store_revision == 0) {
-           collected.store_revision = Value(page).store_revision;
-         }
-         for (KvEntry& entry : Value(page).entries) {
-           collected.entries.push_back(std::move(entry));
-         }
-         if (!has_more || collected.entries.empty()) {
-           callback(std::move(collected));
-           return;
-         }
-         const std::string last_key = collected.entries.back().key;
-         ListPage(prefix, last_key, std::move(collected), std::move(callback));
-       });
+  CallRead(
+      "list", MakeGet(path),
+      [this, prefix, collected = std::move(collected),
+       callback = std::move(callback)](Result<HttpResponse> response) mutable {
+        if (auto error = CheckResponse<StoreListing>(response)) {
+          callback(*error);
+          return;
+        }
+        bool has_more = false;
+        Result<StoreListing> page = ParseBody<StoreListing>(
+            Value(response), [this, &has_more](const Json& json) {
+              has_more = json.value("has_more", false);
+              return StoreListing{
+                  ToEntries(json.at("entries")),
+                  ToPosition(json.at("as_of").get<std::int64_t>())};
+            });
+        if (!Ok(page)) {
+          callback(std::move(page));
+          return;
+        }
+        if (!IsCurrent(collected.store_revision)) {
+          callback(Error{ErrorCode::kUnavailable,
+                         "the store was restored between two pages"});
+          return;
+        }
+        // A watch from the first page's revision also brings the changes made
+        // while the other pages were read.
+        if (collected.store_revision == 0) {
+          collected.store_revision = Value(page).store_revision;
+        }
+        for (KvEntry& entry : Value(page).entries) {
+          collected.entries.push_back(std::move(entry));
+        }
+        if (!has_more || collected.entries.empty()) {
+          callback(std::move(collected));
+          return;
+        }
+        const std::string last_key = collected.entries.back().key;
+        ListPage(prefix, last_key, std::move(collected), std::move(callback));
+      });
 }
 
 void PlatformStore::Watch(const std::string& prefix,
@@ -296,7 +352,7 @@
               std::to_string(store_position::RevisionOf(after_revision)) +
               "&wait_ms=" + std::to_string(wait.count() / 1000));
   call.timeout = wait + kWatchTimeoutMargin;
-  Call("watch", std::move(call),
+  Call(kWatchCall, std::move(call),
        [this, after_revision,
         callback = std::move(callback)](Result<HttpResponse> response) {
          if (auto error = CheckResponse<StoreChanges>(response)) {
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
@@ -17,7 +18,9 @@
 /// which all its responses name.
 ///
 /// A call that is not a watch times out after 900 ms, a watch 1.5 s after its
-/// wait has passed. Not thread-safe: use it on the thread of `loop`.
+/// wait has passed. A read that is not answered within 200 ms is sent once more
+/// on a new connection: the first one may lead nowhere. Not thread-safe: use it
+/// on the thread of `loop`.
 class PlatformStore : public AsyncStore {
  public:
   /// Called at the end of each call with its kind and its outcome: "ok",
@@ -59,6 +62,12 @@
   /// Sends `call` and reports its outcome under `kind` to the observer. A
   /// response of an earlier era becomes an error.
   void Call(const char* kind, HttpCall call, HttpClient::Callback callback);
+  /// Sends a read as `Call` does. If it is not answered soon, sends it once
+  /// more on a new connection, and takes the response that comes first.
+  void CallRead(const char* kind, const HttpCall& call,
+                HttpClient::Callback callback);
+  struct HedgedRead;
+  void SendRead(const std::shared_ptr<HedgedRead>& read);
   /// Reads the entries after `after_key` (empty: from the first), adds them to
   /// `collected` and continues until no entries are left.
   void ListPage(const std::string& prefix, const std::string& after_key,
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -67,6 +67,10 @@
         self.leases = {}  # id: (end, time to live in seconds)
         self.lease_of = {}  # key: id
         self.down = False  # while set, GET requests get status 503
+        self.failing_calls = 0  # this many GET requests get status 503
+        self.list_count = 0  # listings so far
+        self.watch_cuts = 0  # times that all waiting watches were cut
+        self.watches = Counter()  # that wait, by prefix
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -77,7 +81,11 @@
 
             def do_GET(self):
                 query = {k: v[0] for k, v in parse_qs(urlparse(self.path).query).items()}
-                self.reply(*store.get(urlparse(self.path).path, query))
+                response = store.get(urlparse(self.path).path, query)
+                if response is None:
+                    self.close_connection = True  # A watch that was cut.
+                else:
+                    self.reply(*response)
 
             def do_POST(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
@@ -151,6 +159,16 @@
             self.events.append(key)
             self.lock.notify_all()
 
+    def cut_watches(self):
+        """Closes the connections of all watches that wait."""
+        with self.lock:
+            self.watch_cuts += 1
+            self.lock.notify_all()
+
+    def waiting_watches(self, prefix):
+        with self.lock:
+            return self.watches[prefix]
+
     def item(self, key):
         value, revision = self.items[key]
         data = value if isinstance(value, bytes) else value.encode()
@@ -161,18 +179,27 @@
         with self.lock:
             if self.down:
                 return 503, {}
+            if self.failing_calls > 0:
+                self.failing_calls -= 1
+                return 503, {}
             if path == "/-/kv-key":
                 key = query["key"]
                 return (200, self.item(key)) if key in self.items else (404, {})
             if path == "/-/kv-range":
+                self.list_count += 1
                 keys = sorted(k for k in self.items if k.startswith(query["prefix"]))
                 return 200, {"entries": [self.item(k) for k in keys],
                              "has_more": False, "as_of": self.revision}
             after, era = int(query["after"]), self.era
             if after > self.revision:
                 return 410, {}
-            self.lock.wait_for(lambda: self.revision > after or self.era > era,
+            cuts = self.watch_cuts
+            self.watches[query["prefix"]] += 1
+            self.lock.wait_for(lambda: self.revision > after or self.era > era or self.watch_cuts > cuts,
                                int(query["wait_ms"]) / 1000)
+            self.watches[query["prefix"]] -= 1
+            if self.watch_cuts > cuts:
+                return None
             if self.era > era and after > self.revision:
                 return 410, {}
             changed = [self.item(k) for k in sorted(self.items)
