DRAIN: a request isn't sent to an upstream that left while its connection was opened

Change: an exchange asks `may_send` once its connection is open; attempts ask whether that incarnation of the upstream is still listed and not leaving. If not, the request goes elsewhere as not sent, and that says nothing of the path to the upstreams.

Test: ClientConnectionTest.SendsNothingIfRefusedOnceConnected; it doesn't compile without the change.

--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -34,6 +34,9 @@
 /// Callbacks from a client connection to the owner of its current exchange.
 /// None is called after `on_finished` or after `Abort`.
 struct ExchangeHandlers {
+  /// Called once a new connection is open. Returning false ends the exchange
+  /// with `kNotSent`. Optional.
+  std::function<bool()> may_send;
   /// The response's head was read. Returning false makes the connection skip
   /// this response and wait for the next one.
   std::function<bool(const HttpHead&)> on_head;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -128,10 +128,12 @@
   /// Starts the exchange of an attempt on its connection.
   void StartAttempt(Exchange* exchange,
                     const forward_action::SendAttempt& send);
-  /// Sends the request with these header fields on its connection.
+  /// Sends the request with these header fields on its connection. If that has
+  /// to be opened first, the request is sent only if `may_send` allows it then;
+  /// null: always.
   void StartExchange(ForwardId id, Exchange* exchange,
                      const std::vector<HttpField>& fields,
-                     TimePoint send_before);
+                     TimePoint send_before, std::function<bool()> may_send);
   /// Asks the upstream's process which incarnation it is, on the connection of
   /// the attempt, and starts the attempt if it is the expected one.
   void VerifyUpstream(const Exchange& exchange,
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -107,7 +107,9 @@
   if (!busy_) return;
   const bool too_late =
       send_before_.has_value() && BootClockNow() >= *send_before_;
-  if (error || too_late) {
+  const bool is_refused =
+      handlers_->may_send != nullptr && !handlers_->may_send();
+  if (error || too_late || is_refused) {
     FinishExchange(ClientExchangeResult::kNotSent);
     return;
   }
--- a/src/libpollenledge/connection/client_connection_test.cc
+++ b/src/libpollenledge/connection/client_connection_test.cc
@@ -48,6 +48,7 @@
     ExchangeHandlers handlers;
     handlers.on_head = [](const HttpHead&) { return true; };
     handlers.on_body = [](const std::string&) {};
+    handlers.may_send = may_send_;
     handlers.on_finished = [this](ClientExchangeResult end) {
       exchange_end_ = end;
     };
@@ -104,6 +105,7 @@
   std::string received_;
   std::string response_;  ///< Of the peer; empty: it sends none.
   bool reset_ = false;
+  std::function<bool()> may_send_;  ///< Of the exchanges that `Send` starts.
   boost::asio::steady_timer reset_timer_{loop_};
   std::string body_;  ///< Received by the client.
   std::optional<ClientExchangeResult> exchange_end_;
@@ -120,6 +122,15 @@
   EXPECT_EQ(received_, "");
 }
 
+// Guards against requests to an upstream that left while the connection to it
+// was being opened (DRAIN).
+TEST_F(ClientConnectionTest, SendsNothingIfRefusedOnceConnected) {
+  may_send_ = [] { return false; };
+  Send(std::nullopt);
+  EXPECT_EQ(exchange_end_, ClientExchangeResult::kNotSent);
+  EXPECT_TRUE(received_.empty());
+}
+
 TEST_F(ClientConnectionTest, SendsRequestIfConnectedBeforeSendBefore) {
   Send(BootClockNow() + std::chrono::hours(1));
   EXPECT_EQ(received_, "GET / HTTP/1.1\r\n\r\n");
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -120,6 +120,12 @@
   ScheduleCheck(request);
 }
 
+bool ForwardNode::IsListed(const UpstreamId& upstream) const {
+  const auto known = upstreams_.all().find(upstream.name);
+  return known != upstreams_.all().end() && known->second.listed &&
+         !known->second.info.leaving && known->second.info.id == upstream;
+}
+
 TimePoint ForwardNode::LatestSendTime(const Request& request) const {
   const bool key_can_expire = request.customer != nullptr &&
                               options_.key_freshness > Duration::zero() &&
@@ -274,7 +280,8 @@
   }
   if (request == nullptr || request->current_upstream.empty()) return;
   const std::string upstream = request->current_upstream;
-  if (ended.end == ForwardOutcome::kNotSent)
+  const UpstreamId upstream_id{upstream, request->current_incarnation};
+  if (ended.end == ForwardOutcome::kNotSent && IsListed(upstream_id))
     OnConnectFailed(request->service, upstream);
   if (ended.load.has_value()) {
     if (ForwardUpstream* known = upstreams_.Find(upstream)) {
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -113,7 +113,7 @@
   const std::vector<HttpField> fields = codec_.encode_relay(
       exchange->request_head,
       {relay.deadline - now, relay.last_event_id, relay.first_attempt});
-  StartExchange(relay.id, exchange, fields, relay.send_before);
+  StartExchange(relay.id, exchange, fields, relay.send_before, nullptr);
 }
 
 void ForwardService::Execute(const forward_action::ProbeUpstream& probe) {
@@ -176,15 +176,20 @@
   const std::vector<HttpField> fields = codec_.encode_attempt(
       exchange->request_head, {send.upstream, send.customer, send.priority,
                                remaining, send.last_event_id});
-  StartExchange(send.id, exchange, fields, send.send_before);
+  // The upstream may leave while the connection is being opened.
+  StartExchange(
+      send.id, exchange, fields, send.send_before,
+      [this, upstream = send.upstream] { return node_.IsListed(upstream); });
 }
 
 void ForwardService::StartExchange(ForwardId id, Exchange* exchange,
                                    const std::vector<HttpField>& fields,
-                                   TimePoint send_before) {
+                                   TimePoint send_before,
+                                   std::function<bool()> may_send) {
   exchange->connection_was_used =
       exchange->upstream_connection->request_count() > 0;
   ExchangeHandlers handlers;
+  handlers.may_send = std::move(may_send);
   handlers.on_head = [this, id](const HttpHead& head) {
     return OnResponseHead(id, head);
   };
