--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -83,6 +83,9 @@
   /// Empty if there is none, or if the store did not respond.
   std::optional<StreamBinding> binding;
   bool store_responded = false;
+  /// The versions that had a record when they were read, after the search was
+  /// asked for. Empty if the search did not ask for them.
+  std::optional<std::vector<StreamBinding>> versions;
 };
 /// The result of `ProbeUpstream`.
 struct UpstreamProbed {
@@ -213,6 +216,9 @@
 struct LookUpStream {
   ForwardId id = 0;
   Fingerprint stream;
+  /// Read the records of versions first. If this service has only one, there is
+  /// no need to search for the stream. Empty: search at once.
+  std::string versions_of;
 };
 /// Write a line to the log.
 struct WriteLogLine {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -203,6 +203,7 @@
     /// When the store is searched again for the binding of the stream that the
     /// request resumes; empty if the request doesn't wait for it.
     std::optional<TimePoint> next_lookup_at;
+    bool store_answered = false;  ///< One of the searches for the binding.
 
     /// Returns true before the first attempt, while the request is in a queue
     /// or waits for the binding of its stream.
@@ -306,13 +307,15 @@
   /// store for it. Returns why the stream cannot be resumed, if that is known.
   std::optional<NotRun> BindResumedStream(Request* request);
   std::optional<NotRun> CheckBinding(Request* request) const;
-  /// Binds the stream to its service's only version. Returns false if there are
-  /// several or if this node's list may lack some.
-  bool BindToOnlyVersion(Request* request);
-  /// True if this node's list of upstreams cannot lack versions that other
-  /// nodes have been using for a while.
-  bool IsUpstreamListCurrent() const;
+  /// Binds the stream to its service's only version, if there is one. What this
+  /// node knows of versions must be newer than the request.
+  void BindToOnlyVersion(Request* request);
+  /// True if more than half of the known nodes were heard of after `since`.
+  bool HeardFromMostSince(TimePoint since) const;
   void ContinueLookup(Request* request);
+  /// Goes by what the peers know if the store did not answer, else rejects the
+  /// request.
+  void EndLookup(Request* request);
   void LookUpStream(Request* request);
   /// Continues with a request whose binding was searched for.
   void OnBindingKnown(Request* request, const char* source);
--- a/src/include/pollenledge/process/stream_record_sync.h
+++ b/src/include/pollenledge/process/stream_record_sync.h
@@ -42,10 +42,14 @@
   /// store was restored from an older copy since the last call.
   using VersionsCallback = std::function<void(
       std::vector<StreamBinding> versions, bool streams_lost)>;
-  /// Receives the binding of a stream, if there is a record, and whether the
-  /// store responded.
-  using FindCallback =
-      std::function<void(std::optional<StreamBinding>, bool responded)>;
+  /// What the store says of a stream.
+  struct Found {
+    std::optional<StreamBinding> binding;  ///< Empty if there is no record.
+    bool responded = false;                ///< The store did.
+    /// The versions with a record; empty if they were not asked for.
+    std::optional<std::vector<StreamBinding>> versions;
+  };
+  using FindCallback = std::function<void(Found)>;
 
   /// `store` must outlive this object. Records have keys below the prefixes.
   StreamRecordSync(boost::asio::io_context& loop, AsyncStore* store,
@@ -60,13 +64,19 @@
                       const std::vector<StreamBinding>& removed);
   /// Writes records of streams, now or as soon as the earlier ones are written.
   void RecordStreams(const std::vector<StreamRecord>& records);
-  /// Searches for the record of a stream.
-  void Find(const Fingerprint& stream, FindCallback callback);
+  /// Searches for the record of a stream. Unless `versions_of` is empty, reads
+  /// the records of versions first, and searches for the stream only if that
+  /// service has more than one.
+  void Find(const Fingerprint& stream, const std::string& versions_of,
+            FindCallback callback);
 
  private:
   void OnRestored();
   void ReadVersions();
   void OnVersionsListed(const Result<StoreListing>& listing);
+  /// Searches for the record of a stream and adds it to `found`.
+  void FindStream(const Fingerprint& stream, Found found,
+                  FindCallback callback);
   std::string VersionKey(const StreamBinding& version) const;
   std::string StreamKey(const Fingerprint& stream) const;
   void WritePending();
--- a/src/libpollenledge/process/forward_streams.cc
+++ b/src/libpollenledge/process/forward_streams.cc
@@ -15,9 +15,10 @@
 constexpr Duration kMaxLookupTime = std::chrono::milliseconds(700);
 /// Time after which the store is searched again.
 constexpr Duration kLookupInterval = std::chrono::milliseconds(200);
-/// Age at which a node that has lost most of its peers does not rely on its
-/// list of upstreams any more. The list is confirmed more often than that.
-constexpr Duration kMaxUpstreamListAge = std::chrono::seconds(5);
+/// Age of the list of upstreams from which on the process of an upstream is
+/// asked for its incarnation before it goes on with a stream. The list of a
+/// node that is in step is younger most of the time.
+constexpr Duration kMaxTrustedListAge = std::chrono::seconds(2);
 /// Maximum number of records in one message.
 constexpr std::size_t kMaxStreamsPerMessage = 64;
 
@@ -68,30 +69,35 @@
 
 std::optional<NotRun> ForwardNode::BindResumedStream(Request* request) {
   if (!ResumesStream(*request)) return std::nullopt;
-  if (request->binding.has_value() || BindToOnlyVersion(request))
-    return CheckBinding(request);
-  if (!request->stream.has_value())
+  if (request->binding.has_value()) return CheckBinding(request);
+  const bool has_one_version =
+      !stream_versions_.IsMixed(request->service, now());
+  if (!request->stream.has_value() && !has_one_version)
     return UnknownStream("stream-unknown", Duration(0));
   lookups_.insert(request->id);
   LookUpStream(request);
   return std::nullopt;
 }
 
-bool ForwardNode::BindToOnlyVersion(Request* request) {
+void ForwardNode::BindToOnlyVersion(Request* request) {
   const std::optional<std::string> only =
       stream_versions_.OnlyVersion(request->service, now());
-  if (!only.has_value() || !IsUpstreamListCurrent()) return false;
-  request->binding = {request->service, *only};
-  return true;
+  if (only.has_value()) request->binding = {request->service, *only};
 }
 
-bool ForwardNode::IsUpstreamListCurrent() const {
-  const std::optional<TimePoint> confirmed_at = upstream_list_.confirmed_at();
-  if (confirmed_at.has_value() && now() - *confirmed_at <= kMaxUpstreamListAge)
-    return true;
-  // While the store is away, nobody learns of new versions but from a node that
-  // has seen them, and the nodes tell each other which versions begin streams.
-  return 2 * membership_.AliveCount(now()) > membership_.KnownNodeCount(now());
+bool ForwardNode::HeardFromMostSince(TimePoint since) const {
+  const std::vector<Member> others = membership_.Others(now());
+  // Nodes of a large fleet hear of each other less often than requests may
+  // wait.
+  if (membership_.IsLargeFleet())
+    return 2 * membership_.AliveCount(now()) >
+           membership_.KnownNodeCount(now());
+  const auto heard =
+      std::count_if(others.begin(), others.end(), [&](const Member& member) {
+        return member.status == MemberStatus::kAlive &&
+               member.since_heartbeat < now() - since;
+      });
+  return 2 * (heard + 1) > membership_.KnownNodeCount(now());
 }
 
 std::optional<NotRun> ForwardNode::CheckBinding(Request* request) const {
@@ -104,30 +110,60 @@
 void ForwardNode::LookUpStream(Request* request) {
   request->next_lookup_at = std::min<TimePoint>(
       now() + kLookupInterval, request->arrived_at + kMaxLookupTime);
-  Emit(forward_action::LookUpStream{request->id, *request->stream});
+  // What this node knows of versions may be older than the stream. A version is
+  // recorded before its first stream, so records that are read now show it.
+  const bool has_one_version =
+      !stream_versions_.IsMixed(request->service, now());
+  Emit(forward_action::LookUpStream{request->id,
+                                    request->stream.value_or(Fingerprint()),
+                                    has_one_version ? request->service : ""});
 }
 
 void ForwardNode::ContinueLookup(Request* request) {
-  request->binding = stream_versions_.Find(*request->stream);
-  if (request->binding.has_value() || BindToOnlyVersion(request)) {
+  if (request->stream.has_value())
+    request->binding = stream_versions_.Find(*request->stream);
+  if (request->binding.has_value()) {
     OnBindingKnown(request, "peer");
     return;
   }
   if (now() >= request->arrived_at + kMaxLookupTime) {
-    RejectUnboundStream(request, "stream-unknown", kDefaultRetryAfter);
+    EndLookup(request);
     return;
   }
   LookUpStream(request);
   ScheduleCheck(request);
 }
 
+void ForwardNode::EndLookup(Request* request) {
+  // While the store is away nobody learns of new versions but from a node that
+  // has seen them, and the nodes tell each other which versions begin streams.
+  const bool may_rely_on_peers =
+      !request->store_answered && HeardFromMostSince(request->arrived_at);
+  if (may_rely_on_peers) BindToOnlyVersion(request);
+  if (request->binding.has_value()) {
+    OnBindingKnown(request, "peers");
+    return;
+  }
+  RejectUnboundStream(request, "stream-unknown", kDefaultRetryAfter);
+}
+
 void ForwardNode::On(const forward_event::StreamLookedUp& lookup) {
+  if (lookup.versions.has_value()) {
+    LogMixedServices(stream_versions_.OnRecordsRead(*lookup.versions, now()));
+    UpdateVersionRecords();
+  }
   Request* request = FindRequest(lookup.id);
   if (request == nullptr || !request->next_lookup_at.has_value()) return;
-  if (!lookup.binding.has_value()) return;  // `ContinueLookup` goes on.
-  stream_versions_.Learn({*request->stream, *lookup.binding}, now());
-  request->binding = lookup.binding;
-  OnBindingKnown(request, "store");
+  request->store_answered = request->store_answered || lookup.store_responded;
+  if (lookup.binding.has_value() && request->stream.has_value()) {
+    stream_versions_.Learn({*request->stream, *lookup.binding}, now());
+    request->binding = lookup.binding;
+    OnBindingKnown(request, "store");
+    return;
+  }
+  if (!lookup.versions.has_value()) return;  // `ContinueLookup` goes on.
+  BindToOnlyVersion(request);
+  if (request->binding.has_value()) OnBindingKnown(request, "versions");
 }
 
 void ForwardNode::OnBindingKnown(Request* request, const char* source) {
@@ -200,7 +236,10 @@
 bool ForwardNode::NeedsVerification(const Request& request,
                                     const ForwardUpstream& upstream) const {
   if (!request.binding.has_value()) return false;
-  return stream_versions_.IsMixed(request.service, now()) ||
+  const std::optional<TimePoint> confirmed_at = upstream_list_.confirmed_at();
+  const bool list_is_old =
+      !confirmed_at.has_value() || now() - *confirmed_at > kMaxTrustedListAge;
+  return list_is_old || stream_versions_.IsMixed(request.service, now()) ||
          now() - upstream.connection_lost_at < kRestartTime;
 }
 
@@ -359,7 +398,7 @@
     Emit(forward_action::RecordStreams{heartbeat.stream_records});
   for (const ForwardId id : std::set<ForwardId>(lookups_)) {
     Request* request = FindRequest(id);
-    if (request == nullptr) continue;
+    if (request == nullptr || !request->stream.has_value()) continue;
     request->binding = stream_versions_.Find(*request->stream);
     if (request->binding.has_value()) OnBindingKnown(request, "peer");
   }
--- a/src/libpollenledge/process/stream_record_sync.cc
+++ b/src/libpollenledge/process/stream_record_sync.cc
@@ -22,6 +22,20 @@
   return {ErrorCode::kUnavailable, "another node was first"};
 }
 
+/// Returns the versions that have a readable record.
+std::vector<StreamBinding> DecodeVersions(const StoreListing& listing) {
+  std::vector<StreamBinding> versions;
+  for (const KvEntry& entry : listing.entries) {
+    Result<StreamBinding> version = DecodeBinding(entry.value);
+    if (Ok(version)) {
+      versions.push_back(std::move(Value(version)));
+    } else {
+      LogFailure("version_record_unreadable", ErrorOf(version));
+    }
+  }
+  return versions;
+}
+
 bool Succeeded(const Result<KvTxnReply>& reply) {
   return Ok(reply) && Value(reply).succeeded;
 }
@@ -86,15 +100,7 @@
     RunLater(&versions_timer_, kRetryInterval, &StreamRecordSync::ReadVersions);
     return;
   }
-  std::vector<StreamBinding> versions;
-  for (const KvEntry& entry : Value(listing).entries) {
-    Result<StreamBinding> version = DecodeBinding(entry.value);
-    if (Ok(version)) {
-      versions.push_back(std::move(Value(version)));
-    } else {
-      LogFailure("version_record_unreadable", ErrorOf(version));
-    }
-  }
+  std::vector<StreamBinding> versions = DecodeVersions(Value(listing));
   Log(LogLevel::kInfo, "version_records_read",
       {{"versions", std::to_string(versions.size())},
        {"revision", std::to_string(Value(listing).store_revision)}});
@@ -217,25 +223,59 @@
   RunLater(&streams_timer_, kRetryInterval, &StreamRecordSync::WritePending);
 }
 
-void StreamRecordSync::Find(const Fingerprint& stream, FindCallback callback) {
-  store_->Read(StreamKey(stream), [callback = std::move(callback)](
-                                      const Result<StoreItem>& item) {
-    if (!Ok(item)) {
-      LogFailure("stream_lookup_failed", ErrorOf(item));
-      callback(std::nullopt, false);
+void StreamRecordSync::Find(const Fingerprint& stream,
+                            const std::string& versions_of,
+                            FindCallback callback) {
+  if (versions_of.empty()) {
+    FindStream(stream, {}, std::move(callback));
+    return;
+  }
+  store_->List(version_prefix_, [this, stream, versions_of,
+                                 callback = std::move(callback)](
+                                    const Result<StoreListing>& listing) {
+    if (!Ok(listing)) {
+      LogFailure("stream_lookup_failed", ErrorOf(listing));
+      callback({});
       return;
     }
-    if (!Value(item).entry.has_value()) {
-      callback(std::nullopt, true);
-      return;
+    std::vector<StreamBinding> versions = DecodeVersions(Value(listing));
+    const auto count =
+        std::count_if(versions.begin(), versions.end(),
+                      [&versions_of](const StreamBinding& version) {
+                        return version.service == versions_of;
+                      });
+    Found found;
+    found.responded = true;
+    found.versions = std::move(versions);
+    if (count > 1) {
+      FindStream(stream, std::move(found), callback);
+    } else {
+      callback(std::move(found));
     }
-    const Result<StreamBinding> binding =
-        DecodeBinding(Value(item).entry->value);
-    if (!Ok(binding)) LogFailure("stream_record_unreadable", ErrorOf(binding));
-    callback(Ok(binding) ? std::optional(Value(binding)) : std::nullopt, true);
   });
 }
 
+void StreamRecordSync::FindStream(const Fingerprint& stream, Found found,
+                                  FindCallback callback) {
+  store_->Read(StreamKey(stream),
+               [found = std::move(found), callback = std::move(callback)](
+                   const Result<StoreItem>& item) mutable {
+                 found.responded = Ok(item);
+                 if (!Ok(item)) {
+                   LogFailure("stream_lookup_failed", ErrorOf(item));
+                 } else if (Value(item).entry.has_value()) {
+                   const Result<StreamBinding> binding =
+                       DecodeBinding(Value(item).entry->value);
+                   if (Ok(binding)) {
+                     found.binding = Value(binding);
+                   } else {
+                     LogFailure("stream_record_unreadable", ErrorOf(binding));
+                   }
+                 }
+                 callback(std::move(found));
+               });
+}
+
 void StreamRecordSync::RunLater(boost::asio::steady_timer* timer,
                                 Duration delay,
                                 void (StreamRecordSync::*next)()) {
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -200,11 +200,11 @@
     };
     options.look_up_stream = [this](const forward_action::LookUpStream& find) {
       stream_record_sync_.Find(
-          find.stream,
-          [this, id = find.id](std::optional<StreamBinding> binding,
-                               bool responded) {
+          find.stream, find.versions_of,
+          [this, id = find.id](StreamRecordSync::Found found) {
             service_.Submit(forward_event::StreamLookedUp{
-                id, std::move(binding), responded});
+                id, std::move(found.binding), found.responded,
+                std::move(found.versions)});
           });
     };
     return options;
