--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -90,6 +90,9 @@
     bool forwarding_events = false;
     std::string response_body;  ///< Buffered until it is complete.
     std::optional<EventSplitter> event_splitter;
+    /// Bytes of the response that wait for the rest of it: of the body, or of
+    /// an event.
+    std::size_t held_bytes = 0;
   };
 
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
@@ -149,6 +152,11 @@
   /// Aborts an attempt whose response exceeds a size limit.
   void RejectResponse(ForwardId id, const char* reason);
   void DiscardBufferedResponse(Exchange* exchange);
+  /// Counts the bytes that the exchange holds now.
+  void CountHeldBytes(Exchange* exchange);
+  /// Rejects the responses that hold the most bytes until all together hold no
+  /// more than they may.
+  void BoundHeldBytes();
   /// Returns true if the upstream has stated that it did not run this request.
   static bool IsRefusal(const Exchange& exchange);
   ForwardOutcome ClassifyEnd(const Exchange& exchange,
@@ -175,7 +183,7 @@
   ForwardMetrics metrics_;
   ClientConnectionPool upstream_pool_;
   std::unordered_map<ForwardId, Exchange> exchanges_;
-  std::size_t buffered_response_bytes_ = 0;  ///< Over all exchanges.
+  std::size_t held_response_bytes_ = 0;  ///< Over all exchanges.
   ForwardId next_id_ = 1;
   std::deque<ForwardEvent> pending_events_;
   bool handling_events_ = false;  ///< `Submit` is processing `pending_events_`.
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "pollenledge/process/forward_service.h"
@@ -19,9 +20,9 @@
 /// Maximum size of a response that is not a stream; it is buffered until it is
 /// complete.
 constexpr std::size_t kMaxBufferedResponseBytes = std::size_t{4} * 1024 * 1024;
-/// Maximum size of all buffered responses together: a fifth of the memory of
-/// the smallest machine.
-constexpr std::size_t kMaxTotalBufferedBytes = std::size_t{32} * 1024 * 1024;
+/// Maximum size of all incomplete responses and events together: a fifth of the
+/// memory of the smallest machine.
+constexpr std::size_t kMaxTotalHeldBytes = std::size_t{32} * 1024 * 1024;
 /// Maximum size of an upstream's report about itself; the rest is ignored.
 constexpr std::size_t kMaxReportBytes = std::size_t{64} * 1024;
 /// Maximum size of a stream event that has been received only in part.
@@ -69,11 +70,8 @@
   exchange->forwarding_events = false;
   exchange->is_relayed_on = false;
   exchange->expects_stream = kind == RouteKind::kStreaming;
-  if (exchange->event_splitter.has_value()) {
-    exchange->event_splitter->DropPartial();
-  } else {
+  if (!exchange->event_splitter.has_value())
     exchange->event_splitter.emplace(exchange->spec.last_event_id);
-  }
 }
 
 void ForwardService::Execute(const forward_action::SendAttempt& send) {
@@ -252,13 +250,13 @@
   if (exchange == nullptr) return;
   if (!exchange->forwarding_events) {
     if (exchange->response_body.size() + bytes.size() >
-            kMaxBufferedResponseBytes ||
-        buffered_response_bytes_ + bytes.size() > kMaxTotalBufferedBytes) {
+        kMaxBufferedResponseBytes) {
       RejectResponse(id, "response is too large");
       return;
     }
-    buffered_response_bytes_ += bytes.size();
     exchange->response_body += bytes;
+    CountHeldBytes(exchange);
+    BoundHeldBytes();
     return;
   }
   const bool is_first = exchange->event_splitter->emitted_events() == 0;
@@ -267,7 +265,11 @@
     RejectResponse(id, "event is too large");
     return;
   }
-  if (batch.event_count == 0) return;
+  CountHeldBytes(exchange);
+  if (batch.event_count == 0) {
+    BoundHeldBytes();
+    return;
+  }
   StartResponse(exchange);
   exchange->caller->SendChunk(batch.bytes);
   if (is_first) {
@@ -286,7 +288,8 @@
       {{"request", exchange->spec.trace_id},
        {"upstream", exchange->upstream_connection->address()},
        {"reason", reason},
-       {"held_bytes", std::to_string(buffered_response_bytes_)}});
+       {"bytes", std::to_string(exchange->held_bytes)},
+       {"held_bytes", std::to_string(held_response_bytes_)}});
   metrics_.IncrementCounter("answers_rejected_total");
   exchange->upstream_connection->Abort();
   exchange->upstream_connection.reset();
@@ -297,8 +300,31 @@
 }
 
 void ForwardService::DiscardBufferedResponse(Exchange* exchange) {
-  buffered_response_bytes_ -= exchange->response_body.size();
   exchange->response_body = std::string();
+  if (exchange->event_splitter.has_value())
+    exchange->event_splitter->DropPartial();
+  CountHeldBytes(exchange);
+}
+
+void ForwardService::CountHeldBytes(Exchange* exchange) {
+  const std::size_t partial_event_bytes =
+      exchange->event_splitter.has_value()
+          ? exchange->event_splitter->partial_bytes()
+          : 0;
+  held_response_bytes_ -= exchange->held_bytes;
+  exchange->held_bytes = exchange->response_body.size() + partial_event_bytes;
+  held_response_bytes_ += exchange->held_bytes;
+}
+
+void ForwardService::BoundHeldBytes() {
+  while (held_response_bytes_ > kMaxTotalHeldBytes) {
+    // Small responses of other callers are not lost to large ones.
+    const auto largest = std::max_element(
+        exchanges_.begin(), exchanges_.end(), [](const auto& a, const auto& b) {
+          return a.second.held_bytes < b.second.held_bytes;
+        });
+    RejectResponse(largest->first, "responses hold too much memory");
+  }
 }
 
 void ForwardService::OnAttemptEnd(ForwardId id, ClientExchangeResult end) {
--- a/src/libpollenledge/request/event_splitter.cc
+++ b/src/libpollenledge/request/event_splitter.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+/// Capacity of the buffer of incomplete events that is kept between events.
+constexpr std::size_t kMaxKeptBytes = std::size_t{64} * 1024;
 
 /// Returns the position after the next blank line, which ends an event, in
 /// `text` from `from` on; `npos` if there is none.
@@ -67,13 +69,16 @@
     ++batch.event_count;
   }
   partial_.erase(0, begin);
+  // The memory of a large event is not kept for the rest of the stream.
+  if (partial_.empty() && partial_.capacity() > kMaxKeptBytes)
+    partial_ = std::string();
   scanned_bytes_ = partial_.size();
   emitted_events_ += batch.event_count;
   return batch;
 }
 
 void EventSplitter::DropPartial() {
-  partial_.clear();
+  partial_ = std::string();
   scanned_bytes_ = 0;
   has_gap_ = false;
   received_event_ = false;
--- a/testsuite/endless_answers/run.py
+++ b/testsuite/endless_answers/run.py
@@ -1,11 +1,13 @@
 #!/usr/bin/env python3
 """Runners and callers that send endless messages. The node must abort each kind after
 a bounded number of bytes and keep its memory bounded; the caller of an endless
-response gets an error."""
+response gets an error. Runners that hold many large incomplete messages open must not
+take the memory of the node or the responses of other callers."""
 
 import socket
 import sys
 import threading
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -13,6 +15,9 @@
 from story import run_case  # noqa: E402
 
 CONCURRENT_CALLS = 6
+HELD_RESPONSES = 300
+MIN_HELD_RESPONSES = 80  # fewer show nothing
+SLOTS = 128  # of each runner
 # The concurrent calls must leave memory free on the smallest machine, which has
 # 160 MB.
 MAX_PEAK_MEMORY_MB = 80
@@ -56,6 +61,27 @@
                      f"memory bounded: {peak <= MAX_PEAK_MEMORY_MB}")
 
 
+def check_held_responses(platform, transcript, route, form):
+    """Many responses that each stay below the limits and don't end, and small ones beside them."""
+    Path(f"/proc/{platform.process.pid}/clear_refs").write_text("5")
+
+    def send(name):
+        platform.send_request(name, f"/{route}/{form}", "POST", b"x")
+
+    threads = [threading.Thread(target=send, args=(f"{route}{form}{i}",)) for i in range(HELD_RESPONSES)]
+    for thread in threads:
+        thread.start()
+        time.sleep(0.01)  # The node raises the load of a runner step by step.
+    begun = sum(1 for runner in platform.runners for _, head, _ in runner.executed_requests if f"/{form} " in head)
+    statuses = {platform.send_request(f"small{form}{i}", "/read/ok")[0] for i in range(20)}
+    for thread in threads:
+        thread.join()
+    peak = peak_mb(platform.process.pid)
+    print(f"# {route} {form}: {begun} begun, peak {peak:.0f} MB, small ones: {statuses}", file=sys.stderr)
+    transcript.write(f"{route}, many of {form}: begun: {begun >= MIN_HELD_RESPONSES}, "
+                     f"memory bounded: {peak <= MAX_PEAK_MEMORY_MB}, small responses beside them: {statuses}")
+
+
 def check_endless_request(platform, transcript, name, prefix, repeated):
     """Sends a request that never ends, until the node closes the connection."""
     Path(f"/proc/{platform.process.pid}/clear_refs").write_text("5")
@@ -78,6 +104,7 @@
 def run_checks(platform, transcript):
     for route, form in FORMS:
         check_endless_response(platform, transcript, route, form)
+    check_held_responses(platform, transcript, "chat", "heldevent")
     check_endless_request(platform, transcript, "fields", b"", b"X: x\r\n" * 200)
     chunked = b"Transfer-Encoding: chunked\r\n\r\n"
     check_endless_request(platform, transcript, "body", chunked, b"400\r\n" + b"x" * 1024 + b"\r\n")
@@ -89,4 +116,4 @@
 
 
 if __name__ == "__main__":
-    run_case(run_checks, Platform)
+    run_case(run_checks, lambda: Platform(slots=SLOTS))
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -303,10 +303,11 @@
     """A runner (an upstream). The last part of the request's path selects the do_* method
     that responds; do_ok is the default. "shed" rejects the first attempt as not run."""
 
-    def __init__(self, name, store=None, version="v1"):
+    def __init__(self, name, store=None, version="v1", slots=8):
         self.name = name
         self.store = store  # where it registers itself, if set
         self.version = version  # of its software
+        self.slots = slots  # requests that it says it runs at once
         self.start_count = 0
         self.executed_requests = []  # (attempt id, head, body) of each request that ran
         self.caller_disconnected = threading.Event()  # set once a caller has disconnected
@@ -330,7 +331,7 @@
         if self.store is not None:
             self.store.put(f"servers/{self.name}", json.dumps(
                 {"service": "work", "address": self.address, "zone": "a", "state": "ready",
-                 "version": self.version, "batch_slots": 8, "born": self.start_count}))
+                 "version": self.version, "batch_slots": self.slots, "born": self.start_count}))
 
     def accept(self, listener):
         while True:
@@ -576,6 +577,26 @@
         """Sends one event that never ends."""
         return self.send_endless(connection, attempt, CHUNKED, b"400\r\ndata: " + b"x" * 1017 + b"\n\r\n")
 
+    def hold(self, connection, prefix, repeated):
+        """Sends `prefix` and HELD_BYTES of `repeated` below every limit on one message, and
+        then nothing until the caller closes the connection."""
+        connection.sendall(prefix + repeated * (HELD_BYTES // len(repeated)))
+        return self.do_wait(connection, "")
+
+    def do_heldevent(self, connection, attempt):
+        head = f"Attempt-Id: {attempt}\r\nServer-Signature: s\r\n".encode()
+        first = b"e\r\nid: 1\ndata: e\n\r\n1\r\n\n\r\n"
+        return self.hold(connection, CHUNKED.replace(b"HEAD", head) + first,
+                         b"400\r\ndata: " + b"x" * 1017 + b"\n\r\n")
+
+    def do_heldbody(self, connection, attempt):
+        return self.hold(connection, f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n\r\n"
+                         .encode(), b"x" * 1024)
+
+    def do_heldhead(self, connection, attempt):
+        connection.sendall(f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n".encode() + b"X: " + b"x" * 30000)
+        return self.do_wait(connection, "")
+
     def stream(self, connection, attempt, first, last, end):
         """Streams the events `first` to `last`, then the end of the stream if `end` is set,
         else half an event. Returns whether the connection stays open."""
@@ -690,6 +711,7 @@
 VERSIONED_EVENT_SECONDS = 0.03
 CHUNKED = b"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n"
 ENDLESS_BYTES_LIMIT = 128 * 1024 * 1024  # A runner stops at this limit, so that a test terminates.
+HELD_BYTES = 900 * 1024  # of a message that doesn't end
 ENDLESS_BYTES_SENT = {}  # attempt id to bytes sent by the runner
 CRASHING_SEGMENTS = set()  # prompt segments that crash the runner, unless they are the last
 CRASHES = []  # (attempt id, runner, time) in order, over all runners
@@ -769,14 +791,14 @@
     """Context manager that starts the stand-ins and the nodes. Properties and methods
     that concern a single node refer to the first one."""
 
-    def __init__(self, nodes=1, runners=3):
-        self.node_count, self.runner_count = nodes, runners
+    def __init__(self, nodes=1, runners=3, slots=8):
+        self.node_count, self.runner_count, self.slots = nodes, runners, slots
 
     def __enter__(self):
         self.store, self.cloud = Store(), Cloud()
         self.store.put("op/config", config(1))
         self.store.put("servers/garbage", b"\xff\xfe not json")
-        self.runners = [Runner(f"i-{i}", self.store) for i in range(self.runner_count)]
+        self.runners = [Runner(f"i-{i}", self.store, slots=self.slots) for i in range(self.runner_count)]
         hosts = [f"127.0.0.{i + 1}" for i in range(self.node_count)]
         peer_port = free_peer_port()
         self.nodes = [Node(f"n{i + 1}", host, peer_port, hosts[:3], self.store, self.cloud)
