--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -69,13 +69,22 @@
   bool open() const { return open_; }
 
  private:
-  enum class State : std::uint8_t { kIdle, kReadingRequest, kAwaitingResponse };
+  enum class State : std::uint8_t {
+    kIdle,
+    kReadingRequest,
+    kAwaitingResponse,
+    /// The response was sent, but the reader still holds its request. What is
+    /// read now belongs to the next one.
+    kResponseSent,
+  };
 
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t size);
   void ProcessInput();
   void RejectMalformed();
   void FinishResponse();
+  /// Continues with the request after the one that was responded to.
+  void StartNextRequest();
   void Send(std::string_view bytes);
   void Flush();
   void OnWritten(const boost::system::error_code& error);
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -94,11 +94,13 @@
   }
   const Status status =
       reader_.Append(std::string_view(read_buffer_.data(), size));
-  if (!Ok(status) && state_ != State::kAwaitingResponse) {
+  const bool holds_request =
+      state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
+  if (!Ok(status) && !holds_request) {
     RejectMalformed();
     return;
   }
-  if (state_ != State::kAwaitingResponse) ProcessInput();
+  if (!holds_request) ProcessInput();
   if (reader_.unread_bytes() < kMaxReadAheadBytes) Read();
 }
 
@@ -191,21 +193,30 @@
     if (!writing_) Close();
     return;
   }
-  state_ = State::kIdle;
-  deadline_ = BootClockNow() + limits_.idle_timeout;
-  ArmTimer();
+  state_ = State::kResponseSent;
+  // The owner may still be using the request's head.
   auto self = shared_from_this();
   boost::asio::post(socket_.get_executor(), [this, self] {
-    if (!open_ || state_ != State::kIdle) return;
-    if (!Ok(reader_.StartNextMessage())) {
-      RejectMalformed();
-      return;
-    }
-    ProcessInput();
-    Read();
+    if (open_) StartNextRequest();
   });
 }
 
+void CallerConnection::StartNextRequest() {
+  state_ = State::kIdle;
+  deadline_ = BootClockNow() + limits_.idle_timeout;
+  ArmTimer();
+  if (!Ok(reader_.StartNextMessage())) {
+    RejectMalformed();
+    return;
+  }
+  if (close_when_idle_ && reader_.idle()) {
+    CloseWhenIdle();
+    return;
+  }
+  ProcessInput();
+  Read();
+}
+
 void CallerConnection::Abort() {
   if (!open_) return;
   // A reset makes the response look incomplete to the caller immediately.
@@ -276,7 +287,9 @@
 }
 
 void CallerConnection::OnTimer() {
-  if (!open_ || state_ == State::kAwaitingResponse) return;
+  if (!open_ || state_ == State::kAwaitingResponse ||
+      state_ == State::kResponseSent)
+    return;
   if (BootClockNow() < deadline_) {
     ArmTimer();
     return;
