--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -93,9 +93,9 @@
   void MarkMissing(const std::string& key, KnownEntry* known);
   /// Removes those missing entries that will not be written again.
   void RemoveGone(TimePoint now);
-  /// Returns true if the store lost more entries of the service than it kept:
-  /// it was away, and these upstreams did not leave.
-  bool LostMostOf(const std::string& service) const;
+  /// Returns the services of which the store lost more entries than it kept: it
+  /// was away, and these upstreams did not leave.
+  std::set<std::string> ServicesThatLostMost() const;
   void ApplyEntry(const KvEntry& entry);
   /// Returns true if the entry is the copy of one that was removed before the
   /// store was restored.
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -84,16 +84,20 @@
   if (known->info.has_value()) lost_entries_[known->info->service].insert(key);
 }
 
-bool UpstreamDirectory::LostMostOf(const std::string& service) const {
-  const auto lost = lost_entries_.find(service);
-  if (lost == lost_entries_.end()) return false;
-  const auto kept = static_cast<std::size_t>(std::count_if(
-      known_entries_.begin(), known_entries_.end(), [&](const auto& entry) {
-        return entry.second.info.has_value() &&
-               entry.second.info->service == service &&
-               lost->second.count(entry.first) == 0;
-      }));
-  return lost->second.size() > kept;
+std::set<std::string> UpstreamDirectory::ServicesThatLostMost() const {
+  std::map<std::string, std::size_t> kept;
+  for (const auto& [key, known] : known_entries_) {
+    if (!known.info.has_value()) continue;
+    const auto lost = lost_entries_.find(known.info->service);
+    const bool is_kept =
+        lost == lost_entries_.end() || lost->second.count(key) == 0;
+    if (is_kept) ++kept[known.info->service];
+  }
+  std::set<std::string> services;
+  for (const auto& [service, lost] : lost_entries_) {
+    if (lost.size() > kept[service]) services.insert(service);
+  }
+  return services;
 }
 
 void UpstreamDirectory::RemoveGone(TimePoint now) {
@@ -106,11 +110,13 @@
       (may_be_away || restored_unlisted_ ||
        (restored_listed_at_.has_value() &&
         now < *restored_listed_at_ + kReregistrationTimeout));
+  const std::set<std::string> returning =
+      may_have_expired ? ServicesThatLostMost() : std::set<std::string>();
   for (auto it = known_entries_.begin(); it != known_entries_.end();) {
     const KnownEntry& known = it->second;
     const bool may_return =
-        keeps_all || (may_have_expired && known.info.has_value() &&
-                      LostMostOf(known.info->service));
+        keeps_all ||
+        (known.info.has_value() && returning.count(known.info->service) > 0);
     const bool is_gone = known.missing && !may_return;
     if (is_gone) RememberRemoval(it->first, known);
     it = is_gone ? known_entries_.erase(it) : std::next(it);
