Config: the watch of the tables begins at the revision of the read

Cause: ConfigSync watched from the revision of the tables' last change.

Change: the watch begins at the store's revision as of the read.

--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -104,7 +104,9 @@
   if (const auto index = DecodeIndex(*found.entry)) {
     submit_(forward_event::TablesRead{index, started, may_lack_writes_()});
   }
-  watch_.OnReadSucceeded(found.entry->mod_revision);
+  // The entry's own revision may be older than the history that the store has.
+  watch_.OnReadSucceeded(
+      std::max(found.store_revision, found.entry->mod_revision));
 }
 
 void ConfigSync::OnChanges(const StoreChanges& changes) {
