Read-through: one set-up of the story route, unused stand-ins, a condition said twice

Two cases set up the same route; platform_out_of_step passed in what it always did, and its text named a cut from the store that it doesn't play; do_heldbody and do_heldhead of the runner were used by nothing; `keeps_all` repeated what its parts imply.

--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -102,14 +102,11 @@
 
 void UpstreamDirectory::RemoveGone(TimePoint now) {
   const bool may_have_expired = MayHaveExpired(now);
-  const bool may_be_away = contact_.MayBeAway(now);
   // Each missing entry may be written again while the store is away, and after
   // it was restored; else those of services that lost most of theirs.
-  const bool keeps_all =
-      may_have_expired &&
-      (may_be_away || restored_unlisted_ ||
-       (restored_listed_at_.has_value() &&
-        now < *restored_listed_at_ + kReregistrationTimeout));
+  const bool keeps_all = contact_.MayBeAway(now) || restored_unlisted_ ||
+                         (restored_listed_at_.has_value() &&
+                          now < *restored_listed_at_ + kReregistrationTimeout);
   const std::set<std::string> returning =
       may_have_expired ? ServicesThatLostMost() : std::set<std::string>();
   for (auto it = known_entries_.begin(); it != known_entries_.end();) {
--- a/testsuite/platform_out_of_step/run.py
+++ b/testsuite/platform_out_of_step/run.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
 """Guards against streams that are joined from two software versions by a node that is out of
-step (ORDER). One of four nodes stands still, or is cut off from the store, while upstreams of
-a second version join. Streams that began at these through the other nodes break, and their
-callers take them up at that node as it comes back."""
+step (ORDER). One of four nodes stands still while upstreams of a second version join. Streams
+that began at these through the other nodes break, and their callers take them up at that node
+as it comes back."""
 
 import re
 import signal
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from platform_standins import HOST, KEY, Platform, Runner, config, route  # noqa: E402
+from platform_standins import HOST, KEY, Platform, Runner  # noqa: E402
 from story import run_case  # noqa: E402
 
 NODE_COUNT = 4
@@ -90,10 +90,10 @@
         thread.join()
 
 
-def check_part(platform, transcript, name, part, out_of_step, back, seconds):
-    """Upstreams of the second version join while the first node is out of step."""
+def check_part(platform, transcript, name, part, seconds):
+    """Upstreams of the second version join while the first node is stopped."""
     time.sleep(1)
-    out_of_step(platform.nodes[0])
+    platform.process.send_signal(signal.SIGSTOP)
     since = time.monotonic()
     new = [Runner(f"{part}-new-{i}", platform.store, f"v2-{part}") for i in range(NEW_COUNT)]
     platform.wait_until(lambda: any(runner.executed_requests for runner in new) or probe(platform, part))
@@ -102,7 +102,7 @@
     time.sleep(max(0, since + seconds - time.monotonic()))
     for_each(streams, "ask_to_go_on")
     began_new = sum(1 for stream in streams if stream.versions == {f"v2-{part}".encode()})
-    back(platform.nodes[0])
+    platform.process.send_signal(signal.SIGCONT)
     for_each(streams, "go_on")
     mixed = sum(1 for stream in streams if len(stream.versions) > 1)
     went_on = sum(stream.went_on for stream in streams)
@@ -122,21 +122,9 @@
     return False
 
 
-def stop(node):
-    node.process.send_signal(signal.SIGSTOP)
-
-
-def go_on(node):
-    node.process.send_signal(signal.SIGCONT)
-
-
 def run_checks(platform, transcript):
-    platform.store.put("op/config", config(2, routes=[
-        route("read", "idempotent"),
-        route("story", "streaming", resumable=True, attempts=4, timeout_ms=8000)]))
-    platform.wait_until(lambda: all(platform.send_request("ready", "/story/ok", node=node)[0] != 404
-                                    for node in range(NODE_COUNT)))
-    check_part(platform, transcript, "node stopped for 1.5 s", "a", stop, go_on, 1.5)
+    platform.serve_stories()
+    check_part(platform, transcript, "node stopped for 1.5 s", "a", 1.5)
     # The version of the part before counts as in use for a minute.
     for node in platform.nodes:
         node.kill()
@@ -146,7 +134,7 @@
         node.start()
     platform.wait_until(lambda: all(node.readiness_status() == 200 for node in platform.nodes))
     time.sleep(2)
-    check_part(platform, transcript, "node stopped for 3 s", "b", stop, go_on, 3.0)
+    check_part(platform, transcript, "node stopped for 3 s", "b", 3.0)
 
 
 if __name__ == "__main__":
--- a/testsuite/platform_software_versions/run.py
+++ b/testsuite/platform_software_versions/run.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from platform_standins import HOST, KEY, VERSIONED_EVENTS, Platform, config, route  # noqa: E402
+from platform_standins import HOST, KEY, VERSIONED_EVENTS, Platform  # noqa: E402
 from story import run_case  # noqa: E402
 
 NODE_COUNT = 4
@@ -207,11 +207,7 @@
 
 
 def run_checks(platform, transcript):
-    platform.store.put("op/config", config(2, routes=[
-        route("read", "idempotent"),
-        route("story", "streaming", resumable=True, attempts=4, timeout_ms=8000)]))
-    platform.wait_until(lambda: all(platform.send_request("ready", "/story/ok", node=node)[0] != 404
-                                    for node in range(NODE_COUNT)))
+    platform.serve_stories()
     name = "one version, broken by callers and upstreams"
     began, went_on = check_part(platform, transcript, name, crash_runners, closes_connections=True)
     transcript.write(f"{name}: all go on: {went_on == 1}")
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -587,25 +587,14 @@
         """Sends one event that never ends."""
         return self.send_endless(connection, attempt, CHUNKED, b"400\r\ndata: " + b"x" * 1017 + b"\n\r\n")
 
-    def hold(self, connection, prefix, repeated):
-        """Sends `prefix` and HELD_BYTES of `repeated` below every limit on one message, and
-        then nothing until the caller closes the connection."""
-        connection.sendall(prefix + repeated * (HELD_BYTES // len(repeated)))
-        return self.do_wait(connection, "")
-
     def do_heldevent(self, connection, attempt):
+        """Streams an event and HELD_BYTES of the next one, which is below the limit on one event,
+        and then nothing until the caller closes the connection."""
         head = f"Attempt-Id: {attempt}\r\nServer-Signature: s\r\n".encode()
         first = b"e\r\nid: 1\ndata: e\n\r\n1\r\n\n\r\n"
-        return self.hold(connection, CHUNKED.replace(b"HEAD", head) + first,
-                         b"400\r\ndata: " + b"x" * 1017 + b"\n\r\n")
-
-    def do_heldbody(self, connection, attempt):
-        return self.hold(connection, f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n\r\n"
-                         .encode(), b"x" * 1024)
-
-    def do_heldhead(self, connection, attempt):
-        connection.sendall(f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n".encode() + b"X: " + b"x" * 30000)
-        return self.do_wait(connection, "")
+        part = b"400\r\ndata: " + b"x" * 1017 + b"\n\r\n"
+        connection.sendall(CHUNKED.replace(b"HEAD", head) + first + part * (HELD_BYTES // len(part)))
+        return self.do_wait(connection, attempt)
 
     def stream(self, connection, attempt, first, last, end):
         """Streams the events `first` to `last`, then the end of the stream if `end` is set,
@@ -836,6 +825,14 @@
     def readiness_status(self):
         return self.nodes[0].readiness_status()
 
+    def serve_stories(self):
+        """Adds the route "story", whose streams can be resumed, at all nodes."""
+        self.store.put("op/config", config(2, routes=[
+            route("read", "idempotent"),
+            route("story", "streaming", resumable=True, attempts=4, timeout_ms=8000)]))
+        self.wait_until(lambda: all(self.send_request("ready", "/story/ok", node=node)[0] != 404
+                                    for node in range(self.node_count)))
+
     @staticmethod
     def wait_until(condition, seconds=20):
         end = time.monotonic() + seconds
