Test: platform_planned_stop waits for its tables instead of sleeping a second

Seen: once in a run of all tests a request got 504 ("statuses within 200 and 503: False").

Cause, traced by the node's log: the request was handled by the first tables (target 1 s), so after 2 s of silence it was sent a second time, and the 3 s of work no longer fit into 5 s. The test slept 1 s for version 2; a node that is younger than 3 s has no watch and reads each 1.5 s.

Change: the case waits until both nodes have logged that the second tables are in force. The assertions, bounds and expected output are unchanged, so it is as strict; its precondition holds now.

--- a/testsuite/platform_planned_stop/run.py
+++ b/testsuite/platform_planned_stop/run.py
@@ -78,7 +78,9 @@
     platform.store.put("op/config", config(2, routes=[
         route("read", "idempotent", slo_ms=4000), route("order", "non_idempotent", attempts=1, slo_ms=4000)]))
     platform.wait_until(lambda: platform.send_request("ready", "/order/ok", "POST")[0] == 200)
-    time.sleep(1)  # The watch of the tables brings them within that.
+    # By the first tables, whose latency target is shorter, requests are sent twice.
+    platform.wait_until(lambda: all(node.read_log().count('"event":"tables_in_force"') >= 2
+                                    for node in platform.nodes))
     check_stop(platform, transcript, "one signal")
     platform.nodes[0].start()
     platform.wait_until(lambda: platform.readiness_status() == 200)
