Forwarding: whether an attempt may be sent is asked of UpstreamBalancer::MayUse

Cause: read-through. ForwardNode::IsListed wrote again what the balancer's IsListed and MayUse decide, under a name that the balancer uses for less.

Change: ForwardNode::MaySend asks MayUse for the request's current attempt. It also looks at the service; otherwise behaviour stays as it was.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -91,9 +91,9 @@
   const std::shared_ptr<const ForwardingIndex>& tables_index() const {
     return tables_index_;
   }
-  /// Returns true if requests may be sent to this incarnation of an upstream:
-  /// it is listed and not leaving.
-  bool IsListed(const UpstreamId& upstream) const;
+  /// Returns true if the request's current attempt may still be sent: its
+  /// upstream is listed and not leaving.
+  bool MaySend(ForwardId id) const;
   const Membership& membership() const { return membership_; }
   const UpstreamBalancer& upstreams() const { return upstreams_; }
   const CrashSuspects& suspects() const { return suspects_; }
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -122,10 +122,12 @@
   ScheduleCheck(request);
 }
 
-bool ForwardNode::IsListed(const UpstreamId& upstream) const {
-  const auto known = upstreams_.all().find(upstream.name);
-  return known != upstreams_.all().end() && known->second.listed &&
-         !known->second.info.leaving && known->second.info.id == upstream;
+bool ForwardNode::MaySend(ForwardId id) const {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return false;
+  const Request& request = found->second;
+  return upstreams_.MayUse(
+      {request.current_upstream, request.current_incarnation}, request.service);
 }
 
 TimePoint ForwardNode::LatestSendTime(const Request& request) const {
@@ -282,8 +284,7 @@
   }
   if (request == nullptr || request->current_upstream.empty()) return;
   const std::string upstream = request->current_upstream;
-  const UpstreamId upstream_id{upstream, request->current_incarnation};
-  if (ended.end == ForwardOutcome::kNotSent && IsListed(upstream_id))
+  if (ended.end == ForwardOutcome::kNotSent && MaySend(ended.id))
     OnConnectFailed(request->service, upstream);
   if (ended.load.has_value()) {
     if (ForwardUpstream* known = upstreams_.Find(upstream)) {
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -179,9 +179,8 @@
       exchange->request_head, {send.upstream, send.customer, send.priority,
                                remaining, send.last_event_id});
   // The upstream may leave while the connection is being opened.
-  StartExchange(
-      send.id, exchange, fields, send.send_before,
-      [this, upstream = send.upstream] { return node_.IsListed(upstream); });
+  StartExchange(send.id, exchange, fields, send.send_before,
+                [this, id = send.id] { return node_.MaySend(id); });
 }
 
 void ForwardService::StartExchange(ForwardId id, Exchange* exchange,
