--- a/src/include/pollenledge/connection/forwarding_codec.h
+++ b/src/include/pollenledge/connection/forwarding_codec.h
@@ -28,7 +28,8 @@
 struct RelayFields {
   Duration time_left{0};
   std::optional<std::int64_t> last_event_id;
-  std::string first_attempt;  ///< Empty if no stream is resumed.
+  std::string first_attempt;             ///< Empty if no stream is resumed.
+  std::uint64_t min_tables_version = 0;  ///< As in `ForwardSpec`.
 
   friend bool operator==(const RelayFields&, const RelayFields&) = default;
 };
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -165,6 +165,8 @@
   std::optional<std::int64_t> last_event_id;
   /// The caller's request that began the stream to resume; empty if none is.
   std::string first_attempt;
+  /// The other node must have tables of this version or a later one.
+  std::uint64_t min_tables_version = 0;
 };
 /// Connect to an upstream and send nothing. `UpstreamProbed` follows.
 struct ProbeUpstream {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -279,8 +279,15 @@
   /// Returns the nodes that the request may be relayed to.
   std::vector<const MemberRecord*> RelayCandidates(
       const Request& request) const;
-  /// Returns null if there is none.
+  /// Returns true if the member is known to have the tables by which the
+  /// request was admitted, or later ones.
+  static bool HasTablesOf(const MemberRecord& member, const Request& request);
+  /// Prefers nodes of the own failure domain, and of these the ones that are
+  /// known to have the request's tables. Returns null if there is none.
   const MemberRecord* ChooseRelay(const Request& request);
+  /// Refuses a relayed request that was admitted by later tables than this
+  /// node's. The other node then tries another one.
+  std::optional<NotRun> CheckTablesVersion(const Request& request);
   bool MayRelay(const Request& request) const;
   /// Returns the id of the caller's request that began the stream which the
   /// request goes on with; empty if it begins one.
@@ -526,6 +533,9 @@
 
   /// Returns the version of the active tables; 0 if there are none.
   std::uint64_t TablesVersion() const;
+  /// Returns the milliseconds since the tables were confirmed current, for
+  /// logs.
+  std::string FormatTablesAge() const;
   void ActivateTables(const std::shared_ptr<const ForwardingIndex>& tables,
                       const char* source);
   void LogRequest(LogLevel level, const char* event, const Request& request,
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -65,6 +65,10 @@
   /// Services to whose upstreams the node has no path.
   std::vector<std::string> unreachable_services;
 
+  /// The node refuses relayed requests for which its tables are too old.
+  /// Earlier releases handle them all.
+  bool checks_tables_version = false;
+
   /// Returns a copy without usage and stream counters.
   MemberRecord WithoutCounters() const;
 
--- a/src/include/pollenledge/request/forward_request.h
+++ b/src/include/pollenledge/request/forward_request.h
@@ -42,6 +42,9 @@
   std::string first_attempt;
   /// The request came from another node, which has no path to the upstreams.
   bool is_relayed = false;
+  /// The tables version of that node, by which it admitted the request; older
+  /// ones must not decide about it. 0 if it is not stated.
+  std::uint64_t min_tables_version = 0;
 
   friend bool operator==(const ForwardSpec&, const ForwardSpec&) = default;
 };
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -41,6 +41,8 @@
   lateness @12 :List(LatenessCount);
   # Services to whose upstreams the node has no path.
   unreachableServices @13 :List(Text);
+  # The node checks the version that a relayed request asks for.
+  checksTablesVersion @14 :Bool;
 }
 
 # What is left of a customer's limit, and what of the receiver's own use is
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -1624,6 +1624,8 @@
   inline bool hasUnreachableServices() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableServices() const;
 
+  inline bool getChecksTablesVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1727,6 +1729,9 @@
   inline void adoptUnreachableServices(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableServices();
 
+  inline bool getChecksTablesVersion();
+  inline void setChecksTablesVersion(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6543,6 +6548,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool MemberRecord::Reader::getChecksTablesVersion() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool MemberRecord::Builder::getChecksTablesVersion() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setChecksTablesVersion(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LimitLevel::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -149,6 +149,7 @@
   for (const auto service : reader.getUnreachableServices()) {
     record.unreachable_services.push_back(service);
   }
+  record.checks_tables_version = reader.getChecksTablesVersion();
   return record;
 }
 
@@ -187,6 +188,7 @@
   for (unsigned i = 0; i < unreachable.size(); ++i) {
     unreachable.set(i, record.unreachable_services[i]);
   }
+  builder.setChecksTablesVersion(record.checks_tables_version);
 }
 
 UpstreamLoadReport FromWire(wire::HeardLoad::Reader reader) {
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -99,6 +99,9 @@
        {"repeat_after",
         previous_end.has_value() ? ToString(*previous_end) : "none"},
        {"limit_units", std::to_string(std::llround(request->acquired_units))},
+       {"tables_version",
+        std::to_string(request->tables_index->tables().version)},
+       {"tables_age_ms", FormatTablesAge()},
        {"load", std::to_string(upstream->EstimatedLoad(now()))},
        {"upstream_limit", limit.has_value() ? std::to_string(*limit) : "none"},
        {"report_age_ms", upstream->load_report.has_value()
@@ -409,19 +412,16 @@
   if (not_run.http_status == 429 || not_run.http_status == 503) {
     not_run.retry_after = JitterRetryAfter(not_run.retry_after, *request);
   }
-  LogRequest(
-      LogLevel::kInfo, "refused", *request,
-      {{"status", std::to_string(not_run.http_status)},
-       {"reason", not_run.problem_type},
-       {"retry_after_ms", FormatMilliseconds(not_run.retry_after)},
-       {"attempts", std::to_string(request->attempts)},
-       {"tables_version",
-        request->tables_index == nullptr
-            ? "none"
-            : std::to_string(request->tables_index->tables().version)},
-       {"tables_age_ms", tables_confirmed_at_.has_value()
-                             ? FormatMilliseconds(now() - *tables_confirmed_at_)
-                             : "never"}});
+  LogRequest(LogLevel::kInfo, "refused", *request,
+             {{"status", std::to_string(not_run.http_status)},
+              {"reason", not_run.problem_type},
+              {"retry_after_ms", FormatMilliseconds(not_run.retry_after)},
+              {"attempts", std::to_string(request->attempts)},
+              {"tables_version",
+               request->tables_index == nullptr
+                   ? "none"
+                   : std::to_string(request->tables_index->tables().version)},
+              {"tables_age_ms", FormatTablesAge()}});
   if (request->acquired_units > 0) {
     limits_.Refund(request->customer->name, request->acquired_units);
   }
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -66,6 +66,11 @@
   return limits;
 }
 
+ForwardNodeOptions WithCapabilities(ForwardNodeOptions options) {
+  options.self.checks_tables_version = true;
+  return options;
+}
+
 double RequestUnits(const ForwardSpec& spec,
                     const ForwardingCustomer& customer) {
   if (!customer.limit_counts_tokens) return 1;
@@ -76,7 +81,7 @@
 }  // namespace
 
 ForwardNode::ForwardNode(ForwardNodeOptions options)
-    : options_(std::move(options)),
+    : options_(WithCapabilities(std::move(options))),
       random_(options_.random_seed),
       upstreams_(options_.random_seed + 1, options_.self.id.name),
       membership_(options_.self, options_.seeds, options_.random_seed + 2,
@@ -127,6 +132,8 @@
     return NotRun{503, "no-configuration",
                   "no configuration has been loaded yet", kDefaultRetryAfter};
   }
+  if (std::optional<NotRun> not_run = CheckTablesVersion(*request))
+    return not_run;
   request->route =
       request->tables_index->FindRoute(request->spec.host, request->spec.path);
   if (request->route == nullptr) {
@@ -508,6 +515,11 @@
   return now - *tables_confirmed_at_;
 }
 
+std::string ForwardNode::FormatTablesAge() const {
+  const std::optional<Duration> age = TablesAge(now());
+  return age.has_value() ? FormatMilliseconds(*age) : "never";
+}
+
 std::size_t ForwardNode::queued_requests() const {
   std::size_t queued = 0;
   for (const auto& [key, queue] : queues_) queued += queue.size();
--- a/src/libpollenledge/process/forward_relay.cc
+++ b/src/libpollenledge/process/forward_relay.cc
@@ -14,6 +14,8 @@
 /// Number of upstreams of a service that are probed at a time.
 constexpr std::size_t kProbesAtATime = 4;
 constexpr int kStatusUnavailable = 503;
+/// A node's response to a relayed request for which its tables are too old.
+constexpr int kStatusMisdirected = 421;
 
 }  // namespace
 
@@ -74,6 +76,16 @@
 
 // Relaying.
 
+std::optional<NotRun> ForwardNode::CheckTablesVersion(const Request& request) {
+  const std::uint64_t needed = request.spec.min_tables_version;
+  if (needed <= request.tables_index->tables().version) return std::nullopt;
+  RecordPeerTablesVersion(needed);
+  return NotRun{kStatusMisdirected,
+                "outdated-tables",
+                "this node's tables are older than those of the sending node",
+                {}};
+}
+
 std::vector<const MemberRecord*> ForwardNode::RelayCandidates(
     const Request& request) const {
   std::vector<const MemberRecord*> candidates;
@@ -85,12 +97,19 @@
     const bool tried =
         std::find(request.tried_relays.begin(), request.tried_relays.end(),
                   member->id.name) != request.tried_relays.end();
-    if (!lacks_path && !tried && !member->draining)
+    const bool may_be_outdated =
+        !member->checks_tables_version && !HasTablesOf(*member, request);
+    if (!lacks_path && !tried && !member->draining && !may_be_outdated)
       candidates.push_back(member);
   }
   return candidates;
 }
 
+bool ForwardNode::HasTablesOf(const MemberRecord& member,
+                              const Request& request) {
+  return member.tables_version >= request.tables_index->tables().version;
+}
+
 const MemberRecord* ForwardNode::ChooseRelay(const Request& request) {
   std::vector<const MemberRecord*> candidates = RelayCandidates(request);
   const auto is_near = [this](const MemberRecord* member) {
@@ -100,6 +119,12 @@
   const auto far =
       std::partition(candidates.begin(), candidates.end(), is_near);
   if (far != candidates.begin()) candidates.erase(far, candidates.end());
+  const auto outdated = std::partition(candidates.begin(), candidates.end(),
+                                       [&request](const MemberRecord* member) {
+                                         return HasTablesOf(*member, request);
+                                       });
+  if (outdated != candidates.begin())
+    candidates.erase(outdated, candidates.end());
   if (candidates.empty()) return nullptr;
   return candidates[random_() % candidates.size()];
 }
@@ -136,6 +161,9 @@
   LogRequest(LogLevel::kInfo, "relayed", *request,
              {{"peer", peer->id.name},
               {"attempts", std::to_string(request->attempts)},
+              {"tables_version",
+               std::to_string(request->tables_index->tables().version)},
+              {"peer_tables_version", std::to_string(peer->tables_version)},
               {"path_lost", paths_.IsLost(request->service) ? "yes" : "no"}});
   Emit(forward_action::RelayRequest{
       .id = request->id,
@@ -145,7 +173,8 @@
       .kind = request->route->kind,
       .reuse_connection = request->route->IsRetrySafe(),
       .last_event_id = request->last_event_id,
-      .first_attempt = FirstAttemptOf(*request)});
+      .first_attempt = FirstAttemptOf(*request),
+      .min_tables_version = request->tables_index->tables().version});
   ScheduleCheck(request);
   return true;
 }
@@ -194,6 +223,12 @@
       }
       return;
     case ForwardOutcome::kRejected:
+      if (ended.status == kStatusMisdirected) {
+        // No upstream has received it.
+        if (!RelayAgain(request, ForwardOutcome::kNotSent))
+          GiveUp(request, ended.end, "peers-outdated");
+        return;
+      }
       // Another node may have room or a path. What the last one says goes to
       // the caller.
       if (ended.status == kStatusUnavailable && RelayAgain(request, ended.end))
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -151,6 +151,7 @@
     return;
   }
   Value(spec).is_relayed = is_relayed;
+  if (!is_relayed) Value(spec).min_tables_version = 0;
   Value(spec).content_fingerprint = ComputeFingerprint({head.target, body});
   exchange.spec = Value(spec);
   Submit(forward_event::RequestArrived{id, std::move(Value(spec))});
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -112,8 +112,8 @@
       now);
   metrics_.IncrementCounter("relays_total");
   const std::vector<HttpField> fields = codec_.encode_relay(
-      exchange->request_head,
-      {relay.deadline - now, relay.last_event_id, relay.first_attempt});
+      exchange->request_head, {relay.deadline - now, relay.last_event_id,
+                               relay.first_attempt, relay.min_tables_version});
   StartExchange(relay.id, exchange, fields, relay.send_before, nullptr);
 }
 
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -71,11 +71,17 @@
     // Machines of two sizes: the larger ones are preferred as collectors.
     options.self.cpu_percent = node % 8 == 0 ? 50 : 12;
     nodes_[node] = std::make_unique<ForwardNode>(options);
-    Submit(node, forward_event::TablesRead{MakeIndex(), now_});
+    ReadTables(node, 1);
     Submit(node, ListUpstreams());
     Submit(node, forward_event::SuspectsRead{PersistedReports()});
   }
 
+  /// Passes the tables of `version` to a node as read from the store now. From
+  /// version 2 on they have another route, "added".
+  void ReadTables(std::size_t node, std::uint64_t version) {
+    Submit(node, forward_event::TablesRead{MakeIndex(version), now_});
+  }
+
   /// Sends a request to a node now; returns the request's id. `route` is
   /// "read", "order", "draft" or "chat". Content kCrashingContent crashes the
   /// upstream when it arrives, and a shared segment in `crashing_segments`
@@ -83,10 +89,12 @@
   ForwardId SubmitRequest(std::size_t node, const std::string& route,
                           const std::string& content,
                           const std::vector<std::uint64_t>& segments = {},
-                          bool is_relayed = false) {
+                          bool is_relayed = false,
+                          std::uint64_t min_tables_version = 0) {
     const ForwardId id = next_id_++;
     ForwardSpec spec;
     spec.is_relayed = is_relayed;
+    spec.min_tables_version = min_tables_version;
     for (const std::uint64_t segment : segments) {
       spec.prompt_segments.push_back({segment, kSegmentTokens});
     }
@@ -242,6 +250,11 @@
   std::function<bool(std::size_t, std::size_t)> is_cut_from_upstream;
   // How long a node waits until connecting to such an upstream fails.
   Duration connect_failure_time = kMillisecond;
+  // Returns whether a node runs an earlier release, which knows nothing of the
+  // tables version of a relayed request. Unset: none does.
+  std::function<bool(std::size_t)> is_earlier_release;
+  // Reads of the tables that the nodes asked for.
+  int tables_reads = 0;
   // Returns whether a network partition separates the sender from the receiver.
   // Unset: no partition.
   std::function<bool(std::size_t, std::size_t)> is_partitioned;
@@ -281,16 +294,20 @@
 
   // Tables with a route "metered" of the customer of kMeteredKey, and public
   // ones of each kind: "read" and "order", and the streams
-  // "draft" and "chat", of which only "draft" can be resumed.
-  std::shared_ptr<const ForwardingIndex> MakeIndex() const {
+  // "draft" and "chat", of which only "draft" can be resumed. From version 2 on
+  // another one, "added".
+  std::shared_ptr<const ForwardingIndex> MakeIndex(
+      std::uint64_t version) const {
     ForwardingTables tables;
-    tables.version = 1;
-    for (const auto& [name, kind] :
-         std::map<std::string, RouteKind>{{"read", RouteKind::kIdempotent},
-                                          {"metered", RouteKind::kIdempotent},
-                                          {"order", RouteKind::kNonIdempotent},
-                                          {"draft", RouteKind::kStreaming},
-                                          {"chat", RouteKind::kStreaming}}) {
+    tables.version = version;
+    std::map<std::string, RouteKind> routes{
+        {"read", RouteKind::kIdempotent},
+        {"metered", RouteKind::kIdempotent},
+        {"order", RouteKind::kNonIdempotent},
+        {"draft", RouteKind::kStreaming},
+        {"chat", RouteKind::kStreaming}};
+    if (version > 1) routes["added"] = RouteKind::kIdempotent;
+    for (const auto& [name, kind] : routes) {
       ForwardingRoute route;
       route.name = name;
       route.host = "h";
@@ -391,11 +408,16 @@
     const std::string route = routes_.at(relay.id);
     const std::string content = contents_.at(relay.id);
     ++log_line_counts["relay"];
-    Schedule(kMillisecond, [this, id = relay.id, number, peer, route, content] {
-      if (!IsRunning(id, number)) return;
-      relayed_from_[next_id_] = id;
-      SubmitRequest(peer, route, content, {}, true);
-    });
+    const std::uint64_t min_version =
+        is_earlier_release && is_earlier_release(peer)
+            ? 0
+            : relay.min_tables_version;
+    Schedule(kMillisecond,
+             [this, id = relay.id, number, peer, route, content, min_version] {
+               if (!IsRunning(id, number)) return;
+               relayed_from_[next_id_] = id;
+               SubmitRequest(peer, route, content, {}, true, min_version);
+             });
   }
   void Execute(std::size_t node, const forward_action::ProbeUpstream& probe) {
     const auto index =
@@ -415,6 +437,7 @@
     if (found == relayed_from_.end()) return false;
     const ForwardId origin = found->second;
     relayed_from_.erase(found);
+    relayed_statuses_[origin] = status;
     Schedule(kMillisecond, [this, origin, end, status] {
       const auto attempt = attempts_.find(origin);
       if (attempt == attempts_.end()) return;
@@ -444,8 +467,13 @@
   }
   void Execute(std::size_t, const forward_action::DeliverResponse& deliver) {
     if (EndRelay(deliver.id, ForwardOutcome::kCompleted, 200)) return;
-    ++response_counts["delivered"];
-    responses[deliver.id] = "delivered";
+    const auto relayed = relayed_statuses_.find(deliver.id);
+    const bool is_error =
+        relayed != relayed_statuses_.end() && relayed->second >= 400;
+    const std::string outcome =
+        is_error ? std::to_string(relayed->second) : "delivered";
+    ++response_counts[outcome];
+    responses[deliver.id] = outcome;
   }
   void Execute(std::size_t, const forward_action::CancelAttempt& cancel) {
     attempts_.erase(cancel.id);
@@ -455,11 +483,19 @@
     if (std::uniform_real_distribution<>(0, 1)(random_) < datagram_loss) return;
     if (to >= nodes_.size() || (is_partitioned && is_partitioned(node, to)))
       return;
-    Schedule(kMillisecond, [this, to, heartbeat = send.message.heartbeat] {
+    Heartbeat heartbeat = send.message.heartbeat;
+    for (MemberRecord& record : heartbeat.records) {
+      if (is_earlier_release &&
+          is_earlier_release(std::stoul(record.id.name.substr(1))))
+        record.checks_tables_version = false;
+    }
+    Schedule(kMillisecond, [this, to, heartbeat = std::move(heartbeat)] {
       Submit(to, forward_event::HeartbeatReceived{heartbeat});
     });
   }
-  void Execute(std::size_t, const forward_action::ReadTables&) {}
+  void Execute(std::size_t, const forward_action::ReadTables&) {
+    ++tables_reads;
+  }
   void Execute(std::size_t, const forward_action::PersistSuspects& persist) {
     for (const CrashReport& report : persist.crash_reports) {
       persisted_crashes_.try_emplace({report.fingerprint, report.crash},
@@ -580,6 +616,8 @@
   std::map<ForwardId, std::string> routes_;
   // The request that another node relayed, by that of the receiving node.
   std::map<ForwardId, ForwardId> relayed_from_;
+  // The status of the last relay's response, by the request that was relayed.
+  std::map<ForwardId, int> relayed_statuses_;
   std::map<ForwardId, TimePoint> submitted_at_;
   std::map<ForwardId, bool> crashes_on_start_;
   // By request or prompt segment and crash.
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -24,6 +24,8 @@
 constexpr char kLastEventId[] = "Last-Event-Id";
 // `kTraceId` of the caller's request that received the stream's first event.
 constexpr char kFirstAttempt[] = "Resumes";
+// Between nodes: `ForwardSpec::min_tables_version`.
+constexpr char kMinTablesVersion[] = "Min-Tables-Version";
 // Name of the customer.
 constexpr char kCustomer[] = "Tenant";
 // Name of the upstream that the attempt is sent to.
@@ -54,10 +56,10 @@
 
 /// Request headers of the caller that are not forwarded. The node uses them
 /// itself, sets its own value for each attempt, or accepts them from no caller.
-constexpr std::array<const char*, 11> kReservedHeaders = {
-    kRemainingTime, kApiKey,      kCustomer, kTargetUpstream,
-    kPriority,      kLastEventId, "Hold",    "Pin-Ms",
-    "Kv-From",      "Kv-Backup",  "Kv-Fetch"};
+constexpr std::array<const char*, 12> kReservedHeaders = {
+    kRemainingTime, kApiKey,      kCustomer,         kTargetUpstream,
+    kPriority,      kLastEventId, kMinTablesVersion, "Hold",
+    "Pin-Ms",       "Kv-From",    "Kv-Backup",       "Kv-Fetch"};
 
 /// Headers that are forwarded even if the caller's `Connection` header names
 /// them, because the upstream needs them for its work.
@@ -163,6 +165,8 @@
   }
   if (const std::string* first = head.Find(kFirstAttempt))
     spec.first_attempt = *first;
+  if (const std::string* version = head.Find(kMinTablesVersion))
+    spec.min_tables_version = ParseNumber<std::uint64_t>(*version).value_or(0);
   if (Status status = ParseTokenCounts(head, &spec); !Ok(status)) {
     return ErrorOf(status);
   }
@@ -204,8 +208,8 @@
 
 std::vector<HttpField> EncodeRelay(const HttpHead& request,
                                    const RelayFields& relay) {
-  constexpr std::array<const char*, 3> kReplaced = {
-      kRemainingTime, kLastEventId, kFirstAttempt};
+  constexpr std::array<const char*, 4> kReplaced = {
+      kRemainingTime, kLastEventId, kFirstAttempt, kMinTablesVersion};
   const std::string* connection = request.Find("Connection");
   const std::string_view connection_value =
       connection == nullptr ? std::string_view() : *connection;
@@ -223,6 +227,11 @@
     fields.push_back({kLastEventId, std::to_string(*relay.last_event_id)});
   if (!relay.first_attempt.empty())
     fields.push_back({kFirstAttempt, relay.first_attempt});
+  fields.push_back(
+      {kMinTablesVersion, std::to_string(relay.min_tables_version)});
+  // A node of an earlier release doesn't know the field. Named here, it isn't
+  // forwarded to the upstream.
+  fields.push_back({"Connection", kMinTablesVersion});
   return fields;
 }
 
--- a/src/platform/platform_test.cc
+++ b/src/platform/platform_test.cc
@@ -88,13 +88,20 @@
                  {"Deadline-Ms", "9000"},
                  {"Connection", "X-A, Api-Key"},
                  {"X-A", "1"},
+                 {"Min-Tables-Version", "99"},
                  {"Tenant", "other"}};
   const std::vector<HttpField> fields = PlatformHeaderCodec().encode_relay(
-      head, {std::chrono::milliseconds(1500), 7, "first"});
+      head, {std::chrono::milliseconds(1500), 7, "first", 12});
   const std::vector<std::pair<std::string, std::string>> expected = {
-      {"Host", "h"},       {"Api-Key", "k"},        {"Attempt-Id", "a"},
-      {"Tenant", "other"}, {"Deadline-Ms", "1500"}, {"Last-Event-Id", "7"},
-      {"Resumes", "first"}};
+      {"Host", "h"},
+      {"Api-Key", "k"},
+      {"Attempt-Id", "a"},
+      {"Tenant", "other"},
+      {"Deadline-Ms", "1500"},
+      {"Last-Event-Id", "7"},
+      {"Resumes", "first"},
+      {"Min-Tables-Version", "12"},
+      {"Connection", "Min-Tables-Version"}};
   ASSERT_EQ(fields.size(), expected.size());
   for (std::size_t i = 0; i < fields.size(); ++i) {
     EXPECT_EQ(fields[i].name, expected[i].first);
@@ -102,6 +109,22 @@
   }
 }
 
+// The version that a relayed request asks for is the nodes' own: an upstream
+// doesn't get it, and a caller that states one gets no error.
+TEST(PlatformHeadersTest, TheNeededTablesVersionStaysBetweenNodes) {
+  const ForwardingCodec codec = PlatformHeaderCodec();
+  HttpHead head;
+  head.fields = {{"Host", "h"}, {"Min-Tables-Version", "12"}};
+  ASSERT_TRUE(Ok(codec.decode_request(head)));
+  EXPECT_EQ(Value(codec.decode_request(head)).min_tables_version, 12U);
+  for (const HttpField& field : codec.encode_attempt(head, {})) {
+    EXPECT_NE(field.name, "Min-Tables-Version");
+  }
+  head.fields.back().value = "soon";
+  ASSERT_TRUE(Ok(codec.decode_request(head)));
+  EXPECT_EQ(Value(codec.decode_request(head)).min_tables_version, 0U);
+}
+
 TEST(PlatformHeadersTest, DecodesTheIncarnationOfAReport) {
   const auto decode = PlatformHeaderCodec().decode_incarnation;
   EXPECT_EQ(decode(R"({"busy":false,"born":1772393587012})"), 1772393587012U);
--- a/testsuite/platform_relay/run.py
+++ b/testsuite/platform_relay/run.py
@@ -3,37 +3,17 @@
 other nodes reach all upstreams. The first node of three goes by a list whose addresses lead
 nowhere; the others go by the right one. Each kind of request passes through one of them."""
 
-import json
 import sys
 import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from platform_standins import EXECUTIONS, KEY, Platform, Store, config, free_port  # noqa: E402
+from cut_platform import CutPlatform  # noqa: E402
+from platform_standins import EXECUTIONS, KEY  # noqa: E402
 from story import run_case  # noqa: E402
 
 
-class CutPlatform(Platform):
-    """A platform whose first node has no path to any upstream."""
-
-    def __enter__(self):
-        self.cut_store = Store()
-        super().__enter__()
-        self.cut_store.put("op/config", config(1))
-        for runner in self.runners:
-            self.cut_store.put(f"servers/{runner.name}", json.dumps(
-                {"service": "work", "address": f"127.0.0.1:{free_port()}", "zone": "a", "state": "ready",
-                 "version": runner.version, "batch_slots": 8, "born": runner.start_count}))
-        node = self.nodes[0]
-        node.kill()
-        text = node.settings.read_text()
-        node.settings.write_text(text.replace(self.store.address, self.cut_store.address))
-        node.start()
-        self.wait_until(lambda: node.readiness_status() == 200)
-        return self
-
-
 def runs_of(attempt):
     return sum(1 for run in EXECUTIONS if run[0] == attempt)
 
