--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -36,6 +36,9 @@
   /// Maximum age of the tables' freshness confirmation at which requests that
   /// need an API key are still sent; 0: no limit.
   Duration key_freshness{0};
+  /// Time within which changed tables must be active; 0: no limit. A request is
+  /// refused as unknown only by tables that were confirmed more recently.
+  Duration tables_bound{0};
   /// Retries allowed per first attempt, for each service.
   double retries_per_request = 0.2;
   /// Retries allowed in addition for each service, summed over all nodes.
@@ -517,6 +520,15 @@
   void OnStoreBehind(std::uint64_t version);
   void LogUnconfirmedTables(std::uint64_t version);
   void RecordPeerTablesVersion(std::uint64_t version);
+  /// Reads the store if a peer has had later tables for so long that the watch
+  /// should have delivered them.
+  void ReadNewerTables();
+  /// Returns true if no change of the tables can have been due by now that this
+  /// node doesn't have.
+  bool AreTablesCurrent(TimePoint now) const;
+  /// Returns `denial`, which says that the tables don't allow the request, or,
+  /// if they may be outdated, that the request may be sent again.
+  NotRun Deny(NotRun denial) const;
   /// Applies a peer's confirmation that the active tables are current.
   void ApplyTablesConfirmation(const Heartbeat& response);
   /// Applies the changed upstream list and dispatches queued requests.
@@ -556,6 +568,7 @@
   TimePoint tables_activated_at_;
   std::uint64_t peer_tables_version_ = 0;  ///< The highest that a peer named.
   TimePoint peer_tables_version_heard_at_;
+  TimePoint tables_requested_at_;     ///< By `ReadNewerTables`.
   std::uint64_t behind_version_ = 0;  ///< Last one logged by `OnStoreBehind`.
   WallClockEstimate wall_clock_;
   UpstreamList upstream_list_;
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -48,6 +48,10 @@
 /// The corresponding factor for a gap between two events, relative to the event
 /// gap target of the route.
 constexpr double kInactivityGapFactor = 4.0;
+/// A watch delivers a version that a peer names within this time. A node that
+/// still lacks it then reads the store, again after each interval.
+constexpr Duration kTablesWatchTime = std::chrono::milliseconds(250);
+constexpr Duration kTablesRequestInterval = std::chrono::milliseconds(500);
 
 /// Maps a stream's key to [0, 1), so that all nodes choose the same service for
 /// it.
@@ -137,8 +141,8 @@
   request->route =
       request->tables_index->FindRoute(request->spec.host, request->spec.path);
   if (request->route == nullptr) {
-    return NotRun{
-        404, "no-route", "no route matches the request's host and path", {}};
+    return Deny(
+        {404, "no-route", "no route matches the request's host and path", {}});
   }
   if (std::optional<NotRun> not_run = CheckKey(request)) return not_run;
   request->fingerprint = ComputeFingerprint(
@@ -174,7 +178,7 @@
     return std::nullopt;
   request->customer = index.FindCustomer(request->spec.api_key);
   if (request->customer == nullptr) {
-    return NotRun{401, "unknown-key", "unknown API key", {}};
+    return Deny({401, "unknown-key", "unknown API key", {}});
   }
   if (!AreKeysFresh(now())) {
     return NotRun{503, "stale-configuration",
@@ -184,6 +188,20 @@
   return std::nullopt;
 }
 
+NotRun ForwardNode::Deny(NotRun denial) const {
+  if (AreTablesCurrent(now())) return denial;
+  return {503, "unconfirmed-tables",
+          "the tables may have changed since they were confirmed current",
+          kDefaultRetryAfter};
+}
+
+bool ForwardNode::AreTablesCurrent(TimePoint now) const {
+  if (TablesVersion() < peer_tables_version_) return false;
+  if (options_.tables_bound == Duration::zero()) return true;
+  const std::optional<Duration> age = TablesAge(now);
+  return age.has_value() && *age < options_.tables_bound;
+}
+
 std::optional<NotRun> ForwardNode::CheckDrain(const Request& request) const {
   if (!draining()) return std::nullopt;
   const bool balancer_noticed =
@@ -301,6 +319,23 @@
   peer_tables_version_heard_at_ = now();
 }
 
+void ForwardNode::ReadNewerTables() {
+  const Duration known_for = now() - peer_tables_version_heard_at_;
+  const bool is_behind = TablesVersion() < peer_tables_version_;
+  if (!is_behind || known_for < kTablesWatchTime ||
+      now() - tables_requested_at_ < kTablesRequestInterval)
+    return;
+  tables_requested_at_ = now();
+  Emit(forward_action::WriteLogLine{
+      LogLevel::kWarn,
+      "tables_behind",
+      {{"version", std::to_string(TablesVersion())},
+       {"peer_version", std::to_string(peer_tables_version_)},
+       {"known_for_ms", FormatMilliseconds(known_for)},
+       {"tables_age_ms", FormatTablesAge()}}});
+  Emit(forward_action::ReadTables{});
+}
+
 void ForwardNode::RecordTablesConfirmation(TimePoint confirmed_at) {
   // Responses may arrive out of order; an older confirmation does not replace a
   // newer one.
@@ -387,6 +422,7 @@
   }
   UpdateRateLimits();
   DispatchAllQueued();
+  ReadNewerTables();
   SendHeartbeats();
   if (now() - streams_told_at_ >= kStreamTellInterval) TellStreams();
   if (!paths_.DoubtfulServices().empty() &&
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -57,6 +57,7 @@
       std::lround(settings.processor_cores * kPercentPerCore));
   options.node_options.seeds = settings.peers;
   options.node_options.key_freshness = settings.key_freshness;
+  options.node_options.tables_bound = settings.tables_bound;
   options.node_options.retries_per_request = settings.retry_ratio;
   options.node_options.retry_slack = settings.retry_slack;
   options.node_options.usage_window = settings.usage_window;
