--- a/testsuite/platform_relay/run.py
+++ b/testsuite/platform_relay/run.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from cut_platform import CutPlatform  # noqa: E402
+from platform_cut import CutPlatform  # noqa: E402
 from platform_standins import EXECUTIONS, KEY  # noqa: E402
 from story import run_case  # noqa: E402
 
