--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -403,7 +403,10 @@
   /// Writes the suspects with several crashes to the store.
   void PersistSuspects();
   void ApplySuspectReports(const std::vector<SuspectReport>& reports);
+  /// Sends new reports to some peers, which pass them on. What is new within
+  /// the interval since the last ones waits for the next tick.
   void SendSuspectReports();
+  TimePoint NextSuspectReportTime() const;
   void ExpireSuspects();
 
   // What upstreams state about themselves.
@@ -595,6 +598,7 @@
   CrashSuspects suspects_;
   std::map<std::string, ConnectionLoss> connection_losses_;  ///< By upstream.
   TimePoint suspects_expired_at_;
+  TimePoint suspects_sent_at_;  ///< By `SendSuspectReports`.
   bool suspects_loaded_ = false;
   bool has_new_rejections_ = false;  ///< Since `EndRejectedRequests`.
   std::map<QueueKey, FairQueue> queues_;
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -423,6 +423,7 @@
   UpdateRateLimits();
   DispatchAllQueued();
   ReadNewerTables();
+  SendSuspectReports();
   SendHeartbeats();
   if (now() - streams_told_at_ >= kStreamTellInterval) TellStreams();
   if (!paths_.DoubtfulServices().empty() &&
@@ -514,6 +515,8 @@
   TimePoint next = std::min(NextHeartbeatTime(now), now + kMaxTickInterval);
   if (!paths_.DoubtfulServices().empty())
     next = std::min(next, probed_at_ + PathMonitor::kProbeInterval);
+  if (suspects_.HasUnsentReports())
+    next = std::min(next, NextSuspectReportTime());
   if (stream_versions_.HasUntold(now))
     next = std::min(next, streams_told_at_ + kStreamTellInterval);
   if (!scheduled_checks_.empty())
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -20,6 +20,11 @@
 /// tried. By then the latter is usually sound or has crashed its upstream.
 constexpr Duration kTrialRetryAfter = std::chrono::seconds(1);
 
+/// In a large fleet, new crashes are reported to this many peers at a time, and
+/// again only after the interval. Each node passes on what it receives, so that
+/// without a bound a few crashes fill the links of small machines.
+constexpr std::size_t kLargeFleetSuspectTargets = 3;
+constexpr Duration kLargeFleetSuspectInterval = std::chrono::milliseconds(125);
 /// Interval at which expired suspects are removed.
 constexpr Duration kExpiryInterval = std::chrono::seconds(10);
 /// Maximum number of prompt segments in one log line.
@@ -293,16 +298,26 @@
 }
 
 void ForwardNode::SendSuspectReports() {
-  if (!suspects_.HasUnsentReports()) return;
+  if (!suspects_.HasUnsentReports() || now() < NextSuspectReportTime()) return;
+  suspects_sent_at_ = now();
   Heartbeat heartbeat;
-  heartbeat.records = {membership_.self()};
+  heartbeat.records = {membership_.self().WithoutCounters()};
   heartbeat.suspect_reports =
       suspects_.NextReports(kMaxSuspectReportsPerHeartbeat, now());
-  for (const std::string& address : membership_.BroadcastTargets(now())) {
+  std::vector<std::string> targets = membership_.BroadcastTargets(now());
+  if (membership_.IsLargeFleet())
+    targets.resize(std::min(targets.size(), kLargeFleetSuspectTargets));
+  for (const std::string& address : targets) {
     Emit(forward_action::SendHeartbeat{{address, heartbeat}});
   }
 }
 
+TimePoint ForwardNode::NextSuspectReportTime() const {
+  return membership_.IsLargeFleet()
+             ? suspects_sent_at_ + kLargeFleetSuspectInterval
+             : now();
+}
+
 void ForwardNode::ExpireSuspects() {
   if (now() - suspects_expired_at_ < kExpiryInterval) return;
   suspects_expired_at_ = now();
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -253,6 +253,8 @@
   // Returns whether a node runs an earlier release, which knows nothing of the
   // tables version of a relayed request. Unset: none does.
   std::function<bool(std::size_t)> is_earlier_release;
+  // Heartbeat messages that each node has sent, lost ones too.
+  std::map<std::size_t, int> heartbeats_sent;
   // Reads of the tables that the nodes asked for.
   int tables_reads = 0;
   // Returns whether a network partition separates the sender from the receiver.
@@ -480,6 +482,7 @@
   }
   void Execute(std::size_t node, const forward_action::SendHeartbeat& send) {
     const std::size_t to = std::stoul(send.message.address);
+    ++heartbeats_sent[node];
     if (std::uniform_real_distribution<>(0, 1)(random_) < datagram_loss) return;
     if (to >= nodes_.size() || (is_partitioned && is_partitioned(node, to)))
       return;
