--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -403,8 +403,8 @@
   /// Writes the suspects with several crashes to the store.
   void PersistSuspects();
   void ApplySuspectReports(const std::vector<SuspectReport>& reports);
-  /// Sends new reports to some peers, which pass them on. What is new within
-  /// the interval since the last ones waits for the next tick.
+  /// Sends new reports to some peers, which pass them on. In a large fleet what
+  /// is new waits until `NextSuspectReportTime`.
   void SendSuspectReports();
   TimePoint NextSuspectReportTime() const;
   void ExpireSuspects();
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -515,7 +515,7 @@
   TimePoint next = std::min(NextHeartbeatTime(now), now + kMaxTickInterval);
   if (!paths_.DoubtfulServices().empty())
     next = std::min(next, probed_at_ + PathMonitor::kProbeInterval);
-  if (suspects_.HasUnsentReports())
+  if (membership_.IsLargeFleet() && suspects_.HasUnsentReports())
     next = std::min(next, NextSuspectReportTime());
   if (stream_versions_.HasUntold(now))
     next = std::min(next, streams_told_at_ + kStreamTellInterval);
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -298,14 +298,16 @@
 }
 
 void ForwardNode::SendSuspectReports() {
-  if (!suspects_.HasUnsentReports() || now() < NextSuspectReportTime()) return;
+  if (!suspects_.HasUnsentReports()) return;
+  const bool is_large = membership_.IsLargeFleet();
+  if (is_large && now() < NextSuspectReportTime()) return;
   suspects_sent_at_ = now();
   Heartbeat heartbeat;
   heartbeat.records = {membership_.self().WithoutCounters()};
   heartbeat.suspect_reports =
       suspects_.NextReports(kMaxSuspectReportsPerHeartbeat, now());
   std::vector<std::string> targets = membership_.BroadcastTargets(now());
-  if (membership_.IsLargeFleet())
+  if (is_large)
     targets.resize(std::min(targets.size(), kLargeFleetSuspectTargets));
   for (const std::string& address : targets) {
     Emit(forward_action::SendHeartbeat{{address, heartbeat}});
@@ -313,9 +315,7 @@
 }
 
 TimePoint ForwardNode::NextSuspectReportTime() const {
-  return membership_.IsLargeFleet()
-             ? suspects_sent_at_ + kLargeFleetSuspectInterval
-             : now();
+  return suspects_sent_at_ + kLargeFleetSuspectInterval;
 }
 
 void ForwardNode::ExpireSuspects() {
