Observability: why a caller's connection was closed, and how late the loop is

Change: each close of a caller's connection has a cause; it is counted, and logged where a request, or a part of one, had no response: bytes that were not read, time since the last read, time past the deadline, the timeout that applied and the one in force with its age. A loop that is behind its timers and the end of a drain are logged. No decision is changed.

--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "pollenledge/connection/caller_close.h"
 #include "pollenledge/connection/http_reader.h"
 #include "pollenledge/process/byte_budget.h"
 #include "pollenledge/time.h"
@@ -47,6 +48,9 @@
   /// with `status` before it is complete. Optional.
   std::function<std::vector<HttpField>(const HttpHead& request, int status)>
       on_refused = nullptr;
+  /// The connection was closed, by either side. Optional.
+  std::function<void(const CallerConnection&, const CallerClose&)> on_closed =
+      nullptr;
   /// Accounts for what the connections hold. Null: nothing is accounted for.
   std::shared_ptr<ByteBudget> budget = nullptr;
   ClientGroup group = ClientGroup::kCallers;
@@ -149,13 +153,19 @@
   void OnWritten(const boost::system::error_code& error, std::size_t size);
   void FinishWriting();
   /// Aborts the connection and tells the owner if a response is pending.
-  void GiveUp();
+  void GiveUp(CallerCloseCause cause);
   /// The time by which the caller must have sent or taken more; empty if
   /// nothing is expected of it.
   std::optional<TimePoint> NextDeadline() const;
   void ArmTimer();
   void OnTimer();
-  void Close();
+  /// Why a connection whose deadline has passed is closed.
+  CallerCloseCause TimeoutCause() const;
+  /// Closes the connection with a reset.
+  void Reset(CallerCloseCause cause);
+  void Close(CallerCloseCause cause);
+  /// Describes the connection before it is closed.
+  CallerClose DescribeClose(CallerCloseCause cause) const;
   std::string SerializeHead(const HttpHead& head) const;
 
   static constexpr std::size_t kReadBufferBytes = std::size_t{8} * 1024;
@@ -172,6 +182,7 @@
   TimePoint deadline_;
   std::optional<TimePoint> body_deadline_;  ///< Of the request being read.
   TimePoint output_progress_at_;  ///< When the caller last took output.
+  TimePoint read_at_;             ///< When bytes were last read.
   std::optional<TimePoint> armed_deadline_;
   std::size_t held_body_bytes_ = 0;  ///< Of the request, as in the budget.
   std::size_t discarded_bytes_ = 0;
@@ -189,37 +200,4 @@
   std::size_t unsent_bytes_ = 0;
 };
 
-/// Accepts callers' connections on one address. Refers to the connections
-/// without owning them. Not thread-safe.
-class CallerServer {
- public:
-  /// Throws `std::system_error` if it cannot listen on `address`.
-  CallerServer(boost::asio::io_context& loop, const std::string& address,
-               CallerHandlers handlers);
-
-  /// Stops accepting new connections.
-  void StopAccepting();
-  /// Makes each connection close after its next response, which carries
-  /// `Connection: close`.
-  void CloseAfterResponses();
-  /// Closes idle connections now and the others after their response.
-  void CloseIdleConnections();
-  /// Forgets closed connections and returns the number of open ones.
-  std::size_t CountOpenConnections();
-
- private:
-  void Accept();
-  /// Accepts again after a pause, for an error that lasts, such as a lack of
-  /// descriptors.
-  void AcceptLater();
-
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer accept_timer_;
-  std::shared_ptr<const CallerHandlers> handlers_;
-  std::vector<std::weak_ptr<CallerConnection>> connections_;
-  /// Number of connections from which closed ones are forgotten.
-  std::size_t prune_at_;
-  bool close_after_responses_ = false;
-};
-
 }  // namespace pollenledge
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -188,6 +188,8 @@
   /// Time since the active tables were last confirmed current; empty if they
   /// never were.
   std::optional<Duration> TablesAge(TimePoint now) const;
+  /// When the active tables were activated; the epoch before.
+  TimePoint tables_activated_at() const { return tables_activated_at_; }
 
  private:
   /// Selects the queue of the requests that wait for the same upstreams.
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "pollenledge/connection/caller_connection.h"
+#include "pollenledge/connection/caller_server.h"
 #include "pollenledge/connection/client_connection.h"
 #include "pollenledge/connection/forwarding_codec.h"
 #include "pollenledge/connection/heartbeat_link.h"
@@ -109,6 +109,9 @@
   /// fields of its response.
   std::vector<HttpField> OnRefusedEarly(const HttpHead& request, int status);
   void OnCallerDrained(const std::shared_ptr<CallerConnection>& caller);
+  /// Counts a closed connection, and logs it if a request was lost with it.
+  void OnCallerClosed(const CallerConnection& caller, const CallerClose& close,
+                      bool is_relayed);
   CallerHandlers ReadinessHandlers();
   void SetMemoryGauges();
   /// Returns the handlers of a server that receives requests from callers, or
@@ -187,7 +190,10 @@
   Instant LocalNow() const;
   void ArmTimer();
   void OnTimer();
+  /// Counts and logs by how much the event loop is behind its timers.
+  void RecordLoopDelay(TimePoint now, Duration delay);
   void ContinueDrain();
+  void LogDrainEnd(Duration elapsed, bool timed_out);
 
   boost::asio::io_context& loop_;
   ForwardServiceOptions options_;
@@ -198,6 +204,7 @@
   /// Also owned by the connections, which release what they hold at the end.
   std::shared_ptr<ByteBudget> byte_budget_;
   TimePoint refusal_logged_at_;
+  TimePoint loop_delay_logged_at_;
   ClientConnectionPool upstream_pool_;
   PromptCacheClient prompt_cache_client_;
   std::unordered_map<ForwardId, Exchange> exchanges_;
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -4,10 +4,8 @@
 #include <array>
 #include <boost/asio/post.hpp>
 #include <cstdio>
-#include <stdexcept>
 #include <utility>
 
-#include "pollenledge/connection/endpoint.h"
 #include "pollenledge/connection/loop_clock.h"
 
 namespace pollenledge {
@@ -36,11 +34,6 @@
 /// the time for it. A caller on 10 Mbit/s sends 4 MB in 3.4 s.
 constexpr std::size_t kDiscardMarginBytes = std::size_t{64} * 1024;
 constexpr Duration kDiscardTimeout = std::chrono::seconds(5);
-constexpr int kListenBacklog = 1024;
-constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
-/// Closed connections are forgotten when there are this many, and then whenever
-/// the number has doubled.
-constexpr std::size_t kPruneThreshold = 256;
 
 const char* ReasonPhrase(int status) {
   switch (status) {
@@ -87,6 +80,7 @@
 }
 
 bool CallerConnection::Start() {
+  read_at_ = BootClockNow();
   if (handlers_->budget != nullptr) {
     client_ = handlers_->budget->Open(
         handlers_->group,
@@ -97,7 +91,7 @@
         },
         BootClockNow());
     if (!client_.has_value()) {
-      Close();
+      Close(CallerCloseCause::kNoRoom);
       return false;
     }
   }
@@ -125,10 +119,11 @@
   if (!open_) return;
   if (error) {
     const bool response_pending = state_ == State::kAwaitingResponse;
-    Close();
+    Close(CallerCloseCause::kCallerClosed);
     if (response_pending) handlers_->on_disconnect(shared_from_this());
     return;
   }
+  read_at_ = BootClockNow();
   if (state_ == State::kDiscarding) {
     OnDiscarded(size);
     return;
@@ -286,7 +281,7 @@
 void CallerConnection::OnDiscarded(std::size_t size) {
   discarded_bytes_ += size;
   if (discarded_bytes_ > limits_.max_body_bytes + kDiscardMarginBytes) {
-    Close();
+    Close(CallerCloseCause::kRefused);
     return;
   }
   Read();
@@ -297,18 +292,18 @@
   if (need == ByteBudget::Need::kBytes && state_ == State::kReadingRequest) {
     Refuse(503);
   } else {
-    GiveUp();
+    GiveUp(CallerCloseCause::kEvicted);
   }
 }
 
-void CallerConnection::GiveUp() {
+void CallerConnection::GiveUp(CallerCloseCause cause) {
   if (!open_) return;
   const bool response_pending =
       state_ == State::kAwaitingResponse && !close_after_write_;
   if (writing_ || state_ == State::kAwaitingResponse) {
-    Abort();
+    Reset(cause);
   } else {
-    Close();
+    Close(cause);
   }
   if (response_pending) handlers_->on_disconnect(shared_from_this());
 }
@@ -370,7 +365,7 @@
   Hold(ByteBudget::Stage::kAnswer, 0);
   if (!keep_alive_ || close_when_idle_) {
     close_after_write_ = true;
-    if (!writing_) Close();
+    if (!writing_) Close(CallerCloseCause::kResponded);
     return;
   }
   state_ = State::kResponseSent;
@@ -404,11 +399,8 @@
 }
 
 void CallerConnection::Abort() {
-  if (!open_) return;
   // A reset makes the response look incomplete to the caller immediately.
-  SystemError ignored;  // The socket is closed in either case.
-  socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-  Close();
+  Reset(CallerCloseCause::kAborted);
 }
 
 void CallerConnection::CloseAfterResponse() { close_when_idle_ = true; }
@@ -416,14 +408,14 @@
 void CallerConnection::CloseWhenIdle() {
   CloseAfterResponse();
   const bool is_idle = state_ == State::kIdle || state_ == State::kDiscarding;
-  if (open_ && is_idle && !writing_) Close();
+  if (open_ && is_idle && !writing_) Close(CallerCloseCause::kDrained);
 }
 
 void CallerConnection::Send(std::string bytes) {
   if (!open_ || bytes.empty()) return;
   unsent_bytes_ += bytes.size();
   if (unsent_bytes_ > kMaxUnsentBytes) {
-    GiveUp();
+    GiveUp(CallerCloseCause::kTooMuchOutput);
     return;
   }
   const bool can_append =
@@ -466,7 +458,7 @@
   if (error) {
     const bool response_pending =
         state_ == State::kAwaitingResponse && !close_after_write_;
-    Close();
+    Close(CallerCloseCause::kCallerClosed);
     if (response_pending) handlers_->on_disconnect(shared_from_this());
     return;
   }
@@ -498,7 +490,7 @@
 
 void CallerConnection::FinishWriting() {
   if (close_after_write_) {
-    Close();
+    Close(CallerCloseCause::kResponded);
     return;
   }
   UpdateActivity();
@@ -549,89 +541,53 @@
   if (state_ == State::kReadingRequest && head_admitted_ && !writing_) {
     Refuse(408);
   } else {
-    GiveUp();
+    GiveUp(TimeoutCause());
   }
 }
 
-void CallerConnection::Close() {
+CallerCloseCause CallerConnection::TimeoutCause() const {
+  if (state_ == State::kDiscarding) return CallerCloseCause::kRefused;
+  if (writing_) return CallerCloseCause::kOutputTimeout;
+  return state_ == State::kIdle ? CallerCloseCause::kIdleTimeout
+                                : CallerCloseCause::kHeadTimeout;
+}
+
+void CallerConnection::Reset(CallerCloseCause cause) {
+  if (!open_) return;
+  SystemError ignored;  // The socket is closed in either case.
+  socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  Close(cause);
+}
+
+CallerClose CallerConnection::DescribeClose(CallerCloseCause cause) const {
+  const TimePoint now = BootClockNow();
+  const bool holds_request =
+      state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
+  CallerClose close;
+  close.cause = cause;
+  close.response_pending =
+      (state_ == State::kAwaitingResponse && !close_after_write_) ||
+      !output_.empty();
+  SystemError ignored;  // Nothing can be read from a connection that was reset.
+  close.unread_bytes = socket_.available(ignored);
+  if (holds_request) close.buffered_bytes = reader_.unread_bytes();
+  close.since_read = now - read_at_;
+  if (const std::optional<TimePoint> deadline = NextDeadline())
+    close.overdue = std::max<Duration>(now - *deadline, Duration::zero());
+  close.idle_timeout = limits_.idle_timeout;
+  return close;
+}
+
+void CallerConnection::Close(CallerCloseCause cause) {
   if (!open_) return;
+  const CallerClose close = DescribeClose(cause);
   open_ = false;
   timer_.cancel();
   SystemError ignored;  // The socket is unusable in either case.
   socket_.close(ignored);
-  if (!client_.has_value()) return;
-  handlers_->budget->Close(*client_);
+  if (client_.has_value()) handlers_->budget->Close(*client_);
   client_.reset();
-}
-
-CallerServer::CallerServer(boost::asio::io_context& loop,
-                           const std::string& address, CallerHandlers handlers)
-    : acceptor_(loop),
-      accept_timer_(loop),
-      handlers_(std::make_shared<const CallerHandlers>(std::move(handlers))),
-      prune_at_(kPruneThreshold) {
-  const Result<tcp::endpoint> endpoint = ParseTcpEndpoint(address);
-  if (!Ok(endpoint)) throw std::runtime_error(ErrorOf(endpoint).message);
-  acceptor_.open(Value(endpoint).protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(Value(endpoint));
-  acceptor_.listen(kListenBacklog);
-  Accept();
-}
-
-void CallerServer::Accept() {
-  acceptor_.async_accept([this](const SystemError& error, tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
-    if (error) {
-      AcceptLater();
-      return;
-    }
-    auto connection =
-        std::make_shared<CallerConnection>(std::move(socket), handlers_);
-    if (connections_.size() >= prune_at_)
-      prune_at_ = std::max(kPruneThreshold, 2 * CountOpenConnections());
-    connections_.push_back(connection);
-    if (close_after_responses_) connection->CloseAfterResponse();
-    connection->Start();
-    Accept();
-  });
-}
-
-void CallerServer::AcceptLater() {
-  accept_timer_.expires_after(kAcceptPause);
-  accept_timer_.async_wait([this](const SystemError& error) {
-    if (!error && acceptor_.is_open()) Accept();
-  });
-}
-
-void CallerServer::StopAccepting() {
-  accept_timer_.cancel();
-  SystemError ignored;  // The acceptor is unusable in either case.
-  acceptor_.close(ignored);
-}
-
-void CallerServer::CloseAfterResponses() {
-  close_after_responses_ = true;
-  for (const std::weak_ptr<CallerConnection>& weak : connections_) {
-    if (const auto connection = weak.lock()) connection->CloseAfterResponse();
-  }
-}
-
-void CallerServer::CloseIdleConnections() {
-  for (const std::weak_ptr<CallerConnection>& weak : connections_) {
-    if (const auto connection = weak.lock()) connection->CloseWhenIdle();
-  }
-}
-
-std::size_t CallerServer::CountOpenConnections() {
-  connections_.erase(
-      std::remove_if(connections_.begin(), connections_.end(),
-                     [](const std::weak_ptr<CallerConnection>& weak) {
-                       const auto connection = weak.lock();
-                       return connection == nullptr || !connection->open();
-                     }),
-      connections_.end());
-  return connections_.size();
+  if (handlers_->on_closed) handlers_->on_closed(*this, close);
 }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_callers.cc
+++ b/src/libpollenledge/process/forward_callers.cc
@@ -38,6 +38,10 @@
   handlers.on_refused = [this](const HttpHead& request, int status) {
     return OnRefusedEarly(request, status);
   };
+  handlers.on_closed = [this, is_relayed](const CallerConnection& caller,
+                                          const CallerClose& close) {
+    OnCallerClosed(caller, close, is_relayed);
+  };
   handlers.budget = byte_budget_;
   handlers.group = is_relayed ? ClientGroup::kPeers : ClientGroup::kCallers;
   return handlers;
@@ -114,6 +118,35 @@
     exchange->upstream_connection->ResumeReading();
 }
 
+void ForwardService::OnCallerClosed(const CallerConnection& caller,
+                                    const CallerClose& close, bool is_relayed) {
+  metrics_.IncrementCounter("caller_connections_closed_total",
+                            std::string("cause=\"") + ToString(close.cause) +
+                                "\",by=\"" + (is_relayed ? "peer" : "caller") +
+                                "\"");
+  if (!close.LosesRequest()) return;
+  const Exchange* exchange = FindExchange(caller.request_id);
+  const TimePoint now = BootClockNow();
+  const ForwardingIndex* index = node_.tables_index().get();
+  Log(LogLevel::kWarn, "caller_connection_cut",
+      {{"request", exchange == nullptr ? "" : exchange->spec.trace_id},
+       {"by", is_relayed ? "peer" : "caller"},
+       {"cause", ToString(close.cause)},
+       {"response_pending", close.response_pending ? "yes" : "no"},
+       {"unread_bytes", std::to_string(close.unread_bytes)},
+       {"buffered_bytes", std::to_string(close.buffered_bytes)},
+       {"since_read_ms", FormatMilliseconds(close.since_read)},
+       {"overdue_ms", FormatMilliseconds(close.overdue)},
+       {"idle_timeout_ms", FormatMilliseconds(close.idle_timeout)},
+       {"limit_in_force_ms",
+        index == nullptr
+            ? "none"
+            : FormatMilliseconds(index->tables().limits.idle_timeout)},
+       {"tables_version",
+        index == nullptr ? "none" : std::to_string(index->tables().version)},
+       {"in_force_ms", FormatMilliseconds(now - node_.tables_activated_at())}});
+}
+
 void ForwardService::SetMemoryGauges() {
   metrics_.SetGauge("caller_held_bytes",
                     static_cast<double>(byte_budget_->held_bytes()));
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -366,7 +366,9 @@
       LogLevel::kInfo,
       "tables_in_force",
       {{"version", std::to_string(tables->tables().version)},
-       {"source", source}}});
+       {"source", source},
+       {"idle_timeout_ms",
+        FormatMilliseconds(tables->tables().limits.idle_timeout)}}});
   stream_versions_.OnRouteMoved(MovedServices(tables->tables()), now());
   tables_index_ = tables;
   tables_activated_at_ = now();
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -15,6 +15,10 @@
 constexpr Duration kGracePeriodMargin = std::chrono::milliseconds(400);
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kIdleCloseInterval = std::chrono::seconds(2);
+/// A loop that is further behind its timers is logged, at most once per
+/// interval.
+constexpr Duration kLoggedLoopDelay = std::chrono::milliseconds(100);
+constexpr Duration kLoopDelayLogInterval = std::chrono::seconds(1);
 /// Path on the admin address, followed by the fingerprint of a suspect.
 constexpr std::string_view kSuspectsPath = "/suspects/";
 constexpr int kStatusOk = 200;
@@ -340,13 +344,26 @@
       std::max<Duration>(due - now, std::chrono::milliseconds(1)));
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;  // Cancelled because the timer was armed again.
-    timer_at_.reset();
     OnTimer();
   });
 }
 
+void ForwardService::RecordLoopDelay(TimePoint now, Duration delay) {
+  metrics_.Observe("loop_delay_seconds", "",
+                   std::max<Duration>(delay, Duration::zero()));
+  if (delay < kLoggedLoopDelay ||
+      now - loop_delay_logged_at_ < kLoopDelayLogInterval)
+    return;
+  loop_delay_logged_at_ = now;
+  Log(LogLevel::kWarn, "loop_delayed",
+      {{"delay_ms", FormatMilliseconds(delay)},
+       {"requests", std::to_string(exchanges_.size())}});
+}
+
 void ForwardService::OnTimer() {
   const TimePoint now = BootClockNow();
+  RecordLoopDelay(now, now - timer_at_.value_or(now));
+  timer_at_.reset();
   if (now - idle_connections_closed_at_ > kIdleCloseInterval) {
     idle_connections_closed_at_ = now;
     upstream_pool_.CloseIdle(now);
@@ -366,6 +383,14 @@
   ContinueDrain();
 }
 
+void ForwardService::LogDrainEnd(Duration elapsed, bool timed_out) {
+  Log(exchanges_.empty() ? LogLevel::kInfo : LogLevel::kWarn, "drained",
+      {{"after_ms", FormatMilliseconds(elapsed)},
+       {"timed_out", timed_out ? "yes" : "no"},
+       {"requests", std::to_string(exchanges_.size())},
+       {"connections", std::to_string(caller_server_.CountOpenConnections())}});
+}
+
 void ForwardService::ContinueDrain() {
   const Duration elapsed = BootClockNow() - *drain_started_;
   const bool balancer_noticed = elapsed >= kBalancerRemovalTime;
@@ -383,6 +408,7 @@
   if (timed_out ||
       (balancer_noticed && exchanges_.empty() &&
        caller_server_.CountOpenConnections() == 0 && relay_connections == 0)) {
+    LogDrainEnd(elapsed, timed_out);
     on_drained_();
     return;
   }
