Callers: a timeout or a planned stop does not close a connection whose bytes wait unread

Callers saw: a whole request on a kept connection, and the connection reset, without an answer. Cause: idle timers, head timers, output timers and the close of idle connections in a planned stop went by the clock and by what the process had read. A loop that is late runs due timers before it has read what waits in its sockets, as one call of the poll returns 128 events only. Change: before a connection is closed for its caller's silence, the socket is asked whether the caller has sent or taken something since; if so, the handler of these bytes decides. Bytes stay in the kernel until they are handled (a wait and then a read in its handler), so that the answer of the poll is the whole truth; each connection is 8 KB smaller by that.

--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "pollenledge/connection/caller_close.h"
@@ -125,8 +125,11 @@
     kDiscarding,
   };
 
+  /// Waits until bytes arrive, and leaves them to the kernel until they are
+  /// handled, so that a look at the socket shows what was not handled yet.
   void Read();
-  void OnRead(const boost::system::error_code& error, std::size_t size);
+  void OnReadable();
+  void OnRead(const boost::system::error_code& error, std::string_view bytes);
   void ProcessInput();
   void RejectMalformed();
   void FinishResponse();
@@ -154,6 +157,10 @@
   void FinishWriting();
   /// Aborts the connection and tells the owner if a response is pending.
   void GiveUp(CallerCloseCause cause);
+  /// True if the caller has sent or taken bytes that the event loop has not
+  /// handled yet, so that the connection's state is older than the caller's.
+  /// The handler of these bytes follows.
+  bool HasUnhandledProgress();
   /// The time by which the caller must have sent or taken more; empty if
   /// nothing is expected of it.
   std::optional<TimePoint> NextDeadline() const;
@@ -168,14 +175,11 @@
   CallerClose DescribeClose(CallerCloseCause cause) const;
   std::string SerializeHead(const HttpHead& head) const;
 
-  static constexpr std::size_t kReadBufferBytes = std::size_t{8} * 1024;
-
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<const CallerHandlers> handlers_;
   CallerLimits limits_;
   HttpReader reader_;
-  std::array<char, kReadBufferBytes> read_buffer_{};
   State state_ = State::kIdle;
   std::optional<ByteBudget::ClientId> client_;  ///< In the budget.
   std::string customer_;                        ///< As set in the budget.
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -1,5 +1,7 @@
 #include "pollenledge/connection/caller_connection.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
@@ -14,6 +16,7 @@
 using boost::asio::ip::tcp;
 using SystemError = boost::system::error_code;
 
+constexpr std::size_t kReadBufferBytes = std::size_t{8} * 1024;
 /// Maximum size of output buffered for a caller that does not read it: the
 /// largest response that is not a stream (4 MB), its head, and a rest of the
 /// response before it.
@@ -97,6 +100,7 @@
   }
   SystemError ignored;  // A failure only increases latency.
   socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
   deadline_ = BootClockNow() + limits_.idle_timeout;
   ArmTimer();
   Read();
@@ -107,16 +111,27 @@
   if (reading_ || !open_) return;
   reading_ = true;
   auto self = shared_from_this();
-  socket_.async_read_some(
-      boost::asio::buffer(read_buffer_),
-      [this, self](const SystemError& error, std::size_t size) {
-        reading_ = false;
-        OnRead(error, size);
-      });
+  socket_.async_wait(tcp::socket::wait_read,
+                     [this, self](const SystemError& error) {
+                       reading_ = false;
+                       if (!error && open_) OnReadable();
+                     });
+}
+
+void CallerConnection::OnReadable() {
+  std::array<char, kReadBufferBytes> buffer;
+  SystemError error;
+  const std::size_t size =
+      socket_.read_some(boost::asio::buffer(buffer), error);
+  if (error == boost::asio::error::would_block) {
+    Read();
+    return;
+  }
+  OnRead(error, std::string_view(buffer.data(), size));
 }
 
-void CallerConnection::OnRead(const SystemError& error, std::size_t size) {
-  if (!open_) return;
+void CallerConnection::OnRead(const SystemError& error,
+                              std::string_view bytes) {
   if (error) {
     const bool response_pending = state_ == State::kAwaitingResponse;
     Close(CallerCloseCause::kCallerClosed);
@@ -125,11 +140,10 @@
   }
   read_at_ = BootClockNow();
   if (state_ == State::kDiscarding) {
-    OnDiscarded(size);
+    OnDiscarded(bytes.size());
     return;
   }
-  const Status status =
-      reader_.Append(std::string_view(read_buffer_.data(), size));
+  const Status status = reader_.Append(bytes);
   const bool holds_request =
       state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
   bool has_room = true;
@@ -137,7 +151,7 @@
     has_room = HoldReader();
   } else {
     if (client_.has_value())
-      handlers_->budget->OnProgress(*client_, size, BootClockNow());
+      handlers_->budget->OnProgress(*client_, bytes.size(), BootClockNow());
     if (!Ok(status)) {
       RejectMalformed();
     } else {
@@ -146,6 +160,7 @@
   }
   // Without room, the next request is read after this one.
   if (has_room && reader_.unread_bytes() < kMaxReadAheadBytes) Read();
+  ArmTimer();
 }
 
 void CallerConnection::ProcessInput() {
@@ -390,12 +405,12 @@
     RejectMalformed();
     return;
   }
+  Read();
   if (close_when_idle_ && reader_.idle()) {
     CloseWhenIdle();
     return;
   }
   ProcessInput();
-  Read();
 }
 
 void CallerConnection::Abort() {
@@ -408,7 +423,8 @@
 void CallerConnection::CloseWhenIdle() {
   CloseAfterResponse();
   const bool is_idle = state_ == State::kIdle || state_ == State::kDiscarding;
-  if (open_ && is_idle && !writing_) Close(CallerCloseCause::kDrained);
+  if (open_ && is_idle && !writing_ && !HasUnhandledProgress())
+    Close(CallerCloseCause::kDrained);
 }
 
 void CallerConnection::Send(std::string bytes) {
@@ -480,6 +496,7 @@
   Hold(ByteBudget::Stage::kWriter, unsent_bytes_ + output_sent_bytes_);
   Flush();
   if (!writing_) FinishWriting();
+  ArmTimer();
   if (!open_ || !output_is_full_ || unsent_bytes_ > kFullOutputBytes / 2)
     return;
   output_is_full_ = false;
@@ -500,6 +517,16 @@
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+bool CallerConnection::HasUnhandledProgress() {
+  // What is discarded after a refusal is bounded by time alone.
+  if (state_ == State::kDiscarding) return false;
+  pollfd descriptor{};
+  descriptor.fd = socket_.native_handle();
+  if (reading_) descriptor.events |= POLLIN;
+  if (writing_) descriptor.events |= POLLOUT;
+  return ::poll(&descriptor, 1, 0) > 0;
+}
+
 std::optional<TimePoint> CallerConnection::NextDeadline() const {
   const TimePoint output_deadline = output_progress_at_ + limits_.idle_timeout;
   switch (state_) {
@@ -538,6 +565,8 @@
     ArmTimer();
     return;
   }
+  // The loop was late, not the caller. The handler arms the timer again.
+  if (HasUnhandledProgress()) return;
   if (state_ == State::kReadingRequest && head_admitted_ && !writing_) {
     Refuse(408);
   } else {
--- a/src/libpollenledge/process/byte_budget.cc
+++ b/src/libpollenledge/process/byte_budget.cc
@@ -12,8 +12,8 @@
 /// A third of the memory. The process itself takes 15 to 30 MB, an eighth is
 /// for connections, and the allocator and copies in progress need some.
 constexpr std::size_t kNodeShare = 3;
-/// What one connection takes without a request: its 8 KB read buffer, its
-/// object and its entry here.
+/// What one connection takes at most without a request: its object, its reader
+/// and its entry here.
 constexpr std::size_t kConnectionBytes = std::size_t{12} * 1024;
 constexpr std::size_t kConnectionMemoryShare = 8;
 constexpr std::size_t kMaxOperatorConnections = 64;
