Callers: open connections follow the limits in force

Callers saw: kept connections that the node closes before the idle timeout that the operator has set; each request that crosses such a close gets no answer. Cause: the limits were copied when a connection was accepted. After a change that raises the idle timeout, callers rest for longer than the node waits, for as long as their connections live. The size limits of a kept connection were those of its first request as well. Change: the limits are asked for at the first byte of each request and whenever an idle deadline is computed. An idle connection is held to the longest timeout that was in force since its last request, and for the time that a change takes to be in force here (the bound on the tables), as callers may follow it earlier. A lowered timeout holds from the next request on. Four unit tests; before this change three of them could not hold, as limits_ never changed (the one of the lowered timeout did).

--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -37,8 +37,12 @@
       on_request;
   /// The connection was lost or aborted before the response was complete.
   std::function<void(const std::shared_ptr<CallerConnection>&)> on_disconnect;
-  /// Returns the limits to apply to new connections.
+  /// Returns the limits in force. A request is held to those of its first
+  /// byte; an idle connection to the longest since its last request.
   std::function<CallerLimits()> limits;
+  /// Longest time from a change of the limits until `limits` returns them.
+  /// Callers may follow a change by so much earlier.
+  Duration limits_delay{0};
   /// Called with the head of a request whose body is not complete. Optional.
   std::function<BodyTerms(const HttpHead&)> on_head = nullptr;
   /// The output that made `output_is_full` true was taken. Optional.
@@ -161,6 +165,10 @@
   /// handled yet, so that the connection's state is older than the caller's.
   /// The handler of these bytes follows.
   bool HasUnhandledProgress();
+  /// Applies the limits in force to the next request.
+  void UpdateLimits();
+  /// How long the caller may wait before its next request.
+  Duration IdleTimeout() const;
   /// The time by which the caller must have sent or taken more; empty if
   /// nothing is expected of it.
   std::optional<TimePoint> NextDeadline() const;
@@ -183,8 +191,9 @@
   State state_ = State::kIdle;
   std::optional<ByteBudget::ClientId> client_;  ///< In the budget.
   std::string customer_;                        ///< As set in the budget.
-  TimePoint deadline_;
-  std::optional<TimePoint> body_deadline_;  ///< Of the request being read.
+  TimePoint idle_since_;                        ///< In state `kIdle`.
+  TimePoint deadline_;                          ///< In other states.
+  std::optional<TimePoint> body_deadline_;      ///< Of the request being read.
   TimePoint output_progress_at_;  ///< When the caller last took output.
   TimePoint read_at_;             ///< When bytes were last read.
   std::optional<TimePoint> armed_deadline_;
--- a/src/include/pollenledge/connection/http_reader.h
+++ b/src/include/pollenledge/connection/http_reader.h
@@ -58,6 +58,9 @@
   HttpReader(const HttpReader&) = delete;
   HttpReader& operator=(const HttpReader&) = delete;
 
+  /// Changes the size limits. They apply to the current message only if no byte
+  /// of it has been received.
+  void SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes);
   /// Appends received bytes and parses up to the end of the current message.
   /// After an error the connection is unusable.
   Status Append(std::string_view bytes);
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -101,7 +101,7 @@
   SystemError ignored;  // A failure only increases latency.
   socket_.set_option(tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
-  deadline_ = BootClockNow() + limits_.idle_timeout;
+  idle_since_ = read_at_;
   ArmTimer();
   Read();
   return true;
@@ -143,6 +143,7 @@
     OnDiscarded(bytes.size());
     return;
   }
+  if (reader_.idle()) UpdateLimits();
   const Status status = reader_.Append(bytes);
   const bool holds_request =
       state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
@@ -399,8 +400,9 @@
   body_deadline_.reset();
   SetCustomer("");
   UpdateActivity();
-  deadline_ = BootClockNow() + limits_.idle_timeout;
+  idle_since_ = BootClockNow();
   ArmTimer();
+  UpdateLimits();
   if (!Ok(reader_.StartNextMessage())) {
     RejectMalformed();
     return;
@@ -517,6 +519,18 @@
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+void CallerConnection::UpdateLimits() {
+  const CallerLimits limits = handlers_->limits();
+  if (limits == limits_) return;
+  limits_ = limits;
+  reader_.SetLimits(limits.max_header_bytes, limits.max_body_bytes);
+}
+
+Duration CallerConnection::IdleTimeout() const {
+  return std::max(limits_.idle_timeout, handlers_->limits().idle_timeout) +
+         handlers_->limits_delay;
+}
+
 bool CallerConnection::HasUnhandledProgress() {
   // What is discarded after a refusal is bounded by time alone.
   if (state_ == State::kDiscarding) return false;
@@ -532,8 +546,11 @@
   switch (state_) {
     case State::kReadingRequest:
       return writing_ ? std::min(deadline_, output_deadline) : deadline_;
-    case State::kIdle:
-      return writing_ ? std::max(deadline_, output_deadline) : deadline_;
+    case State::kIdle: {
+      const TimePoint idle_deadline = idle_since_ + IdleTimeout();
+      return writing_ ? std::max(idle_deadline, output_deadline)
+                      : idle_deadline;
+    }
     case State::kDiscarding:
       return deadline_;
     default:
@@ -603,7 +620,7 @@
   close.since_read = now - read_at_;
   if (const std::optional<TimePoint> deadline = NextDeadline())
     close.overdue = std::max<Duration>(now - *deadline, Duration::zero());
-  close.idle_timeout = limits_.idle_timeout;
+  close.idle_timeout = IdleTimeout();
   return close;
 }
 
--- a/src/libpollenledge/connection/caller_connection_test.cc
+++ b/src/libpollenledge/connection/caller_connection_test.cc
@@ -112,6 +112,18 @@
   EXPECT_FALSE(connection_->open());
 }
 
+// Guards against a planned stop that closes a kept connection on which a
+// request waits that the loop has not read yet (LOST).
+TEST_F(CallerConnectionTest, AStopDoesNotCloseAConnectionWithAnUnreadRequest) {
+  Write("/1", "one");
+  connection_->CloseWhenIdle();
+  ASSERT_TRUE(connection_->open());
+  RunUntilRequests(1);
+  Respond();
+  loop_.poll();
+  EXPECT_FALSE(connection_->open());
+}
+
 /// A connection whose handlers, limits and budget a test sets before it starts.
 class AbusiveCallerTest : public ::testing::Test {
  protected:
@@ -269,6 +281,56 @@
   EXPECT_EQ(budget_->held_bytes(), 0U);
 }
 
+// Guards against callers that follow a longer idle timeout than the node, which
+// closes their connections while they send the next request (LOST).
+TEST_F(AbusiveCallerTest, AnIdleConnectionFollowsARaisedTimeout) {
+  limits_.idle_timeout = std::chrono::milliseconds(50);
+  Start();
+  limits_.idle_timeout = std::chrono::milliseconds(400);
+  loop_.run_for(std::chrono::milliseconds(200));
+  EXPECT_TRUE(connection_->open());
+  RunUntil([this] { return !connection_->open(); });
+  EXPECT_FALSE(connection_->open());
+}
+
+// Guards against a node that closes a connection whose caller may still go by
+// the longer timeout that was in force at its last request.
+TEST_F(AbusiveCallerTest, ALoweredTimeoutHoldsFromTheNextRequestOn) {
+  limits_.idle_timeout = std::chrono::milliseconds(400);
+  Start();
+  limits_.idle_timeout = std::chrono::milliseconds(50);
+  loop_.run_for(std::chrono::milliseconds(200));
+  EXPECT_TRUE(connection_->open());
+}
+
+// Guards against tables that are in force at the node, but whose idle timeout
+// was shorter before: callers follow the change up to `limits_delay` earlier.
+TEST_F(AbusiveCallerTest, AnIdleConnectionOutlastsTheDelayOfTheLimits) {
+  limits_.idle_timeout = std::chrono::milliseconds(50);
+  handlers_.limits_delay = std::chrono::milliseconds(350);
+  Start();
+  loop_.run_for(std::chrono::milliseconds(200));
+  EXPECT_TRUE(connection_->open());
+  RunUntil([this] { return !connection_->open(); });
+  EXPECT_FALSE(connection_->open());
+}
+
+// Guards against requests on kept connections that are refused by the size
+// limits of older tables.
+TEST_F(AbusiveCallerTest, EachRequestIsHeldToTheLimitsInForce) {
+  limits_.max_body_bytes = 10;
+  Start();
+  limits_.max_body_bytes = 1000;
+  ReadAll();
+  boost::asio::write(caller_.far_end,
+                     boost::asio::buffer("POST / HTTP/1.1\r\nContent-Length: "
+                                         "20\r\n\r\n" +
+                                         std::string(20, 'x')));
+  RunUntil([this] { return requests_ > 0 || !received_.empty(); });
+  EXPECT_EQ(requests_, 1);
+  EXPECT_EQ(received_, "");
+}
+
 // Guards against a stalled body that keeps the memory that others need.
 TEST_F(AbusiveCallerTest, AStalledBodyIsRefusedWhenOthersNeedItsMemory) {
   Start();
--- a/src/libpollenledge/connection/http_reader.cc
+++ b/src/libpollenledge/connection/http_reader.cc
@@ -318,6 +318,13 @@
 
 HttpReader::~HttpReader() = default;
 
+void HttpReader::SetLimits(std::size_t max_header_bytes,
+                           std::size_t max_body_bytes) {
+  impl_->max_header_bytes = max_header_bytes;
+  impl_->max_body_bytes = max_body_bytes;
+  if (idle()) impl_->ResetParser();
+}
+
 Status HttpReader::Append(std::string_view bytes) {
   impl_->buffer.append(bytes);
   if (complete()) return {};
--- a/src/libpollenledge/process/forward_callers.cc
+++ b/src/libpollenledge/process/forward_callers.cc
@@ -33,6 +33,7 @@
                ? CallerLimits()
                : node_.tables_index()->tables().limits;
   };
+  handlers.limits_delay = options_.node_options.tables_bound;
   handlers.on_head = [this](const HttpHead& head) { return TermsOfBody(head); };
   handlers.on_drained = [this](const auto& caller) { OnCallerDrained(caller); };
   handlers.on_refused = [this](const HttpHead& request, int status) {
