Callers: a planned stop serves the connections that wait to be accepted

Callers saw: a request on a new connection that is reset when the node stops accepting. Cause: the acceptor was closed with established connections in its queue; a late loop leaves more of them there, as it accepts one in each turn. Change: before the acceptor is closed, all that wait are accepted. The delay of the loop is counted from when a timer was armed (the first line of a process said hours).

--- a/src/include/pollenledge/connection/caller_server.h
+++ b/src/include/pollenledge/connection/caller_server.h
@@ -19,7 +19,7 @@
   CallerServer(boost::asio::io_context& loop, const std::string& address,
                CallerHandlers handlers);
 
-  /// Stops accepting new connections.
+  /// Stops accepting new connections. Those that wait already are served.
   void StopAccepting();
   /// Makes each connection close after its next response, which carries
   /// `Connection: close`.
@@ -31,6 +31,10 @@
 
  private:
   void Accept();
+  /// Accepts the connections that the kernel has established already, on which
+  /// requests may wait.
+  void AcceptWaiting();
+  void Serve(boost::asio::ip::tcp::socket socket);
   /// Accepts again after a pause, for an error that lasts, such as a lack of
   /// descriptors.
   void AcceptLater();
--- a/src/libpollenledge/connection/caller_server.cc
+++ b/src/libpollenledge/connection/caller_server.cc
@@ -42,17 +42,30 @@
       AcceptLater();
       return;
     }
-    auto connection =
-        std::make_shared<CallerConnection>(std::move(socket), handlers_);
-    if (connections_.size() >= prune_at_)
-      prune_at_ = std::max(kPruneThreshold, 2 * CountOpenConnections());
-    connections_.push_back(connection);
-    if (close_after_responses_) connection->CloseAfterResponse();
-    connection->Start();
+    Serve(std::move(socket));
     Accept();
   });
 }
 
+void CallerServer::Serve(tcp::socket socket) {
+  auto connection =
+      std::make_shared<CallerConnection>(std::move(socket), handlers_);
+  if (connections_.size() >= prune_at_)
+    prune_at_ = std::max(kPruneThreshold, 2 * CountOpenConnections());
+  connections_.push_back(connection);
+  if (close_after_responses_) connection->CloseAfterResponse();
+  connection->Start();
+}
+
+void CallerServer::AcceptWaiting() {
+  SystemError error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket = acceptor_.accept(error);
+    if (!error) Serve(std::move(socket));
+  }
+}
+
 void CallerServer::AcceptLater() {
   accept_timer_.expires_after(kAcceptPause);
   accept_timer_.async_wait([this](const SystemError& error) {
@@ -61,7 +74,9 @@
 }
 
 void CallerServer::StopAccepting() {
+  if (!acceptor_.is_open()) return;
   accept_timer_.cancel();
+  AcceptWaiting();
   SystemError ignored;  // The acceptor is unusable in either case.
   acceptor_.close(ignored);
 }
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -339,7 +339,7 @@
   const TimePoint now = BootClockNow();
   const TimePoint due = node_.NextTickTime(now);
   if (timer_at_.has_value() && *timer_at_ <= due) return;
-  timer_at_ = due;
+  timer_at_ = std::max(due, now);
   timer_.expires_after(
       std::max<Duration>(due - now, std::chrono::milliseconds(1)));
   timer_.async_wait([this](const boost::system::error_code& error) {
