Test of faulty answers: ask for the end of the connection instead of waiting for the idle timeout

It reads up to the end of the connection, also behind a complete 502 with a length, which keeps the connection open: the node closes it at its idle timeout (15 s), at the same time as the test's socket times out (15 s). What the test checks in the answers is unchanged; the request now carries Connection: close, so that a stream still must end by a reset or a last chunk and any other byte on the connection is still part of what is compared.

--- a/testsuite/platform_faulty_answers/run.py
+++ b/testsuite/platform_faulty_answers/run.py
@@ -24,9 +24,10 @@
 
 
 def read_all(platform, attempt, path):
-    """The bytes of the response to a request, up to the end of the connection."""
+    """The bytes of the response to a request that asks for the connection to be closed after it, up
+    to that end."""
     with platform.connect(platform.caller) as connection:
-        connection.sendall(platform.request(attempt, path))
+        connection.sendall(platform.request(attempt, path)[:-2] + b"Connection: close\r\n\r\n")
         data = b""
         try:
             while not data.endswith(LAST_CHUNK):
