Callers: a request whose caller has left is not handed on

Cause: a loop that is behind reads a request and hands it on before it reads the end of the connection that waits behind it in the same socket: the same class as LOST, a decision by what was read and not by what has arrived. Change: a complete request is handed on only if its caller hasn't closed the connection by then, also if bytes are unread before that end.

--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -165,6 +165,9 @@
   /// handled yet, so that the connection's state is older than the caller's.
   /// The handler of these bytes follows.
   bool HasUnhandledProgress();
+  /// True if the caller has closed the connection, even if bytes that it sent
+  /// before are still unread.
+  bool HasCallerLeft();
   /// Applies the limits in force to the next request.
   void UpdateLimits();
   /// How long the caller may wait before its next request.
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -67,6 +67,13 @@
   }
 }
 
+/// Returns which of `events`, or of the events that are always reported, such
+/// as a reset, `descriptor` has now.
+std::int16_t PendingEvents(int descriptor, std::int16_t events) {
+  pollfd polled{descriptor, events, 0};
+  return ::poll(&polled, 1, 0) > 0 ? polled.revents : std::int16_t{0};
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(
@@ -167,6 +174,10 @@
 void CallerConnection::ProcessInput() {
   if (!HoldReceived()) return;
   if (reader_.complete()) {
+    if (HasCallerLeft()) {
+      Close(CallerCloseCause::kCallerClosed);
+      return;
+    }
     state_ = State::kAwaitingResponse;
     keep_alive_ = reader_.keep_alive();
     UpdateActivity();
@@ -534,11 +545,14 @@
 bool CallerConnection::HasUnhandledProgress() {
   // What is discarded after a refusal is bounded by time alone.
   if (state_ == State::kDiscarding) return false;
-  pollfd descriptor{};
-  descriptor.fd = socket_.native_handle();
-  if (reading_) descriptor.events |= POLLIN;
-  if (writing_) descriptor.events |= POLLOUT;
-  return ::poll(&descriptor, 1, 0) > 0;
+  std::int16_t events = 0;
+  if (reading_) events |= POLLIN;
+  if (writing_) events |= POLLOUT;
+  return PendingEvents(socket_.native_handle(), events) != 0;
+}
+
+bool CallerConnection::HasCallerLeft() {
+  return PendingEvents(socket_.native_handle(), POLLRDHUP) != 0;
 }
 
 std::optional<TimePoint> CallerConnection::NextDeadline() const {
--- a/src/libpollenledge/connection/caller_connection_test.cc
+++ b/src/libpollenledge/connection/caller_connection_test.cc
@@ -124,6 +124,17 @@
   EXPECT_FALSE(connection_->open());
 }
 
+// Guards against a request that is handed on although its caller has closed the
+// connection behind it, which the loop reads at the same time (GONE).
+TEST_F(CallerConnectionTest, ARequestWhoseCallerHasLeftIsNotHandedOn) {
+  Write("/1", "one");
+  caller_.far_end.close();
+  while (connection_->open()) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_TRUE(requests_.empty());
+}
+
 /// A connection whose handlers, limits and budget a test sets before it starts.
 class AbusiveCallerTest : public ::testing::Test {
  protected:
