Callers: a connection whose bytes wait unread is not evicted for others

Callers saw: a whole request on a kept connection, and the connection closed without an answer; a body refused with 503 although its caller sent on; an answer broken off although its caller took it. Cause: the account of connections and bytes takes the longest idle connection, and those without progress for a second, by what the process has read. A late loop has read nothing of anybody. Evidence: CallerConnectionTest.AnUnreadRequestIsNotEvicted, 20 connections, the 10 that were idle for longest send a request, 10 new connections need room. Not shown on a real node. Change: the account asks its candidate whether it has progress that the loop has not handled: bytes of a request while one is expected, room for output while output is unsent. Such a client is passed over and counts as having progressed; the account goes on to the next, at most 16 of a kind. Once the bytes are handled, the client gets no second reprieve until it has made a whole step of progress (4 KB), so a trickle is evicted in the end. A client that has sent requests, but takes no output, is still evicted. A connection that its caller has closed is no progress. Existing tests: only the signature of `ByteBudget::Open` changes in them.

--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -165,6 +165,10 @@
   /// handled yet, so that the connection's state is older than the caller's.
   /// The handler of these bytes follows.
   bool HasUnhandledProgress();
+  /// As `HasUnhandledProgress`, of what the budget counts as progress: request
+  /// bytes while a request is expected, output taken while output is unsent.
+  bool HasUncountedProgress();
+  ByteBudget::Activity CurrentActivity() const;
   /// Applies the limits in force to the next request.
   void UpdateLimits();
   /// How long the caller may wait before its next request.
--- a/src/include/pollenledge/process/byte_budget.h
+++ b/src/include/pollenledge/process/byte_budget.h
@@ -50,7 +50,8 @@
 /// A client is one connection. The account evicts a client by calling its
 /// callback, which must release what the client holds, with `Close` or by
 /// holding nothing. Only clients without progress are evicted, and never one
-/// whose complete request is being served. Each operation takes constant time.
+/// whose complete request is being served. A client whose progress the process
+/// has not handled yet is passed over. Each operation takes constant time.
 /// Not thread-safe.
 class ByteBudget {
  public:
@@ -79,12 +80,21 @@
   /// What an eviction is to make room for.
   enum class Need : std::uint8_t { kBytes, kConnection };
 
+  /// What the account asks a client.
+  struct Callbacks {
+    /// Makes room for others.
+    std::function<void(Need)> evict;
+    /// Returns true if bytes of a request have arrived, or output can be sent,
+    /// that the process will handle but has not handled yet. Optional.
+    std::function<bool()> has_unhandled_progress = nullptr;
+  };
+
   explicit ByteBudget(const ByteBudgetLimits& limits) : limits_(limits) {}
 
   /// Counts a new, idle connection. Evicts another one if the group has as many
   /// as it may; returns nothing if none can be evicted.
-  std::optional<ClientId> Open(ClientGroup group,
-                               std::function<void(Need)> evict, TimePoint now);
+  std::optional<ClientId> Open(ClientGroup group, Callbacks callbacks,
+                               TimePoint now);
   void Close(ClientId id);
 
   /// Sets the customer whose limit applies. Empty: nobody's, without a limit.
@@ -112,9 +122,17 @@
   static constexpr std::size_t kActivityCount = 5;
   using Order = std::list<ClientId>;
 
+  /// A client gets one reprieve for unhandled progress until it makes a whole
+  /// step of progress, so that one that trickles is evicted in the end.
+  enum class Reprieve : std::uint8_t {
+    kNone,
+    kGranted,  ///< The progress is still to be handled.
+    kUsed,     ///< It was handled, and was less than a step.
+  };
+
   struct Client {
     ClientGroup group = ClientGroup::kCallers;
-    std::function<void(Need)> evict;
+    Callbacks callbacks;
     std::string customer;
     std::array<std::size_t, kStageCount> bytes{};
     std::size_t total = 0;
@@ -122,6 +140,7 @@
     Order::iterator position;
     TimePoint progress_at;
     std::size_t unrecorded_progress = 0;
+    Reprieve reprieve = Reprieve::kNone;
   };
   struct Customer {
     std::size_t bytes = 0;
@@ -139,7 +158,17 @@
   bool MakeCustomerRoom(ClientId id, TimePoint now);
   bool MakeNodeRoom(ClientId id, TimePoint now);
   bool EvictForBytes(ClientId keep, const std::string* customer, TimePoint now);
+  /// Returns the largest of the longest stalled clients, or 0.
+  ClientId FindLargestStalled(Activity activity, ClientId keep,
+                              const std::string* customer, TimePoint now) const;
   bool EvictForConnection(ClientGroup group, TimePoint now);
+  /// Evicts the client of `order` without progress for longest, and for
+  /// `stall_bound` at least.
+  bool EvictFirst(const Order& order, Duration stall_bound, TimePoint now);
+  void RecordProgress(Client* client, TimePoint now);
+  /// Returns true if the client must not be evicted now, as the process has
+  /// not handled its progress yet.
+  bool PassOver(ClientId id, TimePoint now);
   void Evict(ClientId id, Need need);
 
   ByteBudgetLimits limits_;
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "pollenledge/connection/loop_clock.h"
+#include "pollenledge/connection/socket_readiness.h"
 
 namespace pollenledge {
 namespace {
@@ -85,14 +86,17 @@
 bool CallerConnection::Start() {
   read_at_ = BootClockNow();
   if (handlers_->budget != nullptr) {
-    client_ = handlers_->budget->Open(
-        handlers_->group,
-        [this](ByteBudget::Need need) {
-          // The callback must not outlive the connection that it belongs to.
-          auto self = shared_from_this();
-          Evict(need);
-        },
-        BootClockNow());
+    ByteBudget::Callbacks callbacks;
+    callbacks.evict = [this](ByteBudget::Need need) {
+      // The callback must not outlive the connection that it belongs to.
+      auto self = shared_from_this();
+      Evict(need);
+    };
+    callbacks.has_unhandled_progress = [this] {
+      return HasUncountedProgress();
+    };
+    client_ = handlers_->budget->Open(handlers_->group, std::move(callbacks),
+                                      BootClockNow());
     if (!client_.has_value()) {
       Close(CallerCloseCause::kNoRoom);
       return false;
@@ -256,18 +260,19 @@
   handlers_->budget->SetCustomer(*client_, customer);
 }
 
-void CallerConnection::UpdateActivity() {
-  if (!client_.has_value()) return;
+ByteBudget::Activity CallerConnection::CurrentActivity() const {
   using Activity = ByteBudget::Activity;
   const bool holds_output =
       output_is_full_ || (state_ == State::kIdle && !output_.empty());
-  const Activity activity = state_ == State::kDiscarding ? Activity::kClosing
-                            : state_ == State::kReadingRequest
-                                ? Activity::kReceiving
-                            : holds_output           ? Activity::kSending
-                            : state_ == State::kIdle ? Activity::kIdle
-                                                     : Activity::kServing;
-  handlers_->budget->SetActivity(*client_, activity, BootClockNow());
+  if (state_ == State::kDiscarding) return Activity::kClosing;
+  if (state_ == State::kReadingRequest) return Activity::kReceiving;
+  if (holds_output) return Activity::kSending;
+  return state_ == State::kIdle ? Activity::kIdle : Activity::kServing;
+}
+
+void CallerConnection::UpdateActivity() {
+  if (!client_.has_value()) return;
+  handlers_->budget->SetActivity(*client_, CurrentActivity(), BootClockNow());
 }
 
 void CallerConnection::RejectMalformed() {
@@ -534,11 +539,23 @@
 bool CallerConnection::HasUnhandledProgress() {
   // What is discarded after a refusal is bounded by time alone.
   if (state_ == State::kDiscarding) return false;
-  pollfd descriptor{};
-  descriptor.fd = socket_.native_handle();
-  if (reading_) descriptor.events |= POLLIN;
-  if (writing_) descriptor.events |= POLLOUT;
-  return ::poll(&descriptor, 1, 0) > 0;
+  const int events = (reading_ ? POLLIN : 0) | (writing_ ? POLLOUT : 0);
+  return IsReady(socket_.native_handle(), static_cast<std::int16_t>(events));
+}
+
+bool CallerConnection::HasUncountedProgress() {
+  SystemError ignored;  // A connection that was lost has no bytes to handle.
+  switch (CurrentActivity()) {
+    case ByteBudget::Activity::kIdle:
+    case ByteBudget::Activity::kReceiving:
+      return reading_ && socket_.available(ignored) > 0;
+    case ByteBudget::Activity::kSending:
+      return writing_ && IsReadyAndConnected(socket_.native_handle(), POLLOUT);
+    case ByteBudget::Activity::kServing:
+    case ByteBudget::Activity::kClosing:
+      return false;
+  }
+  return false;
 }
 
 std::optional<TimePoint> CallerConnection::NextDeadline() const {
--- a/src/libpollenledge/connection/caller_connection_test.cc
+++ b/src/libpollenledge/connection/caller_connection_test.cc
@@ -341,13 +341,91 @@
                          "\r\nx")));
   RunUntil([this] { return budget_->held_bytes() >= 4'000'000; });
   const TimePoint later = BootClockNow() + std::chrono::seconds(2);
-  const auto other = budget_->Open(
-      ClientGroup::kCallers, [](ByteBudget::Need) {}, later);
+  const auto other =
+      budget_->Open(ClientGroup::kCallers, {[](ByteBudget::Need) {}}, later);
   EXPECT_TRUE(budget_->TryHold(*other, ByteBudget::Stage::kRequest,
                                std::size_t{29} * 1024 * 1024, later));
   RunUntil([this] { return static_cast<bool>(end_); });
   EXPECT_EQ(received_.substr(0, 12), "HTTP/1.1 503");
 }
 
+// Guards against requests on kept connections that are lost because a late loop
+// closes the connections to make room for new ones (LOST).
+TEST_F(CallerConnectionTest, AnUnreadRequestIsNotEvicted) {
+  constexpr std::size_t kConnections = 20;
+  ByteBudgetLimits limits = MakeByteBudgetLimits(120, 3075);
+  limits.connections[0] = kConnections;
+  CallerHandlers handlers;
+  handlers.limits = [] { return CallerLimits(); };
+  handlers.budget = std::make_shared<ByteBudget>(limits);
+  int requests = 0;
+  handlers.on_request = [&](const std::shared_ptr<CallerConnection>&,
+                            const HttpHead&,
+                            const std::string&) { ++requests; };
+  const auto shared = std::make_shared<const CallerHandlers>(handlers);
+  std::vector<std::unique_ptr<SocketPair>> callers;
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    callers.push_back(std::make_unique<SocketPair>(loop_));
+    connections.push_back(std::make_shared<CallerConnection>(
+        std::move(callers.back()->near_end), shared));
+    ASSERT_TRUE(connections.back()->Start());
+  }
+  // Those that have been idle for longest send a request.
+  constexpr int kRequests = kConnections / 2;
+  for (int i = 0; i < kRequests; ++i) {
+    boost::asio::write(
+        callers[static_cast<std::size_t>(i)]->far_end,
+        boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  }
+  int admitted = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto id = handlers.budget->Open(
+        ClientGroup::kCallers, {[](ByteBudget::Need) {}}, BootClockNow());
+    admitted += id.has_value() ? 1 : 0;
+  }
+  EXPECT_EQ(admitted, kRequests);
+  loop_.run_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(requests, kRequests);
+}
+
+// Guards against a caller that keeps an answer that it does not take by sending
+// more requests.
+TEST_F(AbusiveCallerTest, RequestsAreNoProgressOfACallerThatTakesNothing) {
+  Start();
+  SendUntilFull();
+  ASSERT_TRUE(connection_->output_is_full());
+  loop_.poll();
+  boost::asio::write(
+      caller_.far_end,
+      boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  const TimePoint later = BootClockNow() + std::chrono::seconds(2);
+  const auto other =
+      budget_->Open(ClientGroup::kCallers, {[](ByteBudget::Need) {}}, later);
+  budget_->TryHold(*other, ByteBudget::Stage::kRequest,
+                   std::size_t{41} * 1024 * 1024, later);
+  EXPECT_FALSE(connection_->open());
+}
+
+// Guards against the end of an answer that its caller took while the loop was
+// late, because others need its memory.
+TEST_F(AbusiveCallerTest, AnAnswerThatCanBeSentIsNotEvicted) {
+  Start();
+  SendUntilFull();
+  ASSERT_TRUE(connection_->output_is_full());
+  std::size_t taken = 0;
+  caller_.far_end.non_blocking(true);
+  SystemError error;
+  while (!error)
+    taken += caller_.far_end.read_some(boost::asio::buffer(buffer_), error);
+  ASSERT_GT(taken, 0U);
+  const TimePoint later = BootClockNow() + std::chrono::seconds(2);
+  const auto other =
+      budget_->Open(ClientGroup::kCallers, {[](ByteBudget::Need) {}}, later);
+  budget_->TryHold(*other, ByteBudget::Stage::kRequest,
+                   std::size_t{41} * 1024 * 1024, later);
+  EXPECT_TRUE(connection_->open());
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/byte_budget.cc
+++ b/src/libpollenledge/process/byte_budget.cc
@@ -20,7 +20,8 @@
 /// Progress is recorded in steps, so that a client that sends a byte at a time
 /// counts as one without progress when others need its memory.
 constexpr std::size_t kProgressStepBytes = std::size_t{4} * 1024;
-/// Number of the longest stalled clients among which the largest is evicted.
+/// Number of the longest stalled clients among which the largest is evicted,
+/// and of clients that are passed over before an eviction fails.
 constexpr int kEvictionCandidates = 16;
 
 }  // namespace
@@ -48,8 +49,9 @@
   return limits;
 }
 
-std::optional<ByteBudget::ClientId> ByteBudget::Open(
-    ClientGroup group, std::function<void(Need)> evict, TimePoint now) {
+std::optional<ByteBudget::ClientId> ByteBudget::Open(ClientGroup group,
+                                                     Callbacks callbacks,
+                                                     TimePoint now) {
   const auto index = static_cast<std::size_t>(group);
   if (connections_[index] >= limits_.connections[index] &&
       !EvictForConnection(group, now)) {
@@ -58,7 +60,7 @@
   const ClientId id = next_id_++;
   Client& client = clients_[id];
   client.group = group;
-  client.evict = std::move(evict);
+  client.callbacks = std::move(callbacks);
   client.progress_at = now;
   Order& order = OrderOf(client);
   client.position = order.insert(order.end(), id);
@@ -97,6 +99,7 @@
   client.activity = activity;
   client.progress_at = now;
   client.unrecorded_progress = 0;
+  client.reprieve = Reprieve::kNone;
   Order& to = OrderOf(client);
   to.splice(to.end(), from, client.position);
 }
@@ -106,11 +109,17 @@
   if (found == clients_.end()) return;
   Client& client = found->second;
   client.unrecorded_progress += bytes;
+  if (client.reprieve == Reprieve::kGranted) client.reprieve = Reprieve::kUsed;
   if (client.unrecorded_progress < kProgressStepBytes) return;
   client.unrecorded_progress = 0;
-  client.progress_at = now;
-  Order& order = OrderOf(client);
-  order.splice(order.end(), order, client.position);
+  client.reprieve = Reprieve::kNone;
+  RecordProgress(&client, now);
+}
+
+void ByteBudget::RecordProgress(Client* client, TimePoint now) {
+  client->progress_at = now;
+  Order& order = OrderOf(*client);
+  order.splice(order.end(), order, client->position);
 }
 
 std::size_t ByteBudget::LargeBytes(const Client& client) {
@@ -201,24 +210,10 @@
 bool ByteBudget::EvictForBytes(ClientId keep, const std::string* customer,
                                TimePoint now) {
   for (const Activity activity : {Activity::kReceiving, Activity::kSending}) {
-    ClientId victim = 0;
-    std::size_t largest = 0;
-    for (const auto& orders : orders_) {
-      int candidates = 0;
-      for (const ClientId id : orders[static_cast<std::size_t>(activity)]) {
-        const Client& client = clients_.find(id)->second;
-        if (now - client.progress_at < limits_.stall_bound ||
-            ++candidates > kEvictionCandidates) {
-          break;
-        }
-        const bool is_eligible =
-            id != keep && (customer == nullptr || client.customer == *customer);
-        if (!is_eligible || client.total <= largest) continue;
-        victim = id;
-        largest = client.total;
-      }
-    }
-    if (victim != 0) {
+    for (int i = 0; i < kEvictionCandidates; ++i) {
+      const ClientId victim = FindLargestStalled(activity, keep, customer, now);
+      if (victim == 0) break;
+      if (PassOver(victim, now)) continue;
       Evict(victim, Need::kBytes);
       return true;
     }
@@ -226,30 +221,74 @@
   return false;
 }
 
+ByteBudget::ClientId ByteBudget::FindLargestStalled(Activity activity,
+                                                    ClientId keep,
+                                                    const std::string* customer,
+                                                    TimePoint now) const {
+  ClientId victim = 0;
+  std::size_t largest = 0;
+  for (const auto& orders : orders_) {
+    int candidates = 0;
+    for (const ClientId id : orders[static_cast<std::size_t>(activity)]) {
+      const Client& client = clients_.find(id)->second;
+      if (now - client.progress_at < limits_.stall_bound ||
+          ++candidates > kEvictionCandidates) {
+        break;
+      }
+      const bool is_eligible =
+          id != keep && (customer == nullptr || client.customer == *customer);
+      if (!is_eligible || client.total <= largest) continue;
+      victim = id;
+      largest = client.total;
+    }
+  }
+  return victim;
+}
+
 bool ByteBudget::EvictForConnection(ClientGroup group, TimePoint now) {
   const auto& orders = orders_[static_cast<std::size_t>(group)];
-  for (const Activity activity : {Activity::kClosing, Activity::kIdle}) {
-    const Order& order = orders[static_cast<std::size_t>(activity)];
-    if (order.empty()) continue;
-    Evict(order.front(), Need::kConnection);
-    return true;
-  }
-  for (const Activity activity : {Activity::kReceiving, Activity::kSending}) {
-    const Order& order = orders[static_cast<std::size_t>(activity)];
-    if (order.empty()) continue;
-    const Client& client = clients_.find(order.front())->second;
-    if (now - client.progress_at < limits_.stall_bound) continue;
-    Evict(order.front(), Need::kConnection);
+  const auto evict_first = [&](Activity activity, Duration stall_bound) {
+    return EvictFirst(orders[static_cast<std::size_t>(activity)], stall_bound,
+                      now);
+  };
+  return evict_first(Activity::kClosing, Duration::zero()) ||
+         evict_first(Activity::kIdle, Duration::zero()) ||
+         evict_first(Activity::kReceiving, limits_.stall_bound) ||
+         evict_first(Activity::kSending, limits_.stall_bound);
+}
+
+bool ByteBudget::EvictFirst(const Order& order, Duration stall_bound,
+                            TimePoint now) {
+  // A client that is passed over goes to the end of its order.
+  const std::size_t candidates =
+      std::min<std::size_t>(order.size(), kEvictionCandidates);
+  for (std::size_t i = 0; i < candidates; ++i) {
+    const ClientId id = order.front();
+    if (now - clients_.find(id)->second.progress_at < stall_bound) return false;
+    if (PassOver(id, now)) continue;
+    Evict(id, Need::kConnection);
     return true;
   }
   return false;
 }
 
+bool ByteBudget::PassOver(ClientId id, TimePoint now) {
+  Client& client = clients_.find(id)->second;
+  const auto& has_unhandled_progress = client.callbacks.has_unhandled_progress;
+  if (client.reprieve == Reprieve::kUsed || has_unhandled_progress == nullptr ||
+      !has_unhandled_progress()) {
+    return false;
+  }
+  client.reprieve = Reprieve::kGranted;
+  RecordProgress(&client, now);
+  return true;
+}
+
 void ByteBudget::Evict(ClientId id, Need need) {
   ++evicted_count_;
   const auto found = clients_.find(id);
   // Copied, as the callback may close the client.
-  const std::function<void(Need)> evict = found->second.evict;
+  const std::function<void(Need)> evict = found->second.callbacks.evict;
   evict(need);
   // A client that keeps its bytes must not be found again and again.
   const auto left = clients_.find(id);
--- a/src/libpollenledge/process/byte_budget_test.cc
+++ b/src/libpollenledge/process/byte_budget_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <vector>
 
 namespace pollenledge {
@@ -22,13 +23,16 @@
   ByteBudget::ClientId Open(const std::string& customer = "",
                             ClientGroup group = ClientGroup::kCallers) {
     const auto slot = std::make_shared<ByteBudget::ClientId>(0);
-    const auto id = budget_.Open(
-        group,
-        [this, slot](Need) {
-          evicted_.push_back(*slot);
-          budget_.Close(*slot);
-        },
-        now_);
+    ByteBudget::Callbacks callbacks;
+    callbacks.evict = [this, slot](Need) {
+      evicted_.push_back(*slot);
+      budget_.Close(*slot);
+    };
+    callbacks.has_unhandled_progress = [this, slot] {
+      ++questions_;
+      return unhandled_.count(*slot) > 0;
+    };
+    const auto id = budget_.Open(group, std::move(callbacks), now_);
     *slot = id.value_or(0);
     if (id.has_value()) budget_.SetCustomer(*id, customer);
     return *slot;
@@ -50,6 +54,9 @@
   ByteBudget budget_{limits_};
   TimePoint now_ = TimePoint() + std::chrono::hours(1);
   std::vector<ByteBudget::ClientId> evicted_;
+  /// Clients with bytes that the process has not handled.
+  std::set<ByteBudget::ClientId> unhandled_;
+  int questions_ = 0;  ///< How many clients were asked about such bytes.
 };
 
 // Guards against a crowd whose bodies are over the machine's memory.
@@ -80,8 +87,7 @@
 // Guards against a single legal request that a small machine refuses.
 TEST_F(ByteBudgetTest, TheOnlyLargeRequestIsAdmitted) {
   ByteBudget small(MakeByteBudgetLimits(15, kMaxDescriptors));
-  const auto id = small.Open(
-      ClientGroup::kCallers, [](Need) {}, now_);
+  const auto id = small.Open(ClientGroup::kCallers, {[](Need) {}}, now_);
   small.SetCustomer(*id, "only");
   EXPECT_TRUE(small.TryHold(*id, Stage::kRequest, kBody, now_));
 }
@@ -138,6 +144,56 @@
   EXPECT_EQ(evicted_.size(), 1U);
 }
 
+// Guards against the end of a kept connection whose next request waits unread,
+// because the process is late (LOST).
+TEST_F(ByteBudgetTest, AnIdleConnectionWithAnUnreadRequestIsPassedOver) {
+  const ByteBudget::ClientId oldest = Open();
+  const ByteBudget::ClientId second = Open();
+  for (std::size_t i = 2; i < limits_.connections[0]; ++i) Open();
+  unhandled_ = {oldest};
+  EXPECT_NE(Open(), 0U);
+  EXPECT_EQ(evicted_, std::vector<ByteBudget::ClientId>{second});
+}
+
+// Guards against a process that spends its time on questions to its clients
+// when all of them have sent something.
+TEST_F(ByteBudgetTest, ABoundedNumberOfClientsIsPassedOver) {
+  for (std::size_t i = 0; i < limits_.connections[0]; ++i)
+    unhandled_.insert(Open());
+  EXPECT_EQ(Open(), 0U);
+  EXPECT_TRUE(evicted_.empty());
+  EXPECT_LE(questions_, 16);
+}
+
+// Guards against the refusal of a body that stands still only because the
+// process has not read it for a second (LOST).
+TEST_F(ByteBudgetTest, ABodyWithUnreadBytesIsPassedOver) {
+  const ByteBudget::ClientId large = OpenReceiving("a", kBody);
+  const ByteBudget::ClientId small = OpenReceiving("b", 3 * kMegabyte);
+  Wait(limits_.stall_bound);
+  unhandled_ = {large};
+  for (int i = 0; i < 5; ++i) EXPECT_NE(OpenReceiving("", kBody), 0U);
+  EXPECT_NE(OpenReceiving("", kBody), 0U);
+  EXPECT_EQ(evicted_, std::vector<ByteBudget::ClientId>{small});
+}
+
+// Guards against a client that keeps its memory because a byte of it waits
+// unread whenever others need that memory.
+TEST_F(ByteBudgetTest, ATrickleIsPassedOverOnceOnly) {
+  std::vector<ByteBudget::ClientId> clients;
+  clients.reserve(7);
+  for (int i = 0; i < 7; ++i) clients.push_back(OpenReceiving("", kBody));
+  unhandled_.insert(clients.begin(), clients.end());
+  Wait(limits_.stall_bound);
+  EXPECT_EQ(OpenReceiving("", kBody), 0U);
+  Wait(limits_.stall_bound);
+  EXPECT_EQ(OpenReceiving("", kBody), 0U);  // The process is still late.
+  for (const ByteBudget::ClientId id : clients) budget_.OnProgress(id, 1, now_);
+  Wait(limits_.stall_bound);
+  EXPECT_NE(OpenReceiving("", kBody), 0U);
+  EXPECT_EQ(evicted_.size(), 1U);
+}
+
 // Guards against a new connection that ends the service of others.
 TEST_F(ByteBudgetTest, NoConnectionIsOpenedWhenAllAreServed) {
   for (std::size_t i = 0; i < limits_.connections[0]; ++i)
