Entry: a request that waits for a free thread is not closed for its head's timeout

Callers saw: a whole request on a new connection, and the connection closed without an answer, while the project's own interface is busy. Cause: connections whose first head was not parsed in time are shut down by the clock alone, also those that wait in the server's queue with their request unread. A caller that sends byte by byte is closed once a thread reads it, a silent one as before.

--- a/src/libpollenledge/connection/http_server.cc
+++ b/src/libpollenledge/connection/http_server.cc
@@ -8,6 +8,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/ThreadPool.h>
+#include <poll.h>
 
 #include <condition_variable>
 #include <istream>
@@ -18,6 +19,7 @@
 #include <utility>
 #include <vector>
 
+#include "pollenledge/connection/socket_readiness.h"
 #include "pollenledge/process/log.h"
 
 namespace pollenledge {
@@ -32,7 +34,8 @@
 
 // Shuts down connections whose first request's header is not received in time.
 // The server's receive timeout alone does not limit a caller that sends single
-// bytes at intervals.
+// bytes at intervals. A connection whose bytes wait for a free thread is not
+// overdue.
 class HeaderTimeoutFilter : public Poco::Net::TCPServerConnectionFilter {
  public:
   explicit HeaderTimeoutFilter(Duration timeout)
@@ -40,7 +43,7 @@
 
   bool accept(const Poco::Net::StreamSocket& socket) override {
     const std::lock_guard lock(mutex_);
-    pending_.push_back({socket, std::chrono::steady_clock::now()});
+    pending_.push_back({socket, std::chrono::steady_clock::now(), false});
     return true;
   }
 
@@ -70,15 +73,24 @@
   struct PendingConnection {
     Poco::Net::StreamSocket socket;
     std::chrono::steady_clock::time_point accepted_at;
+    bool had_input = false;  ///< At the previous sweep after its deadline.
   };
 
+  // Returns true if a thread of the server has still to read what the caller
+  // sent, or had at the previous sweep and may be parsing it.
+  static bool WaitsForServer(PendingConnection* pending) {
+    const bool has_input = IsReady(pending->socket.impl()->sockfd(), POLLIN);
+    return std::exchange(pending->had_input, has_input) || has_input;
+  }
+
   void CloseOverdueConnections() {
     std::unique_lock lock(mutex_);
     while (!stopping_) {
       wakeup_.wait_for(lock, kSweepInterval, [this] { return stopping_; });
       const auto accepted_before = std::chrono::steady_clock::now() - timeout_;
       for (std::size_t i = 0; i < pending_.size();) {
-        if (pending_[i].accepted_at > accepted_before) {
+        if (pending_[i].accepted_at > accepted_before ||
+            WaitsForServer(&pending_[i])) {
           ++i;
           continue;
         }
