Upstreams: a connection that was established while the loop was late is used

Callers saw: 502, 503 or a detour through another node although the upstreams were sound. Cause: the timeout of a connect (300 ms) closes the socket by the clock alone. In a late loop the timer runs before the connect's handler, as one call of the poll returns 128 events only. Each such connect counts against the node's path to the upstreams; seven conclude that it is lost. Change: the timeout leaves a socket alone whose connect has ended; its handler follows. The same for probes. `send_before` still bounds when a request may be sent. A connect that is not answered still times out.

--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -60,8 +60,9 @@
 
   /// Sends `request`, the serialized bytes of one request with the given
   /// `method`, and then `body`, if it is not null, which others may share.
-  /// Connects first if necessary, for at most `connect_timeout`. If
-  /// connecting completes at `send_before` or later, for example because the
+  /// Connects first if necessary, for at most `connect_timeout`, or longer if
+  /// the event loop is late and finds the connection established. If connecting
+  /// completes at `send_before` or later, for example because the
   /// machine was suspended meanwhile, nothing is sent.
   void Start(std::string request, std::string_view method,
              Duration connect_timeout, ExchangeHandlers handlers,
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -1,5 +1,7 @@
 #include "pollenledge/connection/client_connection.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
@@ -8,6 +10,7 @@
 
 #include "pollenledge/connection/endpoint.h"
 #include "pollenledge/connection/loop_clock.h"
+#include "pollenledge/connection/socket_readiness.h"
 
 namespace pollenledge {
 namespace {
@@ -110,7 +113,8 @@
   }
   connect_timer_.expires_after(timeout);
   connect_timer_.async_wait([this, self](const SystemError& error) {
-    if (!error && !open_) Close();  // Makes the connect fail.
+    if (error || open_ || IsReady(socket_.native_handle(), POLLOUT)) return;
+    Close();  // Makes the connect fail.
   });
   socket_.async_connect(
       Value(endpoint),
@@ -282,8 +286,9 @@
   auto probe = std::make_shared<Probe>(loop);
   probe->timer.expires_after(timeout);
   probe->timer.async_wait([probe](const SystemError& error) {
+    if (error || IsReady(probe->socket.native_handle(), POLLOUT)) return;
     SystemError ignored;  // The connect fails in either case.
-    if (!error) probe->socket.close(ignored);
+    probe->socket.close(ignored);
   });
   probe->socket.async_connect(
       Value(endpoint),
--- a/src/libpollenledge/connection/client_connection_test.cc
+++ b/src/libpollenledge/connection/client_connection_test.cc
@@ -4,6 +4,9 @@
 
 #include <array>
 #include <boost/asio/write.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
 
 #include "pollenledge/connection/loop_clock.h"
 
@@ -186,5 +189,87 @@
       ClientExchangeResult::kConnectionLost);
 }
 
+/// More connections than one call of the poll returns, to a peer whose kernel
+/// establishes them while this loop is late.
+class LateLoopTest : public ::testing::Test {
+ protected:
+  static constexpr int kConnections = 400;
+  static constexpr Duration kConnectTimeout = std::chrono::milliseconds(50);
+
+  LateLoopTest()
+      : acceptor_(peer_loop_,
+                  tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+    // The loop's poll reports what came first. Here, that timers are due.
+    due_timer_.expires_after(std::chrono::milliseconds(1));
+    due_timer_.async_wait([](const SystemError&) {});
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  static void BeLate() { std::this_thread::sleep_for(2 * kConnectTimeout); }
+
+  boost::asio::io_context peer_loop_;  ///< Never runs.
+  boost::asio::io_context loop_;
+  tcp::acceptor acceptor_;
+  boost::asio::steady_timer due_timer_{loop_};
+};
+
+// Guards against requests that are given up, or sent through other nodes,
+// because the process was late and not the network (LOST).
+TEST_F(LateLoopTest, ConnectionsThatWereEstablishedInTimeAreUsed) {
+  std::vector<std::shared_ptr<ClientConnection>> connections;
+  int not_sent = 0;
+  for (int i = 0; i < kConnections; ++i) {
+    ExchangeHandlers handlers;
+    handlers.on_head = [](const HttpHead&) { return true; };
+    handlers.on_body = [](const std::string&) {};
+    handlers.on_finished = [&](ClientExchangeResult) { ++not_sent; };
+    connections.push_back(std::make_shared<ClientConnection>(loop_, Address()));
+    connections.back()->Start("GET / HTTP/1.1\r\n\r\n", "GET", kConnectTimeout,
+                              std::move(handlers));
+  }
+  BeLate();
+  loop_.run_for(2 * kConnectTimeout);
+  EXPECT_EQ(not_sent, 0);
+  for (const auto& connection : connections) {
+    EXPECT_TRUE(connection->may_have_sent());
+    connection->Abort();
+  }
+}
+
+// Guards against upstreams that count as unreachable because the process was
+// late.
+TEST_F(LateLoopTest, ProbesThatReachedTheirPeerSucceed) {
+  int reached = 0;
+  for (int i = 0; i < kConnections; ++i) {
+    ProbeConnect(loop_, Address(), kConnectTimeout,
+                 [&](bool connected) { reached += connected ? 1 : 0; });
+  }
+  BeLate();
+  loop_.run();
+  EXPECT_EQ(reached, kConnections);
+}
+
+// Guards against connects that are never given up.
+TEST_F(LateLoopTest, AConnectThatIsNotAnsweredTimesOut) {
+  // The peer's queue of established connections is full.
+  acceptor_.listen(0);
+  std::vector<std::unique_ptr<tcp::socket>> others;
+  for (int i = 0; i < 3; ++i) {
+    others.push_back(std::make_unique<tcp::socket>(loop_));
+    others.back()->async_connect(acceptor_.local_endpoint(),
+                                 [](const SystemError&) {});
+  }
+  std::optional<bool> connected;
+  ProbeConnect(loop_, Address(), kConnectTimeout,
+               [&](bool result) { connected = result; });
+  BeLate();
+  loop_.run_for(4 * kConnectTimeout);
+  EXPECT_EQ(connected, false);
+}
+
 }  // namespace
 }  // namespace pollenledge
