Upstreams: a kept connection that its peer has closed is not used, even by a late loop

Callers saw: 502 for requests that must not be sent twice; a retry for the others. Cause: the pool hands out a kept connection by its idle time and by what the loop has read. If the loop is late, the peer's close waits unread; the request goes to a closed connection and counts as one that may have run. Change: `Acquire` asks the socket. One with unread input (bytes between responses, or the end) is dropped, and another one is taken or opened. One poll(2) for each reused connection. Measured: ClientConnectionPoolTest: the closed connection was reused in 3 of 3 kinds of reuse before, in none after.

--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -79,6 +79,9 @@
 
   /// True if another exchange can be started.
   bool reusable() const { return open_ && reusable_ && !busy_; }
+  /// True if the peer has sent bytes, or has closed the connection, and the
+  /// event loop has not handled that yet.
+  bool HasUnhandledInput();
   /// True once any byte of the current request may have been sent.
   bool may_have_sent() const { return may_have_sent_; }
   const std::string& address() const { return address_; }
@@ -147,7 +150,8 @@
   explicit ClientConnectionPool(boost::asio::io_context& loop) : loop_(loop) {}
 
   /// Returns an idle connection to `address` that has been idle for less than
-  /// `max_idle`, or else a new one.
+  /// `max_idle`, or else a new one. One that the peer has closed is not
+  /// returned, even if the event loop has not noticed yet.
   std::shared_ptr<ClientConnection> Acquire(const std::string& address,
                                             Duration max_idle, TimePoint now);
   /// Returns the most recently used idle connection to `address` if `reuse`
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -172,6 +172,10 @@
       });
 }
 
+bool ClientConnection::HasUnhandledInput() {
+  return open_ && IsReady(socket_.native_handle(), POLLIN);
+}
+
 void ClientConnection::PauseReading() { reading_paused_ = busy_; }
 
 void ClientConnection::ResumeReading() {
@@ -308,7 +312,10 @@
     idle.pop_back();
     if (!connection->reusable()) continue;
     const Duration limit = std::min(UsableIdleTime(*connection), max_idle);
-    if (now - connection->idle_since() < limit) return connection;
+    if (now - connection->idle_since() < limit &&
+        !connection->HasUnhandledInput()) {
+      return connection;
+    }
     connection->Abort();
   }
   return Open(address);
@@ -321,7 +328,9 @@
   if (reuse == ConnectionReuse::kRecentlyUsed)
     return Acquire(address, kRecentlyUsedTime, now);
   auto& idle = idle_[address];
-  while (!idle.empty() && !idle.back()->reusable()) idle.pop_back();
+  while (!idle.empty() &&
+         (!idle.back()->reusable() || idle.back()->HasUnhandledInput()))
+    idle.pop_back();
   if (idle.empty()) return Open(address);
   // The last one was used most recently. If it has been idle for too long, all
   // are left to the requests that may be retried.
--- a/src/libpollenledge/connection/client_connection_test.cc
+++ b/src/libpollenledge/connection/client_connection_test.cc
@@ -271,5 +271,61 @@
   EXPECT_EQ(connected, false);
 }
 
+/// A pool with one connection that is kept after a response.
+class ClientConnectionPoolTest : public ::testing::Test {
+ protected:
+  ClientConnectionPoolTest() {
+    const auto connection = Acquire(ConnectionReuse::kAny);
+    bool finished = false;
+    ExchangeHandlers handlers;
+    handlers.on_head = [](const HttpHead&) { return true; };
+    handlers.on_body = [](const std::string&) {};
+    handlers.on_finished = [&](ClientExchangeResult) { finished = true; };
+    connection->Start("GET / HTTP/1.1\r\n\r\n", "GET", std::chrono::seconds(5),
+                      std::move(handlers));
+    acceptor_.accept(peer_);
+    while (peer_.available() == 0) loop_.run_one();
+    boost::asio::write(peer_, boost::asio::buffer(std::string(
+                                  "HTTP/1.1 200 OK\r\nContent-Length: "
+                                  "0\r\n\r\n")));
+    while (!finished) loop_.run_one();
+    pool_.Release(connection);
+  }
+
+  std::shared_ptr<ClientConnection> Acquire(ConnectionReuse reuse) {
+    return pool_.Acquire(
+        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()), reuse,
+        BootClockNow());
+  }
+
+  boost::asio::io_context loop_;
+  tcp::acceptor acceptor_{
+      loop_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
+  tcp::socket peer_{loop_};
+  ClientConnectionPool pool_{loop_};
+};
+
+TEST_F(ClientConnectionPoolTest, ReusesAConnection) {
+  EXPECT_EQ(Acquire(ConnectionReuse::kAny)->request_count(), 1);
+  EXPECT_EQ(pool_.opened_count(), 1);
+}
+
+// Guards against requests that end with 502 because a late process sends them
+// on a connection that the peer has closed in time (LOST).
+TEST_F(ClientConnectionPoolTest, DoesNotReuseAConnectionThatThePeerHasClosed) {
+  peer_.close();
+  EXPECT_EQ(Acquire(ConnectionReuse::kAny)->request_count(), 0);
+}
+
+TEST_F(ClientConnectionPoolTest, DoesNotReuseARecentConnectionThatWasClosed) {
+  peer_.close();
+  EXPECT_EQ(Acquire(ConnectionReuse::kRecentlyUsed)->request_count(), 0);
+}
+
+TEST_F(ClientConnectionPoolTest, DoesNotReuseAYoungConnectionThatWasClosed) {
+  peer_.close();
+  EXPECT_EQ(Acquire(ConnectionReuse::kHalfKeepAlive)->request_count(), 0);
+}
+
 }  // namespace
 }  // namespace pollenledge
