Upstreams: an upstream whose bytes wait unread is not taken for silent

Callers saw: sound answers that were broken off and sent elsewhere, so that requests ran twice; with the retry budget used up by that, others had no retry left. Cause: `OnCheckDue` compares the time of the last event that this process has handled with the clock. A late loop does that before it reads, as one call of the poll returns 128 events only. Missing progress is told to all nodes, which then avoid the upstream. Change: before an upstream counts as silent or stalled, the service is asked whether bytes of it wait in the socket; then the silence starts anew. This holds as well for a stream whose caller takes nothing at the moment, where the node itself has stopped reading. Deadlines and timeouts stay by the clock.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -119,6 +119,14 @@
   void SetCachedTokensSource(CachedTokensSource source) {
     cached_tokens_ = std::move(source);
   }
+  /// Tells whether a request's upstream has sent bytes that were not handled
+  /// yet.
+  using UnreadResponseSource = std::function<bool(ForwardId)>;
+  /// Sets what tells a silent upstream from a process that is late. Until then
+  /// no response is unread.
+  void SetUnreadResponseSource(UnreadResponseSource source) {
+    has_unread_response_ = std::move(source);
+  }
   /// Returns the number of services that are scheduled by prediction.
   int predictive_services() const;
   const UpstreamSpeeds& speeds() const { return speeds_; }
@@ -599,6 +607,8 @@
 
   // Timeouts.
   void OnCheckDue(Request* request);
+  /// The upstream has sent something, which this process has not handled yet.
+  void OnUnreadResponse(Request* request);
   /// The upstream sent nothing until `InactivityDeadline`.
   void OnUpstreamUnresponsive(Request* request);
   /// Returns when the upstream counts as unresponsive; empty if the request has
@@ -737,6 +747,7 @@
   UpstreamSpeeds speeds_;
   UpstreamStalls stalls_;
   CachedTokensSource cached_tokens_;
+  UnreadResponseSource has_unread_response_;
   TimePoint speeds_refreshed_at_;
   TimePoint speeds_told_at_;  ///< In a small fleet.
   /// The last upstream that each node was told of, as a collector.
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -468,16 +468,29 @@
     return;
   }
   const std::optional<TimePoint> inactive_at = InactivityDeadline(*request);
-  const bool is_stalled = request->progress_due_at.has_value() &&
-                          now() >= *request->progress_due_at &&
-                          OnMissingProgress(request);
-  if (is_stalled || (inactive_at.has_value() && now() >= *inactive_at)) {
+  const bool is_inactive = inactive_at.has_value() && now() >= *inactive_at;
+  const bool is_progress_due = request->progress_due_at.has_value() &&
+                               now() >= *request->progress_due_at;
+  if ((is_inactive || is_progress_due) && has_unread_response_ != nullptr &&
+      has_unread_response_(request->id)) {
+    OnUnreadResponse(request);
+    return;
+  }
+  const bool is_stalled = is_progress_due && OnMissingProgress(request);
+  if (is_stalled || is_inactive) {
     OnUpstreamUnresponsive(request);
     return;
   }
   ScheduleCheck(request);
 }
 
+void ForwardNode::OnUnreadResponse(Request* request) {
+  request->last_event_at = now();
+  if (request->progress_due_at.has_value())
+    request->progress_due_at = now() + request->allowed_silence;
+  ScheduleCheck(request);
+}
+
 void ForwardNode::OnUpstreamUnresponsive(Request* request) {
   ForwardUpstream* upstream = upstreams_.Find(request->current_upstream);
   LogRequest(
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -225,6 +225,22 @@
   EXPECT_NE(FindAction<action::SendAttempt>()->upstream.name, first);
 }
 
+// Guards against a sound answer that is broken off because this process has not
+// read it yet (LOST).
+TEST_F(ForwardNodeTest, AnUpstreamWhoseBytesWaitUnreadIsNotUnresponsive) {
+  bool is_unread = true;
+  node_.SetUnreadResponseSource([&](ForwardId) { return is_unread; });
+  FillRetryBudget();
+  Arrive(1, "read");
+  for (int i = 0; i < 3; ++i) {
+    AdvanceTime(std::chrono::milliseconds(260));
+    EXPECT_EQ(FindAction<action::CancelAttempt>(), nullptr);
+  }
+  is_unread = false;
+  AdvanceTime(std::chrono::milliseconds(260));
+  EXPECT_NE(FindAction<action::CancelAttempt>(), nullptr);
+}
+
 TEST_F(ForwardNodeTest, ResumableStreamContinuesAfterTheLastEvent) {
   FillRetryBudget();
   Arrive(1, "draft");
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -73,6 +73,11 @@
     metrics_server_.emplace(loop, options_.metrics_address, AdminHandlers());
   }
   StartRelayServer();
+  node_.SetUnreadResponseSource([this](ForwardId id) {
+    const Exchange* exchange = FindExchange(id);
+    return exchange != nullptr && exchange->upstream_connection != nullptr &&
+           exchange->upstream_connection->HasUnhandledInput();
+  });
   // The first event gives the node the wall-clock time.
   Submit(forward_event::Ticked{});
 }
--- a/src/libpollenledge/process/forward_speeds_test.cc
+++ b/src/libpollenledge/process/forward_speeds_test.cc
@@ -186,6 +186,20 @@
   EXPECT_GT(sent_to_["u2"], sent + 2);
 }
 
+// Guards against upstreams that count as stalled, in all nodes, because one
+// process has not read their events (LOST).
+TEST_F(ForwardSpeedsTest, AnUpstreamWhoseEventsWaitUnreadIsNotStalled) {
+  Run(6 * kSecond, 60 * kMillisecond);
+  ASSERT_TRUE(node_.IsPredictive("s"));
+  node_.SetUnreadResponseSource([this](ForwardId id) {
+    return attempts_.count(id) > 0 && attempts_.at(id).upstream == hung_;
+  });
+  hung_ = "u2";
+  Run(kSecond, 60 * kMillisecond);
+  EXPECT_EQ(log_["upstream_stalled"], 0);
+  EXPECT_EQ(log_["upstream_silent"], 0);
+}
+
 // Guards against a fleet without the setting that is served differently.
 TEST_F(ForwardSpeedsTest, NothingIsLearnedWithoutTheSetting) {
   node_ = ForwardNode(Options(false));
