Store: a response that waits unread is not a timeout

Operators saw: `dependency_lost`, "no response within the timeout", at nodes that were overloaded while the store answered. Such nodes go on with older tables and lists; without fresh keys they refuse. Cause: the timeout of a call to the store or the cloud aborts it by the clock alone, although the response waits in the socket of a late loop. Change: the timeout looks at the socket first and, while input waits there, again after 5 ms. What the response says still counts from when the call was sent, so leases, keys and tables are no fresher. A response that stops short times out.

--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -8,6 +8,10 @@
 namespace pollenledge {
 namespace {
 
+/// Time until a call is looked at again whose response has arrived in time, but
+/// waits for the event loop.
+constexpr Duration kUnreadResponseRecheck = std::chrono::milliseconds(5);
+
 /// A call in progress.
 struct PendingCall {
   PendingCall(boost::asio::io_context& loop, HttpClient::Callback done)
@@ -27,6 +31,26 @@
   }
 };
 
+/// Ends `pending` after `timeout`, unless its response is being read then.
+void ArmTimeout(ClientConnectionPool* pool,
+                const std::shared_ptr<PendingCall>& pending, Duration timeout) {
+  pending->timer.expires_after(timeout);
+  pending->timer.async_wait(
+      [pool, pending](const boost::system::error_code& error) {
+        if (error || pending->connection == nullptr) return;
+        if (pending->connection->HasUnhandledInput()) {
+          ArmTimeout(pool, pending, kUnreadResponseRecheck);
+          return;
+        }
+        pool->CloseIdleTo(pending->connection->address());
+        const bool sent = pending->connection->may_have_sent();
+        pending->connection->Abort();
+        pending->Finish(
+            Error{sent ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
+                  "no response within the timeout"});
+      });
+}
+
 std::string RenderRequest(const HttpCall& call) {
   std::string text = call.method + ' ' + call.path +
                      " HTTP/1.1\r\nHost: " + call.address + "\r\n";
@@ -46,17 +70,7 @@
   const Duration max_idle =
       call.new_connection ? Duration::zero() : call.timeout;
   pending->connection = pool_.Acquire(call.address, max_idle, BootClockNow());
-  pending->timer.expires_after(call.timeout);
-  pending->timer.async_wait(
-      [this, pending](const boost::system::error_code& error) {
-        if (error || pending->connection == nullptr) return;
-        pool_.CloseIdleTo(pending->connection->address());
-        const bool sent = pending->connection->may_have_sent();
-        pending->connection->Abort();
-        pending->Finish(
-            Error{sent ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
-                  "no response within the timeout"});
-      });
+  ArmTimeout(&pool_, pending, call.timeout);
   ExchangeHandlers handlers;
   handlers.on_head = [pending](const HttpHead& head) {
     pending->response.status = head.status;
