--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -168,6 +168,10 @@
   /// True if the caller has closed the connection, even if bytes that it sent
   /// before are still unread.
   bool HasCallerLeft();
+  /// As `HasUnhandledProgress`, of what the budget counts as progress: request
+  /// bytes while a request is expected, output taken while output is unsent.
+  bool HasUncountedProgress();
+  ByteBudget::Activity CurrentActivity() const;
   /// Applies the limits in force to the next request.
   void UpdateLimits();
   /// How long the caller may wait before its next request.
