Streams: a verdict on crash-causing content does not end a begun response

Callers saw: a stream that breaks off without its end, while its upstream writes it and no deadline is near, as soon as peers report the third crash by requests like it. Cause: a verdict ended every attempt that may still crash its upstream: all until 250 ms after the first event. docs/design/crash-suspects.md says "what has not begun at an upstream is ended". Ruled out: that the change of tables ends it; it needs no change of tables, only the reports. Change: an attempt that has an event goes on. Requests with such content that wait or have no event yet end as before. A begun response that crashes its upstream within 250 ms costs that upstream. Measured: ForwardStreamsTest.AVerdictOnItsContentDoesNotEndABegunStream fails before, passes after.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -519,7 +519,8 @@
   /// Requests with this suspect are rejected from now on.
   void OnSuspectRejected(const Fingerprint& fingerprint);
   /// After a suspect became rejected, ends the requests that contain it and
-  /// wait in a queue, or whose attempt may still crash its upstream.
+  /// wait in a queue, or whose attempt may still crash its upstream and has not
+  /// begun its response.
   void EndRejectedRequests();
   /// Writes the suspects with several crashes to the store.
   void PersistSuspects();
--- a/src/libpollenledge/process/forward_streams_test.cc
+++ b/src/libpollenledge/process/forward_streams_test.cc
@@ -141,6 +141,23 @@
     return version;
   }
 
+  static Fingerprint FingerprintOf(const std::string& trace_id) {
+    return ComputeFingerprint({"", ToHex(ComputeFingerprint({trace_id}))});
+  }
+
+  /// A peer reports that requests with this content have crashed upstreams.
+  void ReportCrashesOf(const std::string& trace_id) {
+    Heartbeat heartbeat;
+    heartbeat.records = {MemberRecord{.id = {"peer", 1}}};
+    for (CrashId crash = 1; crash <= 3; ++crash) {
+      heartbeat.suspect_reports.push_back(
+          CrashReport{.fingerprint = FingerprintOf(trace_id),
+                      .crash = crash,
+                      .age = static_cast<int>(crash) * kSecond});
+    }
+    Submit(event::HeartbeatReceived{heartbeat});
+  }
+
   TimePoint now_{std::chrono::seconds(1000)};
   std::int64_t revision_ = 0;
   ForwardNode node_;
@@ -511,5 +528,23 @@
   EXPECT_EQ(SentTo(), "nowhere");
 }
 
+// Guards against a begun stream that is cut because peers report that requests
+// like it crash upstreams (incident LOST).
+TEST_F(ForwardStreamsTest, AVerdictOnItsContentDoesNotEndABegunStream) {
+  Arrive(1, "a");
+  ReceiveFirstEvent(1);
+  Arrive(2, "a");
+  ASSERT_NE(SentTo(), "nowhere");
+  ReportCrashesOf("a");
+  {
+    SCOPED_TRACE("one that has not begun at its upstream is ended");
+    ASSERT_NE(Find<action::Fail>(), nullptr);
+    EXPECT_EQ(Find<action::Fail>()->id, 2U);
+    EXPECT_EQ(node_.active_requests(), 1U);
+  }
+  Submit(event::AttemptEnded{1, ForwardOutcome::kCompleted, 200, {}, {}});
+  EXPECT_NE(Find<action::DeliverResponse>(), nullptr);
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -269,8 +269,9 @@
   has_new_rejections_ = false;
   std::vector<ForwardId> ids;
   for (const auto& [id, request] : requests_) {
-    const bool is_waiting = request.IsWaiting() || MayCrash(request);
-    if (is_waiting && !request.is_retrial &&
+    const bool may_end = request.IsWaiting() ||
+                         (MayCrash(request) && !request.first_event_received);
+    if (may_end && !request.is_retrial &&
         suspects_.RejectedSuspect(request.suspect_fingerprints, now())) {
       ids.push_back(id);
     }
