Streams: a refusal after the node gave up a silent upstream does not end a begun response

Callers saw: a stream that breaks off without its end although no upstream broke it off and its deadline is not near. Cause: an attempt that is silent for longer than its route's targets is cancelled and sent to another upstream. If that one refused it, or could not be reached, or no peer could relay it, the request was failed, and a failed request with a begun response is cut. A verdict on its content while the second attempt had no event yet cut it as well. Ruled out: not to leave silent upstreams; streams that may be resumed gain by it. Change: a response that has begun and that no upstream has broken off is ended by its deadline only. It looks for an upstream each 200 ms, within the retry budget; attempts that did not run are not bounded in number meanwhile. One that its upstream broke off and that is refused ends as before. Line waits_for_upstream.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -238,6 +238,8 @@
     /// Counted as demand by `CheckFleetAdmission`.
     bool counted_as_demand = false;
     bool response_started = false;  ///< The caller received the head.
+    /// An upstream, not this node, ended an attempt without a whole response.
+    bool broken_off = false;
     bool may_have_run = false;
     bool usage_counted = false;
     std::optional<QueueKey> queue;  ///< In which it waits.
@@ -250,6 +252,9 @@
     /// request resumes; empty if the request doesn't wait for it.
     std::optional<TimePoint> next_lookup_at;
     bool store_answered = false;  ///< One of the searches for the binding.
+    /// When an upstream is searched that goes on with the begun response; empty
+    /// unless the request waits for one.
+    std::optional<TimePoint> next_retry_at;
     /// Prompt tokens that the upstream had to read before the first event of
     /// the current attempt, as far as this node knew.
     double expected_prompt_tokens = 0;
@@ -586,6 +591,16 @@
   /// Sends the request again. Returns false if that is not allowed or no
   /// upstream has capacity.
   bool Retry(Request* request, ForwardOutcome end);
+  /// Returns true if the caller has begun to receive the response and no
+  /// upstream has broken it off. Only the deadline ends it then.
+  static bool HasSoundResponse(const Request& request);
+  /// Waits for another upstream if the response `HasSoundResponse` and the
+  /// attempt ended without running; gives the request up otherwise.
+  void WaitOrGiveUp(Request* request, ForwardOutcome end,
+                    const std::string& reason);
+  void WaitForUpstream(Request* request);
+  /// Sends the waiting request on, or waits again.
+  void ContinueWaiting(Request* request);
   /// Rejects the request if it did not run, otherwise fails it.
   void GiveUp(Request* request, ForwardOutcome end, const std::string& reason,
               Duration retry_after = kDefaultRetryAfter);
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -17,6 +17,10 @@
 constexpr double kStandardRankFloor = 0.15;
 constexpr double kBackgroundRankFloor = 0.15;
 
+/// A request whose response has begun searches for an upstream that goes on
+/// with it at this interval. Each search may draw on the retry budget.
+constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
+
 /// A first event later than this share of its latency target counts as late, so
 /// that upstreams are provisioned before targets are missed.
 constexpr double kLateTargetShare = 0.7;
@@ -41,6 +45,13 @@
   return upstream.EstimatedLoad(now) >= kLoadedShare * upstream.info.slots;
 }
 
+/// True if the upstream ended the attempt without a whole response to it.
+bool IsBrokenOff(ForwardOutcome end) {
+  return end == ForwardOutcome::kConnectionLost ||
+         end == ForwardOutcome::kInvalidResponse ||
+         end == ForwardOutcome::kFailed;
+}
+
 RequestId ToQueueId(ForwardId id) { return {NodeId(), id}; }
 
 /// Sets the query's affinity and token count from the prompt prefix that other
@@ -316,11 +327,13 @@
 
 void ForwardNode::On(const forward_event::AttemptEnded& ended) {
   Request* request = FindRequest(ended.id);
-  if (request != nullptr && !request->relay.empty()) {
+  if (request == nullptr) return;
+  request->broken_off = request->broken_off || IsBrokenOff(ended.end);
+  if (!request->relay.empty()) {
     OnRelayEnded(request, ended);
     return;
   }
-  if (request == nullptr || request->current_upstream.empty()) return;
+  if (request->current_upstream.empty()) return;
   const std::string upstream = request->current_upstream;
   if (ended.end == ForwardOutcome::kNotSent && MaySend(ended.id))
     OnConnectFailed(request->service, upstream);
@@ -369,7 +382,7 @@
     if (ended.end == ForwardOutcome::kFailed && !request->response_started) {
       Finish(request);
     } else {
-      GiveUp(request, ended.end, ToString(ended.end));
+      WaitOrGiveUp(request, ended.end, ToString(ended.end));
     }
   }
   EndRejectedRequests();
@@ -410,8 +423,9 @@
   // Of several requests with the same suspect, one at a time is tried.
   if (IsSuspect(request) && HasActiveTrial(request)) return false;
   // Attempts that did not run do not count as runs, so their total number is
-  // bounded separately.
-  if (request.attempts > route.max_attempts) return false;
+  // bounded separately, unless only the deadline ends the response.
+  if (request.attempts > route.max_attempts && !HasSoundResponse(request))
+    return false;
   return now() < request.deadline;
 }
 
@@ -432,6 +446,37 @@
   return true;
 }
 
+bool ForwardNode::HasSoundResponse(const Request& request) {
+  return request.response_started && !request.broken_off;
+}
+
+void ForwardNode::WaitOrGiveUp(Request* request, ForwardOutcome end,
+                               const std::string& reason) {
+  if (!HasSoundResponse(*request)) {
+    GiveUp(request, end, reason);
+    return;
+  }
+  LogRequest(LogLevel::kInfo, "waits_for_upstream", *request,
+             {{"after", ToString(end)},
+              {"attempts", std::to_string(request->attempts)}});
+  WaitForUpstream(request);
+}
+
+void ForwardNode::WaitForUpstream(Request* request) {
+  // Upstreams that refused it or were silent may have recovered by then.
+  request->tried_upstreams.clear();
+  request->next_retry_at = now() + kRetryInterval;
+  ScheduleCheck(request);
+}
+
+void ForwardNode::ContinueWaiting(Request* request) {
+  request->next_retry_at.reset();
+  if (Retry(request, ForwardOutcome::kCancelled) ||
+      RelayAfter(request, ForwardOutcome::kCancelled))
+    return;
+  WaitForUpstream(request);
+}
+
 void ForwardNode::GiveUp(Request* request, ForwardOutcome end,
                          const std::string& reason, Duration retry_after) {
   const bool not_run =
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -467,6 +467,10 @@
     ContinueLookup(request);
     return;
   }
+  if (request->next_retry_at.has_value()) {
+    ContinueWaiting(request);
+    return;
+  }
   const std::optional<TimePoint> inactive_at = InactivityDeadline(*request);
   const bool is_stalled = request->progress_due_at.has_value() &&
                           now() >= *request->progress_due_at &&
@@ -521,6 +525,7 @@
     at = std::min(at, *inactive_at);
   }
   at = std::min(at, request->next_lookup_at.value_or(at));
+  at = std::min(at, request->next_retry_at.value_or(at));
   at = std::min(at, request->progress_due_at.value_or(at));
   if (request->next_check_at == at) return;
   request->next_check_at = at;
--- a/src/libpollenledge/process/forward_relay.cc
+++ b/src/libpollenledge/process/forward_relay.cc
@@ -228,7 +228,7 @@
       if (ended.status == kStatusMisdirected) {
         // No upstream has received it.
         if (!RelayAgain(request, ForwardOutcome::kNotSent))
-          GiveUp(request, ended.end, "peers-outdated");
+          WaitOrGiveUp(request, ended.end, "peers-outdated");
         return;
       }
       // Another node may have room or a path. What the last one says goes to
@@ -236,7 +236,7 @@
       if (ended.status == kStatusUnavailable && RelayAgain(request, ended.end))
         return;
       if (request->may_have_run || request->response_started) {
-        Fail(request, 502, ToString(ended.end));
+        WaitOrGiveUp(request, ended.end, ToString(ended.end));
       } else {
         Finish(request);
       }
@@ -246,7 +246,7 @@
     case ForwardOutcome::kInvalidResponse:
     case ForwardOutcome::kCancelled:
       if (RelayAgain(request, ended.end)) return;
-      GiveUp(request, ended.end, ToString(ended.end));
+      WaitOrGiveUp(request, ended.end, ToString(ended.end));
       return;
   }
 }
--- a/src/libpollenledge/process/forward_streams_test.cc
+++ b/src/libpollenledge/process/forward_streams_test.cc
@@ -14,6 +14,12 @@
 
 constexpr Duration kSecond = std::chrono::seconds(1);
 constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+/// An upstream that sends nothing for so long is given up by these routes.
+constexpr Duration kSilence = 4 * kSecond;
+/// Time after which another upstream is searched for a begun stream, and within
+/// which upstreams that have refused it are used again.
+constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
+constexpr Duration kLongestBackoff = 2 * kSecond;
 
 /// Drives one node whose service has upstreams of two software versions, "old"
 /// ones and "new" ones.
@@ -158,6 +164,30 @@
     Submit(event::HeartbeatReceived{heartbeat});
   }
 
+  void AdvanceTime(Duration time) {
+    now_ += time;
+    Submit(event::Ticked{});
+  }
+
+  /// Allows some retries by first attempts.
+  void FillRetryBudget() {
+    for (ForwardId id = 100; id < 110; ++id) {
+      BeginStream(id, std::to_string(id));
+      Submit(event::AttemptEnded{id, ForwardOutcome::kCompleted, 200, {}, {}});
+    }
+  }
+
+  /// Advances the clock until an attempt is sent, unless one was just sent; for
+  /// a limited time.
+  void AwaitSend() {
+    const TimePoint end = now_ + kLongestBackoff;
+    while (SentTo() == "nowhere" && now_ < end) AdvanceTime(kRetryInterval);
+  }
+
+  void Refuse(ForwardId id) {
+    Submit(event::AttemptEnded{id, ForwardOutcome::kRejected, 503, {}, {}});
+  }
+
   TimePoint now_{std::chrono::seconds(1000)};
   std::int64_t revision_ = 0;
   ForwardNode node_;
@@ -546,5 +576,61 @@
   EXPECT_NE(Find<action::DeliverResponse>(), nullptr);
 }
 
+// Guards against a sound stream that is cut because this node gave its silent
+// upstream up and another one refused it (incident LOST).
+TEST_F(ForwardStreamsTest, RefusalsAfterSilenceDoNotEndABegunStream) {
+  FillRetryBudget();
+  const std::string version = BeginStream(1, "a");
+  AdvanceTime(kSilence);
+  ASSERT_EQ(SentToVersion(), version);
+  Refuse(1);
+  EXPECT_EQ(Find<action::Fail>(), nullptr);
+  {
+    SCOPED_TRACE("it is sent on, however often it was refused");
+    for (int i = 0; i < 3; ++i) {
+      AwaitSend();
+      ASSERT_EQ(SentToVersion(), version);
+      EXPECT_EQ(Find<action::SendAttempt>()->last_event_id, 1);
+      Refuse(1);
+      EXPECT_EQ(Find<action::Fail>(), nullptr);
+    }
+  }
+  {
+    SCOPED_TRACE("its deadline ends it");
+    AdvanceTime(10 * kSecond);
+    ASSERT_NE(Find<action::Fail>(), nullptr);
+    EXPECT_EQ(Find<action::Fail>()->status, 504);
+  }
+}
+
+// Guards against a stream that waits for another upstream and is cut by a
+// verdict, or goes on with the crashes (incident LOST).
+TEST_F(ForwardStreamsTest, AVerdictOnItsContentLetsASoundStreamWait) {
+  BeginStream(1, "a");
+  AdvanceTime(kSilence);
+  ASSERT_NE(SentTo(), "nowhere");
+  ReportCrashesOf("a");
+  EXPECT_NE(Find<action::CancelAttempt>(), nullptr);
+  EXPECT_EQ(Find<action::Fail>(), nullptr);
+  AdvanceTime(kRetryInterval);
+  EXPECT_EQ(SentTo(), "nowhere");
+  {
+    SCOPED_TRACE("it goes on once an operator has lifted the verdict");
+    Submit(event::SuspectLifted{FingerprintOf("a")});
+    AdvanceTime(kRetryInterval);
+    EXPECT_NE(SentTo(), "nowhere");
+  }
+}
+
+// Guards against a stream that waits on although its upstream broke it off: its
+// caller can resume it elsewhere.
+TEST_F(ForwardStreamsTest, ABrokenStreamThatIsRefusedEnds) {
+  BeginStream(1, "a");
+  Submit(event::AttemptEnded{1, ForwardOutcome::kConnectionLost, 0, {}, {}});
+  ASSERT_NE(SentTo(), "nowhere");
+  Refuse(1);
+  EXPECT_NE(Find<action::Fail>(), nullptr);
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -284,7 +284,7 @@
     }
     Emit(forward_action::CancelAttempt{id});
     FinalizeAttempt(request, ForwardOutcome::kCancelled);
-    GiveUp(request, ForwardOutcome::kCancelled, "ends-upstreams");
+    WaitOrGiveUp(request, ForwardOutcome::kCancelled, "ends-upstreams");
   }
 }
 
