Test: the fault soak sees lost requests and changes of the callers' limits

Change: rule LOST (stated in soak.py). An end counts once the kernel has reported the connection open 200 ms after the request's last byte, so a late thread of the soak can't make one. Callers keep connections to four nodes and let them rest for up to 0.8 of the idle timeout; configurations change timeouts, limits, customers and routes, also in storms; crowds of 300 kept connections send at once, to nodes that stand still or end as well. Nodes and upstreams listen on addresses from which no connection takes ports. Split into series, callers and checks; the faults drawn before are drawn from the same generator as before.

--- a/testsuite/platform_soak/soak.py
+++ b/testsuite/platform_soak/soak.py
@@ -2,179 +2,45 @@
 """A fault soak with real processes. Callers with kept connections send requests through several
 nodes, while a series of faults that the seed draws is injected from outside: signals to nodes,
 crashes and releases of upstreams, a proxy before each upstream and between each node and the
-store, a store that is down or cuts watches, changes of the configuration.
+store, a store that is down or cuts watches, changes of the configuration, one by one and in
+storms, and crowds of kept connections that all send at once, to a node that stands still as well.
 
-Checked from what callers and upstreams see: TWICE, REFUSED, MIXED, ORDER, RECOVER, and nodes that
-end by themselves. Exits with 1 if a rule was broken; the series, the findings and the folder with
-the nodes' logs are printed then."""
+Checked from what callers and upstreams see: LOST, TWICE, REFUSED, MIXED, ORDER, RECOVER, and nodes
+that end by themselves. Exits with 1 if a rule was broken; the series, the findings and the folder
+with the nodes' logs are printed then.
+
+LOST: a request's last byte was sent, its connection was still open 200 ms later, and it ended
+without a whole answer. A node that was stopped and continued, or that applies a new configuration,
+has no excuse. It doesn't count if the node's process was killed or was past its grace period, if
+an upstream that the request reached was crashed or cut off from the nodes meanwhile, if the
+request's deadline was over when an answer that had begun ended, or if the caller closed the
+connection. Callers reuse a connection that rested for at most 0.8 of the idle timeout: the newest
+acknowledged one, a lowered one as soon as it is written."""
 
 import argparse
 import itertools
 import json
-import random
 import re
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
 import time
+import traceback
 from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from platform_standins import (EXECUTIONS, HOST, KEY, VERSIONED_EVENTS, Cloud, Node, Platform, Runner,  # noqa: E402
-                               Store, config, free_peer_port, route)
+from platform_standins import Cloud, Node, Platform, Runner, Store, free_peer_port  # noqa: E402
+from callers import Caller, Crowd  # noqa: E402
+from checks import check  # noqa: E402
 from proxy import Proxy, ProxyLoop  # noqa: E402
+from series import FIRST_DRAW, QUIET_SECONDS, WARM_UP_SECONDS, Tables, draw_series  # noqa: E402
 
-WARM_UP_SECONDS = 3.0
-QUIET_SECONDS = 9.0  # without faults, at the end
-CHECKED_SECONDS = 4.0  # of these, at their end, for RECOVER
-MIN_RECOVERED_SHARE = 0.25
-STREAM_TRIES = 8
-NOT_RUN = (408, 421, 429, 503)  # statuses that promise that the request hasn't run
-
-
-class Fault:
-    """One fault of the series: a method of `Soak` and its arguments."""
-
-    def __init__(self, at, kind, *args):
-        self.at, self.kind, self.args = at, kind, args
-
-    def __str__(self):
-        return f"{self.at:6.2f} s {self.kind} {' '.join(map(str, self.args))}"
-
-
-def draw_series(chance, options):
-    """The faults, in order. The same seed and options draw the same series."""
-    end = options.seconds - QUIET_SECONDS
-    series = []
-    for _ in range(round(options.faults * (end - WARM_UP_SECONDS))):
-        at = chance.uniform(WARM_UP_SECONDS, end)
-        node, runner = chance.randrange(options.nodes), chance.randrange(options.runners)
-        length = round(min(chance.choice((0.3, 1.0, 1.5, 3.0)), end - at), 2)
-        kind = chance.choice(("stop", "stop", "kill", "term", "hup", "kill_all", "crash", "replace", "release",
-                              "leave", "refuse", "upstream_path", "upstream_path", "store_path", "store_down",
-                              "cut_watches", "change_config", "change_config"))
-        path = chance.choice(Proxy.KINDS[1:])
-        args = {"stop": (node, length), "kill": (node,), "term": (node,), "hup": (node,), "kill_all": (),
-                "crash": (runner,), "replace": (runner,), "release": (), "leave": (runner, length),
-                "refuse": (runner, length), "upstream_path": (runner, path, length),
-                "store_path": (node, path, length), "store_down": (length,), "cut_watches": (),
-                "change_config": (chance.randrange(1000),)}[kind]
-        series.append(Fault(at, kind, *args))
-    return sorted(series, key=lambda fault: fault.at)
-
-
-class Caller:
-    """A caller that keeps its connection until the node closes it."""
-
-    numbers = itertools.count(1)
-
-    def __init__(self, soak, number):
-        self.soak = soak
-        self.chance = random.Random(f"{soak.options.seed}-{number}")
-        self.connection = None
-        self.thread = threading.Thread(target=self.run, daemon=True)
-        self.thread.start()
-
-    def run(self):
-        time.sleep(self.chance.random())
-        while not self.soak.stopped.is_set():
-            kind = self.chance.choice(("read", "order", "order", "story"))
-            name = f"{kind}-{next(Caller.numbers)}"
-            if kind == "story":
-                self.stream(name)
-            else:
-                self.plain(name, kind)
-            time.sleep(self.chance.uniform(0, 0.05))
-
-    def plain(self, name, kind):
-        sent_at = time.monotonic()
-        action = self.chance.choice(("echo", "echo", "slowecho"))
-        status, body = 0, b""
-        try:
-            status, body = self.exchange(name, f"/{kind}/{action}", b"b" * self.chance.choice((0, 10, 3000)))
-        except OSError:
-            self.close()
-        self.soak.on_response(sent_at, kind, name, status, body)
 
-    def connect(self):
-        if self.connection is None:
-            node = self.chance.choice(self.soak.nodes)
-            self.connection = Platform.connect(node.caller)
-            self.connection.settimeout(7)
-
-    def close(self):
-        if self.connection is not None:
-            self.connection.close()
-        self.connection = None
-
-    def send(self, name, path, body, extra=""):
-        self.connect()
-        head = (f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {name}\r\nApi-Key: {KEY}\r\n"
-                f"Deadline-Ms: 3000\r\n{extra}Content-Length: {len(body)}\r\n\r\n").encode()
-        if self.chance.random() < 0.3:  # In several segments.
-            cut = self.chance.randrange(1, len(head))
-            self.connection.sendall(head[:cut])
-            time.sleep(0.002)
-            head = head[cut:]
-        self.connection.sendall(head + body)
-
-    def exchange(self, name, path, body):
-        self.send(name, path, body)
-        data = b""
-        while b"\r\n\r\n" not in data:
-            part = self.connection.recv(65536)
-            if not part:
-                raise ConnectionResetError
-            data += part
-        head, rest = data.split(b"\r\n\r\n", 1)
-        length = int(re.search(rb"(?i)content-length: (\d+)", head)[1])
-        while len(rest) < length:
-            part = self.connection.recv(65536)
-            if not part:
-                raise ConnectionResetError
-            rest += part
-        if re.search(rb"(?i)connection: close", head):
-            self.close()
-        if len(rest) > length:
-            self.soak.find("MIXED", f"{name}: {len(rest) - length} bytes after its response")
-        return int(head.split()[1]), rest[:length]
-
-    def stream(self, name):
-        """Reads a stream, and takes it up again at another node when it breaks."""
-        events, versions, first_attempt, sent_at = 0, set(), None, time.monotonic()
-        for number in range(STREAM_TRIES):
-            attempt = f"{name}-{number}"
-            extra = f"Last-Event-Id: {events}\r\nResumes: {first_attempt}\r\n" if events else ""
-            buffer, status = b"", 0
-            try:
-                self.close()
-                self.send(attempt, "/story/versions", b"", extra)
-                while events < VERSIONED_EVENTS and status in (0, 200):
-                    part = self.connection.recv(65536)
-                    if not part:
-                        break
-                    buffer += part
-                    if status == 0 and b"\r\n" in buffer:
-                        status = int(buffer.split()[1])
-                    for event, version in re.findall(rb"id: (\d+)\ndata: (\S+)\n\n", buffer):
-                        if int(event) != events + 1:
-                            self.soak.find("ORDER", f"{attempt}: event {event} after {events}")
-                        events = int(event)
-                        first_attempt = first_attempt or attempt
-                        versions.add(version)
-                    buffer = buffer[buffer.rfind(b"\n\n") + 2:] if b"\n\n" in buffer else buffer
-            except OSError:
-                pass
-            self.close()
-            if events == VERSIONED_EVENTS or self.soak.stopped.is_set():
-                break
-            time.sleep(0.1)
-        if len(versions) > 1:
-            self.soak.find("ORDER", f"{name} (first attempt {first_attempt}): of the versions {sorted(versions)}")
-        self.soak.on_stream(sent_at, events == VERSIONED_EVENTS)
+ROLLED_NODES = 3  # by one `roll_term`
 
 
 def handles(pid, number):
@@ -189,15 +55,18 @@
 
     def __init__(self, options):
         self.options = options
-        self.chance = random.Random(options.seed)
         self.stopped = threading.Event()
         self.lock = threading.Lock()
         self.findings = []
         self.responses = []  # (time sent, kind, attempt, status)
         self.streams = []  # (time begun, complete)
+        self.cuts = []  # requests that may be lost
+        self.excuses = Counter()  # of them, by what ended their connections
         self.versions = itertools.count(2)
+        self.config_lock = threading.Lock()
         self.config_numbers = itertools.count(10)
-        self.expected_ends = set()  # processes that were ended
+        self.ends = {}  # process: (signal that ended it, time)
+        self.disturbances = []  # (upstream's number, begin, end) of what broke its responses off
         self.node_locks = [threading.Lock() for _ in range(options.nodes)]
 
     def find(self, rule, text):
@@ -214,22 +83,36 @@
         with self.lock:
             self.streams.append((sent_at, complete))
 
+    def guard(self, function, *args):
+        """Calls a function of a thread. A thread that ends by an exception checks nothing more."""
+        try:
+            function(*args)
+        except Exception:
+            self.find("soak failed", traceback.format_exc())
+
+    def on_cut(self, cut):
+        with self.lock:
+            self.cuts.append(cut)
+
     # Start and end.
 
     def start(self):
         options = self.options
         self.store, self.cloud = Store(), Cloud()
-        self.store.put("op/config", self.tables(0))
+        tables = Tables(FIRST_DRAW)
+        self.idle_seconds = tables.idle_seconds  # that callers go by
+        self.store.put("op/config", tables.encode(next(self.config_numbers)))
         proxy_loop = ProxyLoop()
         self.runners, self.upstream_paths = [], []
         for i in range(options.runners):
-            runner = Runner(f"i-{i}", slots=32)
+            runner = Runner(f"i-{i}", slots=32, host="127.0.1.1")
             path = Proxy(proxy_loop, runner.address)
             runner.public_address, runner.store = path.address, self.store
             runner.register()
             self.runners.append(runner)
             self.upstream_paths.append(path)
-        hosts = [f"127.0.0.{i + 1}" for i in range(options.nodes)]
+        # Not 127.0.0.1, of which connections take ports: those of a process that is down must stay free.
+        hosts = [f"127.0.0.{i + 2}" for i in range(options.nodes)]
         peer_port = free_peer_port()
         self.store_paths = [Proxy(proxy_loop, self.store.address) for _ in hosts]
         self.nodes = [Node(f"n{i + 1}", host, peer_port, hosts[:3], self.store_paths[i], self.cloud)
@@ -240,22 +123,16 @@
             node.start()
         Platform.wait_until(lambda: all(node.readiness_status() == 200 for node in self.nodes))
 
-    def tables(self, draw):
-        """A configuration; `draw` varies the timeouts and the names of other routes."""
-        return config(next(self.config_numbers), routes=[
-            route("read", "idempotent", timeout_ms=3000 + draw), route("order", "non_idempotent", attempts=3),
-            route("story", "streaming", resumable=True, attempts=4, timeout_ms=8000),
-            route(f"other{draw}", "idempotent")])
-
     def run(self):
         self.start()
-        series = draw_series(self.chance, self.options)
+        series = draw_series(self.options)
         self.began = time.monotonic()
         callers = [Caller(self, number) for number in range(self.options.callers)]
         threads = []
         for fault in series:
             time.sleep(max(0, self.began + fault.at - time.monotonic()))
-            threads.append(threading.Thread(target=getattr(self, fault.kind), args=fault.args, daemon=True))
+            args = (getattr(self, fault.kind), *fault.args)
+            threads.append(threading.Thread(target=self.guard, args=args, daemon=True))
             threads[-1].start()
         for thread in threads:
             thread.join()
@@ -265,7 +142,7 @@
         self.stopped.set()
         for caller in callers:
             caller.thread.join(timeout=15)
-        self.check(ended)
+        check(self, ended)
         self.report(series)
         return 1 if self.findings else 0
 
@@ -278,14 +155,20 @@
             time.sleep(length)
             process.send_signal(signal.SIGCONT)
 
-    def end(self, number, end_signal):
-        """Ends a node by a signal and starts it again, from the other build if there are two."""
+    def end(self, number, end_signal, during=lambda: None):
+        """Ends a node by a signal and starts it again, from the other build if there are two.
+        `during` is called once the signal is sent."""
         with self.node_locks[number]:
             node = self.nodes[number]
-            self.expected_ends.add(node.process.pid)
             self.check_alive(node)
+            self.ends[node.process] = end_signal, time.monotonic()
             node.process.send_signal(end_signal)
-            node.process.wait(timeout=15)
+            during()
+            try:
+                node.process.wait(timeout=15)
+            except subprocess.TimeoutExpired:
+                self.find("did not end", node.name)
+                node.kill()
             if self.options.production:
                 node.build = Node.build if node.build != Node.build else Path(self.options.production)
             node.start()
@@ -301,6 +184,23 @@
     def term(self, number):
         self.end(number, signal.SIGTERM)
 
+    def term_stopped(self, number, delay, length):
+        """Stops and continues a node while it ends, and tells it to read its settings."""
+        def during():
+            process = self.nodes[number].process
+            process.send_signal(signal.SIGHUP)
+            time.sleep(delay)
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(length)
+            process.send_signal(signal.SIGCONT)
+
+        self.end(number, signal.SIGTERM, during)
+
+    def roll_term(self, number):
+        """Ends some nodes, one after another."""
+        for following in range(number, number + min(ROLLED_NODES, self.options.nodes)):
+            self.term(following % self.options.nodes)
+
     def hup(self, number):
         with self.node_locks[number]:
             process = self.nodes[number].process
@@ -317,9 +217,11 @@
 
     def crash(self, number, version=None):
         runner = self.runners[number]
+        begin = time.monotonic()
         if runner.crash():
             time.sleep(0.4)
             runner.restart(version)
+            self.disturbances.append((number, begin, time.monotonic()))
 
     def replace(self, number):
         """The upstream's process is replaced by one of another version, under the same id."""
@@ -347,7 +249,10 @@
         proxy.set("pass")
 
     def upstream_path(self, number, kind, length):
+        begin = time.monotonic()
         self.path(self.upstream_paths[number], kind, length)
+        if kind != "delay":
+            self.disturbances.append((number, begin, time.monotonic()))
 
     def store_path(self, number, kind, length):
         self.path(self.store_paths[number], kind, length)
@@ -361,25 +266,21 @@
         self.store.cut_watches()
 
     def change_config(self, draw):
-        self.store.put("op/config", self.tables(draw))
-
-    # Checks.
-
-    def check(self, ended):
-        runs = Counter(attempt for attempt, _, _ in EXECUTIONS)
-        for _, kind, name, status in self.responses:
-            if kind == "order" and status in NOT_RUN and runs[name] > 0:
-                self.find("REFUSED", f"{name}: answered {status}, ran {runs[name]} times")
-        for attempt, count in runs.items():
-            if attempt.startswith("order-") and count > 1:
-                self.find("TWICE", f"{attempt} ran {count} times")
-        late = [status for sent_at, _, _, status in self.responses
-                if ended - CHECKED_SECONDS <= sent_at < ended - 0.5]
-        self.recovered = sum(status == 200 for status in late) / max(1, len(late))
-        if self.recovered < MIN_RECOVERED_SHARE:
-            self.find("RECOVER", f"{self.recovered:.3f} of {len(late)} served")
-        for node in self.nodes:
-            self.check_alive(node)
+        tables = Tables(draw)
+        with self.config_lock:
+            self.idle_seconds = min(self.idle_seconds, tables.idle_seconds)
+            self.store.put("op/config", tables.encode(next(self.config_numbers)))
+            self.idle_seconds = tables.idle_seconds
+
+    def storm(self, pause, draws):
+        for draw in draws:
+            self.change_config(draw)
+            time.sleep(pause)
+
+    def crowd(self, number, way, share, length):
+        Crowd(self, self.nodes[number]).run(way, share, length)
+
+    # Report.
 
     def report(self, series):
         options = self.options
@@ -389,7 +290,8 @@
             "seed": options.seed, "nodes": options.nodes, "faults": len(series), "requests": len(self.responses),
             "served": round(served, 3), "served_at_the_end": round(self.recovered, 3),
             "statuses": dict(Counter(status for _, _, _, status in self.responses)),
-            "streams": len(self.streams), "complete": round(complete, 3), "findings": len(self.findings)}), flush=True)
+            "streams": len(self.streams), "complete": round(complete, 3), "cuts": dict(self.excuses),
+            "findings": dict(Counter(line.split(" at ")[0] for line in self.findings))}), flush=True)
         if not self.findings:
             return
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
@@ -407,7 +309,7 @@
             node.close()
 
 
-def parse_options():
+def parse_options(arguments=None):
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--seed", type=int, default=1, help="draws the series and the callers' requests")
     parser.add_argument("--seconds", type=float, default=30, help="length; the last 9 are without faults")
@@ -415,12 +317,15 @@
     parser.add_argument("--runners", type=int, default=8, help="upstreams")
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--faults", type=float, default=1.0, help="a second, on average")
+    parser.add_argument("--combined", type=float, default=0.4, help="faults of several parts a second, on average")
+    parser.add_argument("--crowd", type=int, default=300, help="kept connections of one crowd")
     parser.add_argument("--production", help="folder of an older build; nodes change between the two")
-    options = parser.parse_args()
+    options = parser.parse_args(arguments)
     if options.seconds < WARM_UP_SECONDS + QUIET_SECONDS + 1:
         parser.error(f"--seconds: at least {WARM_UP_SECONDS + QUIET_SECONDS + 1:.0f} are needed")
-    if min(options.nodes, options.runners, options.callers) < 1 or options.faults < 0:
-        parser.error("--nodes, --runners and --callers must be 1 or more, --faults 0 or more")
+    counts = options.nodes, options.runners, options.callers, options.crowd
+    if min(counts) < 1 or min(options.faults, options.combined) < 0:
+        parser.error("--nodes, --runners, --callers and --crowd must be 1 or more, --faults and --combined 0 or more")
     if options.nodes > 200:
         parser.error("--nodes: at most 200, the processes that one machine bears")
     if options.production and not (Path(options.production) / "src/pollen_node/pollen_node").exists():
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -303,7 +303,7 @@
     """A runner (an upstream). The last part of the request's path selects the do_* method
     that responds; do_ok is the default. "shed" rejects the first attempt as not run."""
 
-    def __init__(self, name, store=None, version="v1", slots=8):
+    def __init__(self, name, store=None, version="v1", slots=8, host="127.0.0.1"):
         self.name = name
         self.store = store  # where it registers itself, if set
         self.version = version  # of its software
@@ -316,8 +316,8 @@
         self.arrivals = []  # (time, attempt id) of each request, also of those not run
         self.refuses = False  # while set, it rejects each request as not run
         self.signalled = {}  # time of the first response with `signals`, by attempt id
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.listener = socket.create_server((host, 0), backlog=128)
+        self.address = f"{host}:{self.listener.getsockname()[1]}"
         self.shed = set()
         self.lock = threading.Lock()
         self.connections = set()
