Log: what the end of an attempt and a refusal rest on

Ruled out: nothing; no logic is changed. `connection_was_used` is derived from the number of earlier requests now. Change: ResponseEvidence goes with AttemptEnded; attempt_ended, relay_ended and refused have its fields; both lines of an attempt's end are written in one place. foreign_answer names status and upstream.

--- /dev/null
+++ b/src/include/pollenledge/connection/response_evidence.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+
+#include "pollenledge/connection/http_reader.h"
+
+namespace pollenledge {
+
+/// What marks the end of a response's body.
+enum class BodyFraming : std::uint8_t {
+  kNone,           ///< No response was received, or it has no body.
+  kLength,         ///< Its length.
+  kChunks,         ///< The last chunk.
+  kConnectionEnd,  ///< The end of the connection.
+};
+
+/// Returns the name of `framing` as used in logs.
+const char* ToString(BodyFraming framing);
+
+/// Returns what marks the end of the body of the response with this head. The
+/// method of the request is not known, so a response to HEAD counts as any
+/// other.
+BodyFraming FramingOf(const HttpHead& response);
+
+/// What shows that a response belongs to the request of its exchange and is
+/// whole.
+struct ResponseEvidence {
+  BodyFraming framing = BodyFraming::kNone;
+  bool names_request = false;  ///< It has the request's id.
+  /// Number of requests that its connection had carried before.
+  int earlier_requests = 0;
+
+  friend bool operator==(const ResponseEvidence&,
+                         const ResponseEvidence&) = default;
+};
+
+}  // namespace pollenledge
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -8,6 +8,7 @@
 
 #include "pollenledge/connection/connection_reuse.h"
 #include "pollenledge/connection/prompt_cache_events.h"
+#include "pollenledge/connection/response_evidence.h"
 #include "pollenledge/process/log.h"
 #include "pollenledge/process/membership.h"
 #include "pollenledge/request/forward_request.h"
@@ -52,6 +53,7 @@
   std::optional<ReportedLoad> load;
   /// How long its connection had been idle before; empty for a new one.
   std::optional<Duration> connection_idle;
+  ResponseEvidence evidence;
 };
 /// The tables were read from the store with a linearizable read.
 struct TablesRead {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -249,6 +249,9 @@
     /// An upstream, not this node, ended an attempt without a whole response.
     bool broken_off = false;
     bool may_have_run = false;
+    /// How the last attempt or relay ended; empty if there was none.
+    std::optional<ForwardOutcome> last_end;
+    ResponseEvidence last_evidence;
     bool usage_counted = false;
     std::optional<QueueKey> queue;  ///< In which it waits.
     std::optional<std::int64_t> last_event_id;
@@ -589,6 +592,10 @@
   /// others at this node. Empty unless all upstreams of `service` are limited.
   std::optional<Duration> WaitForLimitedUpstreams(
       const std::string& service, std::size_t requests_ahead) const;
+  /// Logs what the end of an attempt or a relay rests on. `target` names where
+  /// the request was sent.
+  void LogAttemptEnd(const char* event, LogField target, const Request& request,
+                     const forward_event::AttemptEnded& ended);
 
   // Attempts.
   /// The upstream processed the prompt, or the attempt ended before that.
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -84,14 +84,12 @@
     bool expects_stream = false;  ///< The route's responses are event streams.
     bool response_started = false;  ///< The caller received the response head.
     std::shared_ptr<ClientConnection> upstream_connection;
-    /// The connection carried earlier requests, whose responses an upstream may
-    /// send again.
-    bool connection_was_used = false;
-    /// How long it had been idle before; empty for a new connection.
+    /// How long its connection had been idle before; empty for a new one.
     std::optional<Duration> connection_idle;
     bool is_relayed_on = false;  ///< The current attempt is at another node.
     HttpHead response_head;
     ResponseInfo response_info;
+    ResponseEvidence evidence;  ///< Of the current attempt's response.
     /// The current attempt's response is a stream whose events are forwarded.
     bool forwarding_events = false;
     std::string response_body;  ///< Buffered until it is complete.
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -329,6 +329,8 @@
   Request* request = FindRequest(ended.id);
   if (request == nullptr) return;
   request->broken_off = request->broken_off || IsBrokenOff(ended.end);
+  request->last_end = ended.end;
+  request->last_evidence = ended.evidence;
   if (!request->relay.empty()) {
     OnRelayEnded(request, ended);
     return;
@@ -368,11 +370,7 @@
   }
   SendSuspectReports();
   FinalizeAttempt(request, ended.end);
-  LogRequest(LogLevel::kInfo, "attempt_ended", *request,
-             {{"upstream", upstream},
-              {"end", ToString(ended.end)},
-              {"status", std::to_string(ended.status)},
-              {"took_ms", FormatMilliseconds(now() - request->sent_at)}});
+  LogAttemptEnd("attempt_ended", {"upstream", upstream}, *request, ended);
   const std::string service = request->service;
   if (ended.end == ForwardOutcome::kCompleted) {
     LearnResponse(*request);
@@ -389,6 +387,20 @@
   DispatchQueued(service);
 }
 
+void ForwardNode::LogAttemptEnd(const char* event, LogField target,
+                                const Request& request,
+                                const forward_event::AttemptEnded& ended) {
+  LogRequest(
+      LogLevel::kInfo, event, request,
+      {std::move(target),
+       {"end", ToString(ended.end)},
+       {"status", std::to_string(ended.status)},
+       {"names_request", ended.evidence.names_request ? "yes" : "no"},
+       {"framing", ToString(ended.evidence.framing)},
+       {"earlier_requests", std::to_string(ended.evidence.earlier_requests)},
+       {"took_ms", FormatMilliseconds(now() - request.sent_at)}});
+}
+
 void ForwardNode::RecordPromptProcessed(Request* request) {
   ForwardUpstream* upstream = upstreams_.Find(request->current_upstream);
   if (upstream != nullptr) {
@@ -505,16 +517,22 @@
   if (not_run.http_status == 429 || not_run.http_status == 503) {
     not_run.retry_after = JitterRetryAfter(not_run.retry_after, *request);
   }
-  LogRequest(LogLevel::kInfo, "refused", *request,
-             {{"status", std::to_string(not_run.http_status)},
-              {"reason", not_run.problem_type},
-              {"retry_after_ms", FormatMilliseconds(not_run.retry_after)},
-              {"attempts", std::to_string(request->attempts)},
-              {"tables_version",
-               request->tables_index == nullptr
-                   ? "none"
-                   : std::to_string(request->tables_index->tables().version)},
-              {"tables_age_ms", FormatTablesAge()}});
+  LogRequest(
+      LogLevel::kInfo, "refused", *request,
+      {{"status", std::to_string(not_run.http_status)},
+       {"reason", not_run.problem_type},
+       {"retry_after_ms", FormatMilliseconds(not_run.retry_after)},
+       {"attempts", std::to_string(request->attempts)},
+       {"after",
+        request->last_end.has_value() ? ToString(*request->last_end) : "none"},
+       {"names_request", request->last_evidence.names_request ? "yes" : "no"},
+       {"earlier_requests",
+        std::to_string(request->last_evidence.earlier_requests)},
+       {"tables_version",
+        request->tables_index == nullptr
+            ? "none"
+            : std::to_string(request->tables_index->tables().version)},
+       {"tables_age_ms", FormatTablesAge()}});
   if (request->acquired_units > 0) {
     limits_.Refund(request->customer->name, request->acquired_units);
   }
--- a/src/libpollenledge/process/forward_relay.cc
+++ b/src/libpollenledge/process/forward_relay.cc
@@ -207,11 +207,9 @@
 void ForwardNode::OnRelayEnded(Request* request,
                                const forward_event::AttemptEnded& ended) {
   const std::string peer = std::exchange(request->relay, "");
-  LogRequest(LogLevel::kInfo, "relay_ended", *request,
-             {{"peer", peer},
-              {"end", ToString(ended.end)},
-              {"status", std::to_string(ended.status)},
-              {"took_ms", FormatMilliseconds(now() - request->sent_at)}});
+  request->last_end = ended.end;
+  request->last_evidence = ended.evidence;
+  LogAttemptEnd("relay_ended", {"peer", peer}, *request, ended);
   const bool not_run = ended.end == ForwardOutcome::kNotSent ||
                        ended.end == ForwardOutcome::kRejected;
   if (!not_run) request->may_have_run = true;
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -60,6 +60,7 @@
 void ForwardService::ResetResponse(Exchange* exchange, RouteKind kind) {
   exchange->response_head = HttpHead();
   exchange->response_info = ResponseInfo();
+  exchange->evidence = ResponseEvidence();
   DiscardBufferedResponse(exchange);
   exchange->forwarding_events = false;
   exchange->is_relayed_on = false;
@@ -190,9 +191,9 @@
                                    const std::vector<HttpField>& fields,
                                    TimePoint send_before,
                                    std::function<bool()> may_send) {
-  exchange->connection_was_used =
-      exchange->upstream_connection->request_count() > 0;
-  if (exchange->connection_was_used) {
+  exchange->evidence.earlier_requests =
+      exchange->upstream_connection->request_count();
+  if (exchange->evidence.earlier_requests > 0) {
     exchange->connection_idle =
         BootClockNow() - exchange->upstream_connection->idle_since();
   } else {
@@ -223,12 +224,18 @@
   if (info.trace_id.has_value() && *info.trace_id != exchange->spec.trace_id) {
     metrics_.IncrementCounter("foreign_answers_total");
     Log(LogLevel::kWarn, "foreign_answer",
-        {{"request", exchange->spec.trace_id}, {"answer_to", *info.trace_id}});
+        {{"request", exchange->spec.trace_id},
+         {"answer_to", *info.trace_id},
+         {"status", std::to_string(head.status)},
+         {"upstream", exchange->upstream_connection->address()}});
     return false;
   }
   ReportUnreadableSignals(*exchange, info.signals);
   exchange->response_head = head;
   exchange->response_info = std::move(info);
+  exchange->evidence.names_request =
+      exchange->response_info.trace_id.has_value();
+  exchange->evidence.framing = FramingOf(head);
   exchange->forwarding_events = exchange->expects_stream &&
                                 head.status == kStatusOk &&
                                 exchange->response_info.is_signed &&
@@ -312,9 +319,10 @@
   exchange->upstream_connection->Abort();
   exchange->upstream_connection.reset();
   DiscardBufferedResponse(exchange);
-  Submit(forward_event::AttemptEnded{id, ForwardOutcome::kInvalidResponse,
-                                     exchange->response_head.status,
-                                     exchange->response_info.signals.load});
+  Submit(forward_event::AttemptEnded{
+      id, ForwardOutcome::kInvalidResponse, exchange->response_head.status,
+      exchange->response_info.signals.load, exchange->connection_idle,
+      exchange->evidence});
 }
 
 void ForwardService::DiscardBufferedResponse(Exchange* exchange) {
@@ -354,14 +362,15 @@
   const ForwardOutcome forward_end = ClassifyEnd(*exchange, end);
   Submit(forward_event::AttemptEnded{
       id, forward_end, exchange->response_head.status,
-      exchange->response_info.signals.load, exchange->connection_idle});
+      exchange->response_info.signals.load, exchange->connection_idle,
+      exchange->evidence});
 }
 
 bool ForwardService::IsRefusal(const Exchange& exchange) {
   // A refusal that names no request may be that of an earlier request on the
   // same connection, sent once more.
-  const bool is_of_this_request = exchange.response_info.trace_id.has_value() ||
-                                  !exchange.connection_was_used;
+  const bool is_of_this_request = exchange.evidence.names_request ||
+                                  exchange.evidence.earlier_requests == 0;
   return exchange.response_info.not_run && is_of_this_request;
 }
 
