A response without an id isn't believed on a used connection

Callers saw the answer of another request (MIXED): where an upstream sends a response once more, late, and that response names no request, it stands where the response to the next request on the kept connection is expected. Refusals of upstreams were protected since; other statuses without an id (404, 500, 502, 504) and another node's own 408, 421, 429 and 503 were not. A late 503 of another node is a promise about a request that has run (REFUSED). The connection went back to the pool with the true response still to come.

One rule holds for all statuses now, upstreams and other nodes alike: a response belongs to the request if it names it, or if its connection has carried no other request (BelongsToRequest). Any other is an invalid response: the request may have run. Its connection is closed.

An unnamed 404 on a new connection is delivered as before.

--- a/src/include/pollenledge/connection/response_evidence.h
+++ b/src/include/pollenledge/connection/response_evidence.h
@@ -34,4 +34,9 @@
                          const ResponseEvidence&) = default;
 };
 
+/// Returns true if the response belongs to the request of its exchange: it
+/// names the request, or nothing else can have been answered on its connection.
+/// Any other may be the late copy of a response to an earlier request.
+bool BelongsToRequest(const ResponseEvidence& response);
+
 }  // namespace pollenledge
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -172,8 +172,6 @@
   bool CountHeldBytes(Exchange* exchange);
   /// Rejects the response that holds the most bytes.
   void BoundHeldBytes();
-  /// Returns true if the upstream has stated that it did not run this request.
-  static bool IsRefusal(const Exchange& exchange);
   ForwardOutcome ClassifyEnd(const Exchange& exchange,
                              ClientExchangeResult end) const;
   void StartResponse(Exchange* exchange);
--- a/src/libpollenledge/connection/response_evidence.cc
+++ b/src/libpollenledge/connection/response_evidence.cc
@@ -32,4 +32,8 @@
   return BodyFraming::kConnectionEnd;
 }
 
+bool BelongsToRequest(const ResponseEvidence& response) {
+  return response.names_request || response.earlier_requests == 0;
+}
+
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -357,6 +357,9 @@
 void ForwardService::OnAttemptEnd(ForwardId id, ClientExchangeResult end) {
   Exchange* exchange = FindExchange(id);
   if (exchange == nullptr) return;
+  // The response to this request may still follow a copy of an earlier one.
+  if (!BelongsToRequest(exchange->evidence))
+    exchange->upstream_connection->Abort();
   upstream_pool_.Release(exchange->upstream_connection);
   exchange->upstream_connection.reset();
   const ForwardOutcome forward_end = ClassifyEnd(*exchange, end);
@@ -366,30 +369,24 @@
       exchange->evidence});
 }
 
-bool ForwardService::IsRefusal(const Exchange& exchange) {
-  // A refusal that names no request may be that of an earlier request on the
-  // same connection, sent once more.
-  const bool is_of_this_request = exchange.evidence.names_request ||
-                                  exchange.evidence.earlier_requests == 0;
-  return exchange.response_info.not_run && is_of_this_request;
-}
-
 ForwardOutcome ForwardService::ClassifyEnd(const Exchange& exchange,
                                            ClientExchangeResult end) const {
   if (end == ClientExchangeResult::kNotSent) return ForwardOutcome::kNotSent;
-  if (IsRefusal(exchange)) return ForwardOutcome::kRejected;
+  const bool is_own = BelongsToRequest(exchange.evidence);
+  if (is_own && exchange.response_info.not_run)
+    return ForwardOutcome::kRejected;
   // Another node's own response says so by its status.
   const bool is_complete_response =
       end == ClientExchangeResult::kComplete ||
       end == ClientExchangeResult::kCompleteAtClose;
-  if (exchange.is_relayed_on && is_complete_response &&
+  if (is_own && exchange.is_relayed_on && is_complete_response &&
       !exchange.response_info.is_signed &&
       ImpliesNotRun(exchange.response_head.status)) {
     return ForwardOutcome::kRejected;
   }
   if (end == ClientExchangeResult::kConnectionLost)
     return ForwardOutcome::kConnectionLost;
-  if (end == ClientExchangeResult::kInvalid)
+  if (end == ClientExchangeResult::kInvalid || !is_own)
     return ForwardOutcome::kInvalidResponse;
   const int status = exchange.response_head.status;
   const bool ended_at_close = end == ClientExchangeResult::kCompleteAtClose;
--- a/testsuite/platform_faulty_answers/run.py
+++ b/testsuite/platform_faulty_answers/run.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
-"""Runners that repeat an earlier refusal, that respond with an error where a stream goes on, or
-that stop inside the head of a response."""
+"""Runners that repeat an earlier refusal or failure, that respond with an error where a stream goes
+on, or that stop inside the head of a response."""
 
 import sys
 from pathlib import Path
@@ -63,6 +63,31 @@
                          f"{execution_count(f'r{kind}') <= (2 if kind == 'read' else 1)}")
 
 
+# Guards against a caller that gets the failure of another request (MIXED).
+def check_repeated_failures(platform, transcript):
+    for status in (404, 500, 504):
+        for kind in ("order", "chat", "read"):
+            for i in range(12):  # The runners' connections are kept.
+                platform.send_request(f"kept{kind}{status}{i}", "/order/ok", "POST", b"x")
+            attempt = f"f{kind}{status}"
+            got, _, body = platform.send_request(attempt, f"/{kind}/again{status}", "POST", b"x")
+            following = {platform.send_request(f"{attempt}after{i}", "/order/ok", "POST", b"x")[::2] for i in range(6)}
+            # A read that is sent again may get a new connection, on which nothing comes first.
+            own = (200, 502) if kind == "read" else (502,)
+            transcript.write(f"an earlier {status} on a kept connection, {kind}: own status: {got in own}, another's body: "
+                             f"{b'earlier' in (body or b'')}, runs at most {'twice' if kind == 'read' else 'once'}: "
+                             f"{execution_count(attempt) <= (2 if kind == 'read' else 1)}, then {following}")
+
+
+# Guards against the failures of upstreams that name no request and are taken for another's.
+def check_failures_on_new_connections(platform, transcript):
+    # Each runner closes the connections on which it responds.
+    for i in range(24):
+        platform.send_request(f"close{i}", "/order/unnamed404", "POST", b"x")
+    got = {platform.send_request(f"new{i}", "/order/unnamed404", "POST", b"x")[::2] for i in range(6)}
+    transcript.write(f"an unnamed 404 on a new connection: {got}")
+
+
 def check_cut_heads(platform, transcript):
     for path in ("cutstatus", "cuthead", "cutline"):
         earn_retries(platform)
@@ -77,6 +102,8 @@
 def run_checks(platform, transcript):
     check_broken_streams(platform, transcript)
     check_repeated_refusals(platform, transcript)
+    check_repeated_failures(platform, transcript)
+    check_failures_on_new_connections(platform, transcript)
     check_cut_heads(platform, transcript)
 
 
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -321,6 +321,7 @@
         self.shed = set()
         self.lock = threading.Lock()
         self.connections = set()
+        self.request_counts = {}  # requests received so far, by connection
         self.start()
 
     def start(self):
@@ -386,9 +387,12 @@
             pass
         with self.lock:
             self.connections.discard(connection)
+            self.request_counts.pop(connection, None)
         connection.close()
 
     def respond(self, connection, head, body):
+        with self.lock:
+            self.request_counts[connection] = self.request_counts.get(connection, 0) + 1
         path = head.split(" ")[1].split("?")[0]
         if path == "/-/report":
             report = json.dumps({"born": self.start_count, "active": 0}).encode()
@@ -659,6 +663,30 @@
         connection.sendall(self.complete_response(attempt))
         return True
 
+    def fail_again(self, connection, attempt, status):
+        """Writes the failure of an earlier request on the connection, which names no request, once
+        more before the response."""
+        if self.request_counts[connection] > 1:
+            connection.sendall(f"HTTP/1.1 {status}\r\nServer-Signature: s\r\nContent-Length: 7\r\n\r\n"
+                               "earlier".encode())
+            time.sleep(0.05)
+        connection.sendall(self.complete_response(attempt))
+        return True
+
+    def do_again404(self, connection, attempt):
+        return self.fail_again(connection, attempt, "404 Not Found")
+
+    def do_again500(self, connection, attempt):
+        return self.fail_again(connection, attempt, "500 Oops")
+
+    def do_again504(self, connection, attempt):
+        return self.fail_again(connection, attempt, "504 Late")
+
+    def do_unnamed404(self, connection, attempt):
+        """Responds with a failure that names no request."""
+        connection.sendall(b"HTTP/1.1 404 Not Found\r\nConnection: close\r\nContent-Length: 3\r\n\r\nown")
+        return False
+
     def cut_head(self, connection, attempt, head):
         """Stops in the head of the first run's response and closes the connection."""
         if sum(1 for run in EXECUTIONS if run[0] == attempt) > 1:
