A request that is sent again gets a connection that hasn't carried it

The id names the caller's attempt, not the send. A stream that waits for an upstream forgets which ones it has tried and may go back to one of them, on the connection that was kept after a refusal. A late copy of that refusal has the right id and was taken for the answer to the second send: "not run" of a run that had begun, and the stream was sent once more.

An exchange now remembers the numbers of the connections that were kept after one of its attempts, upstreams and other nodes alike; one that the pool gives it again is closed, and another is taken. The list has at most one entry for each attempt. The same id in two exchanges of one node, which the protocol rules out, isn't covered.

--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -56,7 +56,9 @@
 /// thread.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
-  ClientConnection(boost::asio::io_context& loop, std::string address);
+  /// `number` tells the connections of one pool apart.
+  ClientConnection(boost::asio::io_context& loop, std::string address,
+                   std::int64_t number = 0);
 
   /// Sends `request`, the serialized bytes of one request with the given
   /// `method`, and then `body`, if it is not null, which others may share.
@@ -85,6 +87,7 @@
   /// True once any byte of the current request may have been sent.
   bool may_have_sent() const { return may_have_sent_; }
   const std::string& address() const { return address_; }
+  std::int64_t number() const { return number_; }
   /// Set by the owner once the peer's process has said on this connection which
   /// incarnation it is; empty before. A connection leads to one process for as
   /// long as it is open.
@@ -113,6 +116,7 @@
   static constexpr std::size_t kReadBufferBytes = std::size_t{8} * 1024;
 
   std::string address_;
+  std::int64_t number_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer connect_timer_;
   HttpReader reader_;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "pollenledge/connection/caller_server.h"
 #include "pollenledge/connection/client_connection.h"
@@ -84,6 +85,9 @@
     bool expects_stream = false;  ///< The route's responses are event streams.
     bool response_started = false;  ///< The caller received the response head.
     std::shared_ptr<ClientConnection> upstream_connection;
+    /// Numbers of the connections that were kept after an earlier attempt of
+    /// this request; one per attempt at most.
+    std::vector<std::int64_t> kept_connections;
     /// How long its connection had been idle before; empty for a new one.
     std::optional<Duration> connection_idle;
     bool is_relayed_on = false;  ///< The current attempt is at another node.
@@ -143,6 +147,12 @@
 
   /// Prepares the exchange for a new attempt.
   void ResetResponse(Exchange* exchange, RouteKind kind);
+  /// Returns a connection that has not carried this request before. An id names
+  /// the caller's attempt, so that a late copy of the response to an earlier
+  /// send can't be told from the response to the current one.
+  std::shared_ptr<ClientConnection> AcquireConnection(
+      const Exchange& exchange, const std::string& address,
+      ConnectionReuse reuse);
   /// Starts the exchange of an attempt on its connection.
   void StartAttempt(Exchange* exchange,
                     const forward_action::SendAttempt& send);
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -60,8 +60,9 @@
 }  // namespace
 
 ClientConnection::ClientConnection(boost::asio::io_context& loop,
-                                   std::string address)
+                                   std::string address, std::int64_t number)
     : address_(std::move(address)),
+      number_(number),
       socket_(loop),
       connect_timer_(loop),
       reader_(HttpReader::Role::kResponses, kMaxResponseHeadBytes,
@@ -345,7 +346,7 @@
 std::shared_ptr<ClientConnection> ClientConnectionPool::Open(
     const std::string& address) {
   ++opened_count_;
-  return std::make_shared<ClientConnection>(loop_, address);
+  return std::make_shared<ClientConnection>(loop_, address, opened_count_);
 }
 
 void ClientConnectionPool::Release(
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -69,12 +69,27 @@
     exchange->event_splitter.emplace(exchange->spec.last_event_id);
 }
 
+std::shared_ptr<ClientConnection> ForwardService::AcquireConnection(
+    const Exchange& exchange, const std::string& address,
+    ConnectionReuse reuse) {
+  const std::vector<std::int64_t>& kept = exchange.kept_connections;
+  while (true) {
+    std::shared_ptr<ClientConnection> connection =
+        upstream_pool_.Acquire(address, reuse, BootClockNow());
+    if (std::find(kept.begin(), kept.end(), connection->number()) ==
+        kept.end()) {
+      return connection;
+    }
+    connection->Abort();
+  }
+}
+
 void ForwardService::Execute(const forward_action::SendAttempt& send) {
   Exchange* exchange = FindExchange(send.id);
   if (exchange == nullptr) return;
   ResetResponse(exchange, send.kind);
-  exchange->upstream_connection = upstream_pool_.Acquire(
-      send.address, send.connection_reuse, BootClockNow());
+  exchange->upstream_connection =
+      AcquireConnection(*exchange, send.address, send.connection_reuse);
   metrics_.IncrementCounter("attempts_total");
   if (send.previous_end.has_value()) {
     metrics_.IncrementCounter(
@@ -100,7 +115,7 @@
   ResetResponse(exchange, relay.kind);
   exchange->is_relayed_on = true;
   exchange->upstream_connection =
-      upstream_pool_.Acquire(relay.address, relay.connection_reuse, now);
+      AcquireConnection(*exchange, relay.address, relay.connection_reuse);
   metrics_.IncrementCounter("relays_total");
   const std::vector<HttpField> fields = codec_.encode_relay(
       exchange->request_head, {relay.deadline - now, relay.last_event_id,
@@ -360,6 +375,10 @@
   // The response to this request may still follow a copy of an earlier one.
   if (!BelongsToRequest(exchange->evidence))
     exchange->upstream_connection->Abort();
+  if (exchange->upstream_connection->reusable()) {
+    exchange->kept_connections.push_back(
+        exchange->upstream_connection->number());
+  }
   upstream_pool_.Release(exchange->upstream_connection);
   exchange->upstream_connection.reset();
   const ForwardOutcome forward_end = ClassifyEnd(*exchange, end);
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -322,6 +322,9 @@
         self.lock = threading.Lock()
         self.connections = set()
         self.request_counts = {}  # requests received so far, by connection
+        self.refused_on = set()  # (attempt id, connection) of refusals that it repeats late
+        self.report = None  # the bytes of its report, if they aren't the usual ones
+        self.repeats_before_report = False  # On a used connection, an earlier response comes first.
         self.start()
 
     def start(self):
@@ -395,6 +398,12 @@
             self.request_counts[connection] = self.request_counts.get(connection, 0) + 1
         path = head.split(" ")[1].split("?")[0]
         if path == "/-/report":
+            if self.repeats_before_report and self.request_counts[connection] > 1:
+                connection.sendall(self.complete_response("earlier", b"other"))
+                time.sleep(0.05)
+            if self.report is not None:
+                connection.sendall(self.report)
+                return True
             report = json.dumps({"born": self.start_count, "active": 0}).encode()
             connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                                b"Content-Length: %d\r\n\r\n%s" % (len(report), report))
@@ -614,7 +623,7 @@
         connection.sendall(CHUNKED.replace(b"HEAD", head) + first + part * (HELD_BYTES // len(part)))
         return self.do_wait(connection, attempt)
 
-    def stream(self, connection, attempt, first, last, end):
+    def stream(self, connection, attempt, first, last, end, last_chunk=b"0\r\n\r\n"):
         """Streams the events `first` to `last`, then the end of the stream if `end` is set,
         else half an event. Returns whether the connection stays open."""
         connection.sendall((f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n"
@@ -624,7 +633,7 @@
             event = f"id: {i}\ndata: e{i}\n\n".encode()
             connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
         if end:
-            connection.sendall(b"0\r\n\r\n")
+            connection.sendall(last_chunk)
         else:
             connection.sendall(b"9\r\nid: 99\nda\r\n")  # Half an event.
         return end
@@ -687,6 +696,48 @@
         connection.sendall(b"HTTP/1.1 404 Not Found\r\nConnection: close\r\nContent-Length: 3\r\n\r\nown")
         return False
 
+    def refuse(self, connection, attempt, text=b""):
+        connection.sendall(self.complete_response(attempt, text, "503 Full").replace(
+            b"Server-Signature: ", b"Not-Executed: 1\r\nX-Runner: "))
+
+    def begin_and_fall_silent(self, connection, attempt):
+        """Streams two events and then nothing, if this is the first run of the request. Returns
+        False otherwise."""
+        with STREAM_RUNS_LOCK:
+            if any(run[0] == attempt for run in STREAM_RUNS):
+                return False
+            STREAM_RUNS.append((attempt, self.name))
+        self.stream(connection, attempt, 1, 2, True, last_chunk=b"")
+        self.do_wait(connection, attempt)
+        return True
+
+    def do_refusedlate(self, connection, attempt):
+        """The first runner begins the stream and falls silent. The other one refuses it the first
+        time and runs the rest the second time. On a connection on which it has refused the request,
+        it writes that refusal once more first."""
+        if self.begin_and_fall_silent(connection, attempt):
+            return False
+        began_here = any(run == (attempt, self.name) for run in STREAM_RUNS[:1])
+        is_first = not any(refused[0] == attempt for refused in self.refused_on)
+        if began_here or is_first:
+            self.refused_on.add((attempt, connection))
+            self.refuse(connection, attempt)
+            return True
+        if (attempt, connection) in self.refused_on:
+            self.refuse(connection, attempt)
+            time.sleep(0.05)
+        STREAM_RUNS.append((attempt, self.name))
+        last = int([run for run in EXECUTIONS if run[0] == attempt][-1][2] or 0)
+        return self.stream(connection, attempt, last + 1, 4, True)
+
+    def do_refusedlarge(self, connection, attempt):
+        """The first runner begins the stream and falls silent; afterwards each refuses it, with a
+        large body."""
+        if self.begin_and_fall_silent(connection, attempt):
+            return False
+        self.refuse(connection, attempt, b"x" * LARGE_RESPONSE_BYTES)
+        return True
+
     def cut_head(self, connection, attempt, head):
         """Stops in the head of the first run's response and closes the connection."""
         if sum(1 for run in EXECUTIONS if run[0] == attempt) > 1:
@@ -748,6 +799,8 @@
 
 EXECUTIONS = []  # (attempt id, runner, Last-Event-Id) in order, over all runners
 SHED_ATTEMPTS = set()
+STREAM_RUNS = []  # (attempt id, runner) of the streams that begin and fall silent, in order
+STREAM_RUNS_LOCK = threading.Lock()
 VERSIONED_EVENTS = 40
 VERSIONED_EVENT_SECONDS = 0.03
 CHUNKED = b"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n"
