A stream that waits for an upstream may hold the most bytes

BoundHeldBytes ends the attempt of the exchange that holds the most bytes. A stream that has begun and waits for an upstream holds the body of its last refusal, but has no connection: null dereference, the node ended (SIGSEGV). Its last response isn't used any more, so it is dropped.

Failed before: testsuite/platform_late_copies with 16 such streams, each refused with 3.9 MB: the node ended with signal 11.

--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -381,8 +381,13 @@
       exchanges_.begin(), exchanges_.end(), [](const auto& a, const auto& b) {
         return a.second.held_bytes < b.second.held_bytes;
       });
-  if (largest != exchanges_.end() && largest->second.held_bytes > 0)
-    RejectResponse(largest->first, "responses hold too much memory");
+  if (largest == exchanges_.end() || largest->second.held_bytes == 0) return;
+  if (largest->second.upstream_connection == nullptr) {
+    // A stream that waits for an upstream: its last response isn't used.
+    DiscardBufferedResponse(&largest->second);
+    return;
+  }
+  RejectResponse(largest->first, "responses hold too much memory");
 }
 
 void ForwardService::OnAttemptEnd(ForwardId id, ClientExchangeResult end) {
--- a/testsuite/platform_late_copies/run.py
+++ b/testsuite/platform_late_copies/run.py
@@ -119,6 +119,7 @@
     check_unclear_reports(platform, transcript)
     check_repeats_before_reports(platform, transcript)
     check_second_sends(platform, transcript)
+    check_large_refusals(platform, transcript)
 
 
 if __name__ == "__main__":
