Evictions for memory don't evict in turn

What callers saw: the process ends (SIGSEGV) and all its connections are lost, when its memory for request bodies is taken by two or more bodies that have stalled for a second and one more body arrives.

Cause: an eviction refuses the stalled request, and the bytes of that response were held while the request's own were still counted. The limits were still exceeded, so the response evicted another stalled client, whose response evicted the first one, without end. Where the recursion met the client that had asked for room, that one was refused although room was made for it, or closed while it was in use.

Evidence before the fix, on: - ByteBudgetTest.AnEvictionDoesNotEvictTheClientThatAsked: clients 2 and 1 were evicted instead of 2 alone. - AbusiveCallerTest.ARefusalDoesNotEvictTheCallerThatNeedsTheRoom: SIGSEGV; the stack repeats Evict, Refuse, Send, Hold, EvictForBytes. - platform_abusive_callers, row "one byte short, in two waves" (40 bodies, 1.5 s, 40 bodies again, 120 MB): the node ended with signal 11 and served no ordinary request within 40 s.

The budget evicts nobody while it evicts: what is held meanwhile is counted, and the loop of the client that needs the room goes on until it fits. A refused request releases its memory and enters its final state before the response is sent, so that it can't be refused twice.

--- a/src/include/pollenledge/process/byte_budget.h
+++ b/src/include/pollenledge/process/byte_budget.h
@@ -51,8 +51,10 @@
 /// callback, which must release what the client holds, with `Close` or by
 /// holding nothing. Only clients without progress are evicted, and never one
 /// whose complete request is being served. A client whose progress the process
-/// has not handled yet is passed over. Each operation takes constant time.
-/// Not thread-safe.
+/// has not handled yet is passed over. What is held while a client is evicted,
+/// such as the response to it, is counted but evicts nobody: the client that
+/// needs the room may be in the middle of its own work, and two clients must
+/// not evict each other. Each operation takes constant time. Not thread-safe.
 class ByteBudget {
  public:
   using ClientId = std::uint64_t;
@@ -181,6 +183,7 @@
   std::size_t held_bytes_ = 0;
   std::size_t large_request_bytes_ = 0;
   std::uint64_t evicted_count_ = 0;
+  bool evicting_ = false;  ///< A client's `Callbacks::evict` runs.
 };
 
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -290,13 +290,14 @@
 }
 
 void CallerConnection::Refuse(int status) {
+  if (state_ == State::kDiscarding) return;
   HttpHead head;
   head.status = status;
   if (handlers_->on_refused)
     head.fields = handlers_->on_refused(reader_.head(), status);
   keep_alive_ = false;
-  Send(SerializeHead(head) + "Content-Length: 0\r\n\r\n");
-  if (!open_) return;
+  // Sending may make other clients release memory. In state `kDiscarding` this
+  // request can be neither handed on nor refused again by then.
   reader_.Discard();
   state_ = State::kDiscarding;
   deadline_ = BootClockNow() + kDiscardTimeout;
@@ -304,6 +305,8 @@
   Hold(ByteBudget::Stage::kReader, 0);
   Hold(ByteBudget::Stage::kRequest, 0);
   UpdateActivity();
+  Send(SerializeHead(head) + "Content-Length: 0\r\n\r\n");
+  if (!open_) return;
   ArmTimer();
   if (!writing_) FinishWriting();
   Read();
--- a/src/libpollenledge/connection/caller_connection_test.cc
+++ b/src/libpollenledge/connection/caller_connection_test.cc
@@ -436,6 +436,77 @@
   EXPECT_EQ(received_.substr(0, 12), "HTTP/1.1 503");
 }
 
+// Guards against a process that ends because two stalled bodies evict each
+// other without end when memory is short, each for the bytes of the response to
+// the other, and against a request that is refused although room was made for
+// it, or refused twice on one connection (LOST, MIXED).
+TEST_F(AbusiveCallerTest, ARefusalDoesNotEvictTheCallerThatNeedsTheRoom) {
+  constexpr std::size_t kStep = std::size_t{64} * 1024;
+  constexpr auto kStall = std::chrono::milliseconds(30);
+  struct Case {
+    std::size_t room;
+    int refusals;  ///< Of the request that asks for two steps.
+  };
+  for (const Case& expected : {Case{4 * kStep, 0}, Case{2 * kStep, 1}}) {
+    SCOPED_TRACE(expected.room);
+    ByteBudgetLimits limits = MakeByteBudgetLimits(120, 3075);
+    limits.node_bytes = expected.room;
+    limits.stall_bound = kStall;
+    const auto budget = std::make_shared<ByteBudget>(limits);
+    CallerHandlers handlers;
+    handlers.limits = [] { return CallerLimits(); };
+    handlers.budget = budget;
+    int requests = 0;
+    handlers.on_request = [&](const std::shared_ptr<CallerConnection>&,
+                              const HttpHead&,
+                              const std::string&) { ++requests; };
+    handlers.on_disconnect = [](const std::shared_ptr<CallerConnection>&) {};
+    const auto shared = std::make_shared<const CallerHandlers>(handlers);
+    SocketPair asking(loop_);
+    SocketPair stalled(loop_);
+    const auto asking_connection =
+        std::make_shared<CallerConnection>(std::move(asking.near_end), shared);
+    const auto stalled_connection =
+        std::make_shared<CallerConnection>(std::move(stalled.near_end), shared);
+    ASSERT_TRUE(asking_connection->Start());
+    ASSERT_TRUE(stalled_connection->Start());
+    const std::string head =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10002\r\n";
+    boost::asio::write(asking.far_end,
+                       boost::asio::buffer(head + std::string(kStep - 1, 'x')));
+    RunUntil([&] { return budget->held_bytes() >= kStep; });
+    loop_.run_for(kStall);
+    const std::size_t rest = expected.room - budget->held_bytes() - 2000;
+    boost::asio::write(stalled.far_end,
+                       boost::asio::buffer("POST / HTTP/1.1\r\n"
+                                           "Content-Length: " +
+                                           std::to_string(rest) + "\r\n\r\n"));
+    RunUntil([&] { return budget->held_bytes() >= expected.room - 2000; });
+    loop_.run_for(2 * kStall);
+    // The next byte needs another step.
+    boost::asio::write(asking.far_end, boost::asio::buffer(std::string("xx")));
+    loop_.run_for(2 * kStall);
+    boost::asio::write(asking.far_end,
+                       boost::asio::buffer(std::string("x\r\n0\r\n\r\n")));
+    loop_.run_for(2 * kStall);
+    const auto refusals_of = [&](SocketPair& caller) {
+      SystemError ignored;  // Nothing to read, or the end of the connection.
+      caller.far_end.non_blocking(true);
+      const std::size_t size =
+          caller.far_end.read_some(boost::asio::buffer(buffer_), ignored);
+      const std::string received(buffer_.data(), size);
+      int count = 0;
+      for (std::size_t at = received.find("HTTP/1.1 503");
+           at != std::string::npos; at = received.find("HTTP/1.1 503", at + 1))
+        ++count;
+      return count;
+    };
+    EXPECT_EQ(refusals_of(stalled), 1);
+    EXPECT_EQ(refusals_of(asking), expected.refusals);
+    EXPECT_EQ(requests, 1 - expected.refusals);
+  }
+}
+
 // Guards against requests on kept connections that are lost because a late loop
 // closes the connections to make room for new ones (LOST).
 TEST_F(CallerConnectionTest, AnUnreadRequestIsNotEvicted) {
--- a/src/libpollenledge/process/byte_budget.cc
+++ b/src/libpollenledge/process/byte_budget.cc
@@ -209,6 +209,7 @@
 
 bool ByteBudget::EvictForBytes(ClientId keep, const std::string* customer,
                                TimePoint now) {
+  if (evicting_) return false;
   for (const Activity activity : {Activity::kReceiving, Activity::kSending}) {
     for (int i = 0; i < kEvictionCandidates; ++i) {
       const ClientId victim = FindLargestStalled(activity, keep, customer, now);
@@ -246,6 +247,7 @@
 }
 
 bool ByteBudget::EvictForConnection(ClientGroup group, TimePoint now) {
+  if (evicting_) return false;
   const auto& orders = orders_[static_cast<std::size_t>(group)];
   const auto evict_first = [&](Activity activity, Duration stall_bound) {
     return EvictFirst(orders[static_cast<std::size_t>(activity)], stall_bound,
@@ -289,7 +291,9 @@
   const auto found = clients_.find(id);
   // Copied, as the callback may close the client.
   const std::function<void(Need)> evict = found->second.callbacks.evict;
+  evicting_ = true;
   evict(need);
+  evicting_ = false;
   // A client that keeps its bytes must not be found again and again.
   const auto left = clients_.find(id);
   if (left == clients_.end()) return;
--- a/src/libpollenledge/process/byte_budget_test.cc
+++ b/src/libpollenledge/process/byte_budget_test.cc
@@ -117,6 +117,27 @@
   EXPECT_TRUE(evicted_.empty());
 }
 
+// Guards against a client that is evicted while it is itself being given room,
+// for the few bytes of the response that another one gets at its eviction. Two
+// clients evicted each other without end.
+TEST_F(ByteBudgetTest, AnEvictionDoesNotEvictTheClientThatAsked) {
+  const ByteBudget::ClientId asking = OpenReceiving("", kBody);
+  ByteBudget::ClientId refused = 0;
+  ByteBudget::Callbacks callbacks;
+  callbacks.evict = [&](Need) {
+    evicted_.push_back(refused);
+    budget_.Hold(refused, Stage::kWriter, 100, now_);
+  };
+  refused = budget_.Open(ClientGroup::kCallers, callbacks, now_).value_or(0);
+  budget_.SetActivity(refused, Activity::kReceiving, now_);
+  ASSERT_TRUE(budget_.TryHold(refused, Stage::kRequest,
+                              limits_.large_request_bytes - 2 * kBody, now_));
+  Wait(limits_.stall_bound);
+  EXPECT_TRUE(budget_.TryHold(asking, Stage::kRequest,
+                              limits_.large_request_bytes, now_));
+  EXPECT_EQ(evicted_, std::vector<ByteBudget::ClientId>{refused});
+}
+
 // Guards against a client that keeps its memory by sending a byte a second.
 TEST_F(ByteBudgetTest, AByteAtATimeIsNoProgress) {
   std::vector<ByteBudget::ClientId> clients;
--- a/testsuite/platform_abusive_callers/run.py
+++ b/testsuite/platform_abusive_callers/run.py
@@ -125,6 +125,15 @@
                      f"descriptors bounded: {open_descriptors <= MAX_FDS}, an ordinary request is served")
 
 
+def check_second_wave(platform, transcript):
+    """Bodies that stop short keep the machine's memory, and more bodies come once they have stalled. Guards
+    against a process that ends because each refusal that makes room evicts another stalled body."""
+    bodies = [FORMS["one byte short"]()] * CALLERS
+    with Crowd(platform, DIRECT, bodies):
+        time.sleep(1.5)  # The bodies in the node stall.
+        check_row(platform, transcript, "one byte short, in two waves", DIRECT, bodies)
+
+
 def mix():
     return [list(FORMS.values())[i % len(FORMS)]() for i in range(CALLERS)]
 
@@ -139,6 +148,7 @@
     platform.wait_until(lambda: all(is_served(platform, node) for node in (RELAYING, DIRECT)))
     for name, form in FORMS.items():
         check_row(platform, transcript, name, DIRECT, [form()] * CALLERS)
+    check_second_wave(platform, transcript)
     for name in ("whole bodies", "one byte short"):
         check_row(platform, transcript, f"{name}, relayed", RELAYING, [FORMS[name]()] * CALLERS)
     check_row(platform, transcript, "a mix", DIRECT, mix())
