Testsuite: upstreams as processes of their own that are killed and respond twice

Users' upstreams are processes; a killed one ends its connections in order, and stuttering ones respond twice.

Change: platform_upstream_processes/fleet.py starts nodes and upstreams as processes (some nodes without a path, so that they relay), callers that follow the protocol and a seeded series of faults, and compares what callers got with what each upstream logged: REFUSED, TWICE, MIXED, ORDER. The stand-ins' read_message is split into head and body; it spun where a connection ended in a body.

The case fails until the faults are mended.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -268,20 +268,34 @@
         self.address = f"127.0.0.1:{self.server.server_port}"
 
 
-def read_message(connection, buffer):
-    """Reads one request. Returns its head, its body and the bytes after it; the head is
-    None if the connection was closed."""
+def read_head(connection, buffer):
+    """Reads the head of a request. Returns it and the bytes after it; the head is None if the
+    connection was closed."""
     while b"\r\n\r\n" not in buffer:
         data = connection.recv(65536)
         if not data:
-            return None, b"", b""
+            return None, b""
         buffer += data
     head, rest = buffer.split(b"\r\n\r\n", 1)
-    length = re.search(rb"(?i)content-length: *(\d+)", head)
-    size = int(length.group(1)) if length else 0
-    while len(rest) < size:
-        rest += connection.recv(65536)
-    return head.decode(), rest[:size], rest[size:]
+    return head.decode(), rest
+
+
+def read_body(connection, head, buffer):
+    """Reads the body of a request whose head was read. Returns it and the bytes after it."""
+    size = int(header(head, "Content-Length") or 0)
+    while len(buffer) < size:
+        data = connection.recv(65536)
+        if not data:
+            raise ConnectionResetError
+        buffer += data
+    return buffer[:size], buffer[size:]
+
+
+def read_message(connection, buffer):
+    """Reads one request. Returns its head, its body and the bytes after it; the head is
+    None if the connection was closed."""
+    head, rest = read_head(connection, buffer)
+    return (None, b"", b"") if head is None else (head, *read_body(connection, head, rest))
 
 
 def header(head, name):
--- /dev/null
+++ b/testsuite/platform_upstream_processes/findings.py
@@ -0,0 +1,162 @@
+"""What a run is checked for at its end, from what callers saw and what upstreams logged.
+
+REFUSED: an attempt that may run at most once was answered with a status that promises that it didn't
+run and won't, and an upstream ran it, before or after.
+TWICE: such an attempt was run more than once.
+MIXED: a response isn't that of a run or an answer to that very attempt, a success isn't the whole
+body, or bytes came that belong to no request.
+ORDER: a stream lacks a piece, has one twice, joins pieces of two runs (a run that goes on behind the
+last piece may follow), or ends as complete before its last piece."""
+
+import json
+import re
+from collections import defaultdict
+
+from checks import NOT_RUN
+from platform_standins import header
+from upstream import STREAMING, digest
+
+AT_MOST_ONCE = ("order", "chat")
+RULES = ("REFUSED", "TWICE", "MIXED", "ORDER")
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\d+)/(\d+)\n\n")
+RESPONSE_TO = re.compile(rb"((?:read|order|chat|draft)-\d+-\d+) ")  # the attempt that a body names
+
+
+def read_events(paths):
+    """The lines that the upstreams logged, in order."""
+    lines = []
+    for path in paths:
+        lines += [json.loads(text) for text in path.read_text().split("\n") if text]
+    return sorted(lines, key=lambda line: line["at"])
+
+
+class Findings:
+    """The checks of one run."""
+
+    def __init__(self, fleet, events):
+        self.fleet = fleet
+        self.by_attempt = defaultdict(list)
+        self.runs = {}  # run: its line
+        for line in events:
+            if line.get("attempt"):
+                self.by_attempt[line["attempt"]].append(line)
+            if line["event"] == "run_begun":
+                self.runs[line["run"]] = line
+        self.found = []  # (rule, attempt, text)
+        for answer in fleet.answers:
+            self.check_refused(answer)
+            self.check_bytes(answer)
+            if answer.status:
+                self.check_answer(answer)
+        self.check_twice()
+
+    def find(self, rule, attempt, text):
+        self.found.append((rule, attempt, text))
+
+    def lines(self, attempt, *kinds):
+        return [line for line in self.by_attempt[attempt] if line["event"] in kinds]
+
+    def check_refused(self, answer):
+        runs = self.lines(answer.attempt, "run_begun")
+        if answer.kind in AT_MOST_ONCE and answer.status in NOT_RUN and runs:
+            later = runs[-1]["at"] > answer.ended_at
+            self.find("REFUSED", answer.attempt, f"answered {answer.status}, ran at {runs[0]['upstream']} "
+                      f"{'after' if later else 'before'} that")
+
+    def check_twice(self):
+        for attempt in self.by_attempt:
+            runs = self.lines(attempt, "run_begun")
+            if attempt.split("-")[0] in AT_MOST_ONCE and len(runs) > 1:
+                self.find("TWICE", attempt, f"ran {len(runs)} times: {', '.join(line['run'] for line in runs)}")
+
+    def check_bytes(self, answer):
+        if answer.unasked:
+            self.find("MIXED", answer.attempt, f"before its request was sent, these bytes came: {answer.unasked[:80]!r}")
+        if answer.behind:
+            self.find("MIXED", answer.attempt, f"bytes after its response: {answer.behind[:80]!r}")
+
+    def check_answer(self, answer):
+        """Checks status, body and signature against what the upstreams answered."""
+        named = header(answer.head, "Attempt-Id")
+        signature = header(answer.head, "Server-Signature")
+        success = 200 <= answer.status < 300
+        if named not in (None, answer.attempt):
+            self.find("MIXED", answer.attempt, f"{answer.status} with the id of {named}")
+        if others := {name.decode() for name in RESPONSE_TO.findall(answer.body)} - {answer.attempt}:
+            self.find("MIXED", answer.attempt, f"{answer.status} with the body of {', '.join(sorted(others))}")
+        elif signature is None and success:
+            self.find("MIXED", answer.attempt, f"{answer.status} without a signature")
+        elif success and answer.kind in STREAMING:
+            self.check_stream(answer, signature)
+        elif signature is not None and answer.whole:
+            self.check_body(answer, signature)
+
+    def check_body(self, answer, signature):
+        made = self.lines(answer.attempt, "answered")
+        mark = digest(answer.status, answer.body)
+        if any(line["digest"] == mark and signature == f"s.{line['run']}" for line in made):
+            return
+        ended = answer.body.endswith(f" end of {answer.attempt} {signature[2:]}\n".encode())
+        sizes = [f"{line['status']} of {line['size']} bytes by {line['framing']}" for line in made]
+        self.find("MIXED", answer.attempt,
+                  f"{answer.status} of {len(answer.body)} bytes {'with' if ended else 'without'} its end mark, "
+                  f"framing {answer.framing}; the upstreams answered {', '.join(sizes) or 'nothing'}")
+
+    def check_stream(self, answer, signature):
+        start, place, run, total = None, 0, None, None
+        for event in EVENT.finditer(answer.body):
+            if event.start() != place:
+                break
+            place = event.end()
+            number, attempt, its_run = int(event[1]), event[2].decode(), event[3].decode()
+            total = int(event[5])
+            if attempt != answer.attempt or int(event[4]) != number:
+                self.find("ORDER", answer.attempt, f"event {number} is event {event[4].decode()} of {attempt}")
+            if number != (start or 0) + 1:
+                self.find("ORDER", answer.attempt, f"event {number} after {start or 0}")
+            if its_run != run:
+                self.check_join(answer, run, its_run, number, signature)
+            start, run = number, its_run
+        rest = answer.body[place:]
+        if rest and answer.whole:
+            self.find("ORDER", answer.attempt, f"ends as complete with {rest[:60]!r}")
+        elif answer.whole and (total is None or start != total):
+            self.find("ORDER", answer.attempt, f"ends as complete after event {start or 0} of {total}")
+        elif rest and EVENT.search(rest):
+            self.find("ORDER", answer.attempt, f"bytes between events: {rest[:60]!r}")
+
+    def check_join(self, answer, run, its_run, number, signature):
+        """A run that follows another one must have gone on behind the last event."""
+        line = self.runs.get(its_run)
+        if run is None and signature != f"s.{its_run}":
+            self.find("MIXED", answer.attempt, f"signature {signature}, first event of {its_run}")
+        if line is None or line["attempt"] != answer.attempt or line["last"] != number - 1:
+            self.find("ORDER", answer.attempt, f"event {number} of {its_run} follows {run}; that run began at "
+                      f"{line and line['last']} of {line and line['attempt']}")
+        if run is not None and answer.kind in AT_MOST_ONCE:
+            self.find("ORDER", answer.attempt, f"pieces of {run} and {its_run} joined")
+
+    # Evidence.
+
+    def evidence(self, rule, attempt, text):
+        """The finding with what both ends and the nodes saw of its attempt, and of the one that its body names."""
+        answers = [answer for answer in self.fleet.answers if answer.attempt == attempt]
+        attempts = {attempt}
+        for answer in answers:
+            attempts |= {name.decode() for name in RESPONSE_TO.findall(answer.body)}
+        out = [f"{rule}: {attempt}: {text}"]
+        for answer in answers:
+            fields = " | ".join(line.strip() for line in answer.head.split("\r\n"))
+            out.append(f"  caller: {self.clock(answer.sent_at)} to {self.clock(answer.ended_at)} s, node {answer.node}, "
+                       f"request {answer.before + 1} of its connection, whole {answer.whole}, {answer.framing}, "
+                       f"{len(answer.body)} bytes, {answer.failure} [{fields}] {answer.body[:50]!r} .. "
+                       f"{answer.body[-50:]!r}")
+        for name in sorted(attempts):
+            for line in self.by_attempt[name]:
+                fields = " ".join(f"{key}={value}" for key, value in line.items() if key not in ("at", "event"))
+                out.append(f"  upstream: {self.clock(line['at'])} s {line['event']} {fields}")
+            out += [f"  node: {line}" for line in self.fleet.log_lines(name)]
+        return "\n".join(out)
+
+    def clock(self, at):
+        return f"{at - self.fleet.began:.3f}"
