Upstream processes: keep connections, findings counted by kind

Cause: a caller's check for unasked bytes waited for the socket's time limit, took that for an end, and closed each kept connection.

Change: the check doesn't wait. Findings have a kind, and three of each kind are printed.

--- a/testsuite/platform_upstream_processes/clients.py
+++ b/testsuite/platform_upstream_processes/clients.py
@@ -4,7 +4,6 @@
 import itertools
 import random
 import re
-import socket
 import threading
 import time
 from dataclasses import dataclass
@@ -52,8 +51,9 @@
 
     def waiting_bytes(self):
         """What has come though no request is waiting; None if the connection has ended."""
+        self.socket.settimeout(0)
         try:
-            data = self.socket.recv(65536, socket.MSG_DONTWAIT)
+            data = self.socket.recv(65536)
         except BlockingIOError:
             return b""
         except OSError:
--- a/testsuite/platform_upstream_processes/findings.py
+++ b/testsuite/platform_upstream_processes/findings.py
@@ -42,7 +42,7 @@
                 self.by_attempt[line["attempt"]].append(line)
             if line["event"] == "run_begun":
                 self.runs[line["run"]] = line
-        self.found = []  # (rule, attempt, text)
+        self.found = []  # (rule, what, attempt, text)
         for answer in fleet.answers:
             self.check_refused(answer)
             self.check_bytes(answer)
@@ -50,8 +50,9 @@
                 self.check_answer(answer)
         self.check_twice()
 
-    def find(self, rule, attempt, text):
-        self.found.append((rule, attempt, text))
+    def find(self, rule, what, attempt, text):
+        """Notes a finding. `what` names its kind, by which findings are counted and printed."""
+        self.found.append((rule, what, attempt, text))
 
     def lines(self, attempt, *kinds):
         return [line for line in self.by_attempt[attempt] if line["event"] in kinds]
@@ -60,20 +61,20 @@
         runs = self.lines(answer.attempt, "run_begun")
         if answer.kind in AT_MOST_ONCE and answer.status in NOT_RUN and runs:
             later = runs[-1]["at"] > answer.ended_at
-            self.find("REFUSED", answer.attempt, f"answered {answer.status}, ran at {runs[0]['upstream']} "
-                      f"{'after' if later else 'before'} that")
+            self.find("REFUSED", "ran after" if later else "ran before", answer.attempt,
+                      f"answered {answer.status}, ran at {', '.join(line['upstream'] for line in runs)}")
 
     def check_twice(self):
         for attempt in self.by_attempt:
             runs = self.lines(attempt, "run_begun")
             if attempt.split("-")[0] in AT_MOST_ONCE and len(runs) > 1:
-                self.find("TWICE", attempt, f"ran {len(runs)} times: {', '.join(line['run'] for line in runs)}")
+                self.find("TWICE", "runs", attempt, f"ran {len(runs)} times: {', '.join(line['run'] for line in runs)}")
 
     def check_bytes(self, answer):
         if answer.unasked:
-            self.find("MIXED", answer.attempt, f"before its request was sent, these bytes came: {answer.unasked[:80]!r}")
+            self.find("MIXED", "bytes unasked", answer.attempt, f"came before its request: {answer.unasked[:80]!r}")
         if answer.behind:
-            self.find("MIXED", answer.attempt, f"bytes after its response: {answer.behind[:80]!r}")
+            self.find("MIXED", "bytes behind", answer.attempt, f"after its response: {answer.behind[:80]!r}")
 
     def check_answer(self, answer):
         """Checks status, body and signature against what the upstreams answered."""
@@ -81,11 +82,11 @@
         signature = header(answer.head, "Server-Signature")
         success = 200 <= answer.status < 300
         if named not in (None, answer.attempt):
-            self.find("MIXED", answer.attempt, f"{answer.status} with the id of {named}")
+            self.find("MIXED", "id of another", answer.attempt, f"{answer.status} with the id of {named}")
         if others := {name.decode() for name in RESPONSE_TO.findall(answer.body)} - {answer.attempt}:
-            self.find("MIXED", answer.attempt, f"{answer.status} with the body of {', '.join(sorted(others))}")
+            self.find("MIXED", "body of another", answer.attempt, f"{answer.status} with the body of {', '.join(sorted(others))}")
         elif signature is None and success:
-            self.find("MIXED", answer.attempt, f"{answer.status} without a signature")
+            self.find("MIXED", "unsigned", answer.attempt, f"{answer.status} without a signature")
         elif success and answer.kind in STREAMING:
             self.check_stream(answer, signature)
         elif signature is not None and answer.whole:
@@ -98,9 +99,8 @@
             return
         ended = answer.body.endswith(f" end of {answer.attempt} {signature[2:]}\n".encode())
         sizes = [f"{line['status']} of {line['size']} bytes by {line['framing']}" for line in made]
-        self.find("MIXED", answer.attempt,
-                  f"{answer.status} of {len(answer.body)} bytes {'with' if ended else 'without'} its end mark, "
-                  f"framing {answer.framing}; the upstreams answered {', '.join(sizes) or 'nothing'}")
+        self.find("MIXED", "not as answered" if ended else "half a body", answer.attempt,
+                  f"{answer.status} of {len(answer.body)} bytes, framing {answer.framing}; the upstreams answered {', '.join(sizes) or 'nothing'}")
 
     def check_stream(self, answer, signature):
         start, place, run, total = None, 0, None, None
@@ -111,40 +111,40 @@
             number, attempt, its_run = int(event[1]), event[2].decode(), event[3].decode()
             total = int(event[5])
             if attempt != answer.attempt or int(event[4]) != number:
-                self.find("ORDER", answer.attempt, f"event {number} is event {event[4].decode()} of {attempt}")
+                self.find("ORDER", "event of another", answer.attempt, f"event {number} is event {event[4].decode()} of {attempt}")
             if number != (start or 0) + 1:
-                self.find("ORDER", answer.attempt, f"event {number} after {start or 0}")
+                self.find("ORDER", "gap or repeat", answer.attempt, f"event {number} after {start or 0}")
             if its_run != run:
                 self.check_join(answer, run, its_run, number, signature)
             start, run = number, its_run
         rest = answer.body[place:]
         if rest and answer.whole:
-            self.find("ORDER", answer.attempt, f"ends as complete with {rest[:60]!r}")
+            self.find("ORDER", "ends in an event", answer.attempt, f"ends as complete with {rest[:60]!r}")
         elif answer.whole and (total is None or start != total):
-            self.find("ORDER", answer.attempt, f"ends as complete after event {start or 0} of {total}")
+            self.find("ORDER", "ends too early", answer.attempt, f"ends as complete after event {start or 0} of {total}")
         elif rest and EVENT.search(rest):
-            self.find("ORDER", answer.attempt, f"bytes between events: {rest[:60]!r}")
+            self.find("ORDER", "bytes between events", answer.attempt, f"bytes between events: {rest[:60]!r}")
 
     def check_join(self, answer, run, its_run, number, signature):
         """A run that follows another one must have gone on behind the last event."""
         line = self.runs.get(its_run)
         if run is None and signature != f"s.{its_run}":
-            self.find("MIXED", answer.attempt, f"signature {signature}, first event of {its_run}")
+            self.find("MIXED", "signature of another", answer.attempt, f"signature {signature}, first event of {its_run}")
         if line is None or line["attempt"] != answer.attempt or line["last"] != number - 1:
-            self.find("ORDER", answer.attempt, f"event {number} of {its_run} follows {run}; that run began at "
+            self.find("ORDER", "joined runs", answer.attempt, f"event {number} of {its_run} follows {run}; that run began at "
                       f"{line and line['last']} of {line and line['attempt']}")
         if run is not None and answer.kind in AT_MOST_ONCE:
-            self.find("ORDER", answer.attempt, f"pieces of {run} and {its_run} joined")
+            self.find("ORDER", "joined runs", answer.attempt, f"pieces of {run} and {its_run} joined")
 
     # Evidence.
 
-    def evidence(self, rule, attempt, text):
+    def evidence(self, rule, what, attempt, text):
         """The finding with what both ends and the nodes saw of its attempt, and of the one that its body names."""
         answers = [answer for answer in self.fleet.answers if answer.attempt == attempt]
         attempts = {attempt}
         for answer in answers:
             attempts |= {name.decode() for name in RESPONSE_TO.findall(answer.body)}
-        out = [f"{rule}: {attempt}: {text}"]
+        out = [f"{rule}, {what}: {attempt}: {text}"]
         for answer in answers:
             fields = " | ".join(line.strip() for line in answer.head.split("\r\n"))
             out.append(f"  caller: {self.clock(answer.sent_at)} to {self.clock(answer.ended_at)} s, node {answer.node}, "
--- a/testsuite/platform_upstream_processes/fleet.py
+++ b/testsuite/platform_upstream_processes/fleet.py
@@ -30,7 +30,7 @@
 from soak import Soak  # noqa: E402
 
 MAX_PROCESSES = 200
-PRINTED_FINDINGS = 8
+PRINTED_FINDINGS = 3  # of each kind
 
 
 class PathlessStore(Store):
@@ -233,7 +233,7 @@
 
     def counts(self):
         """Findings by rule. A node that ended by itself or a check that failed counts too."""
-        counts = Counter(rule for rule, _, _ in self.found)
+        counts = Counter(rule for rule, *_ in self.found)
         counts.update(line.split(" at ")[0] for line in self.findings)
         return counts
 
@@ -242,9 +242,11 @@
         statuses = Counter(answer.status for answer in self.answers)
         print(json.dumps({
             "seed": options.seed, "nodes": options.nodes, "upstreams": options.upstreams, "faults": len(faults),
-            "attempts": len(self.answers), "statuses": dict(sorted(statuses.items())),
+            "attempts": len(self.answers), "on_kept_connections": sum(answer.before > 0 for answer in self.answers),
+            "statuses": dict(sorted(statuses.items())),
             "relayed": sum(node.read_log().count('"relayed"') for node in self.nodes),
-            "findings": dict(self.counts())}), flush=True)
+            "findings": dict(self.counts()),
+            "kinds": dict(Counter(f"{rule}, {what}" for rule, what, *_ in self.found))}), flush=True)
         if not self.found and not self.findings:
             return
         texts = [self.findings_made.evidence(*finding) for finding in self.found]
@@ -252,8 +254,10 @@
         (self.folder / "faults").write_text("\n".join(map(str, faults)) + "\n")
         for node in self.nodes:
             shutil.copy(node.log.name, self.folder / f"{node.name}.log")
-        for rule in RULES:
-            for text in [text for text in texts if text.startswith(rule)][:PRINTED_FINDINGS]:
+        printed = Counter()
+        for finding, text in sorted(zip(self.found, texts), key=lambda pair: RULES.index(pair[0][0])):
+            printed[finding[:2]] += 1
+            if printed[finding[:2]] <= PRINTED_FINDINGS:
                 print(text)
         for text in self.findings:
             print(text)
