--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -823,6 +823,7 @@
     that concern a single node refer to the first one."""
 
     node_type = Node
+    runner_type = Runner
 
     def __init__(self, nodes=1, runners=3, slots=8):
         self.node_count, self.runner_count, self.slots = nodes, runners, slots
@@ -831,7 +832,7 @@
         self.store, self.cloud = Store(), Cloud()
         self.store.put("op/config", config(1))
         self.store.put("servers/garbage", b"\xff\xfe not json")
-        self.runners = [Runner(f"i-{i}", self.store, slots=self.slots) for i in range(self.runner_count)]
+        self.runners = [self.runner_type(f"i-{i}", self.store, slots=self.slots) for i in range(self.runner_count)]
         hosts = [f"127.0.0.{i + 1}" for i in range(self.node_count)]
         peer_port = free_peer_port()
         self.nodes = [self.node_type(f"n{i + 1}", host, peer_port, hosts[:3], self.store, self.cloud)
--- a/testsuite/platform_upstream_processes/clients.py
+++ b/testsuite/platform_upstream_processes/clients.py
@@ -2,13 +2,11 @@
 with an id of its own. They keep all that they got, for the checks at the end."""
 
 import itertools
-import random
 import re
-import threading
 import time
 from dataclasses import dataclass
 
-from callers import DEADLINE_MS, HOME_NODES, Connection, parse_chunks
+from callers import DEADLINE_MS, Caller, Connection, parse_chunks
 from checks import NOT_RUN
 from platform_standins import header
 from upstream import LONG_BODY_BYTES
@@ -104,22 +102,14 @@
                 return
 
 
-class Client:
+class Client(Caller):
     """A caller with one connection to each of some nodes."""
 
     numbers = itertools.count(1)
 
-    def __init__(self, fleet, number):
-        self.fleet = fleet
-        self.chance = random.Random(f"{fleet.options.seed} client {number}")
-        self.home = self.chance.sample(fleet.nodes, min(HOME_NODES, len(fleet.nodes)))
-        self.kept = {}  # node: connection
-        self.thread = threading.Thread(target=fleet.guard, args=(self.run,), daemon=True)
-        self.thread.start()
-
     def run(self):
         time.sleep(self.chance.random())
-        while not self.fleet.stopped.is_set():
+        while not self.soak.stopped.is_set():
             kind = self.chance.choice(KINDS)
             self.request(kind, f"{kind}-{next(Client.numbers)}")
             time.sleep(self.chance.uniform(0, 0.03))
@@ -130,9 +120,9 @@
         end = time.monotonic() + DEADLINE_MS / 1000
         for number in range(TRIES):
             answer = self.send(kind, f"{name}-{number}", b"b" * size, kept=number == 0)
-            self.fleet.on_answer(answer)
+            self.soak.on_answer(answer)
             left = end - time.monotonic()
-            if not self.may_retry(answer) or left < 0.2 or self.fleet.stopped.is_set():
+            if not self.may_retry(answer) or left < 0.2 or self.soak.stopped.is_set():
                 return
             wait = header(answer.head, "Retry-After")
             time.sleep(min(float(wait), left * MAX_WAIT_SHARE) if wait else 0.02)
@@ -150,7 +140,7 @@
         answer = Answer(attempt, kind, node.name, sent_at=time.monotonic())
         connection = None
         try:
-            connection = self.connect(node, kept, answer)
+            connection = self.connection_to(node, kept, answer)
             answer.before, connection.count = connection.count, connection.count + 1
             answer.sent_at = time.monotonic()
             self.send_and_read(connection, answer, body)
@@ -166,11 +156,10 @@
         answer.ended_at = time.monotonic()
         return answer
 
-    @staticmethod
-    def send_and_read(connection, answer, body):
+    def send_and_read(self, connection, answer, body):
         """A node may respond before it has read the body and close, so a failed send is followed by a read."""
         try:
-            connection.send(answer.attempt, f"/{answer.kind}/x", body)
+            connection.send(answer.attempt, f"/{answer.kind}/x", body, cut=self.cut_place())
         except OSError as error:
             connection.sent_at = time.monotonic()
             answer.failure = repr(error)
@@ -180,7 +169,7 @@
     def says_close(answer):
         return re.search(r"(?im)^connection: *close", answer.head) is not None
 
-    def connect(self, node, kept, answer):
+    def connection_to(self, node, kept, answer):
         """A connection to the node, the kept one if it may be used."""
         if kept and (connection := self.kept.get(node)) is not None:
             waiting = connection.waiting_bytes()
--- a/testsuite/platform_upstream_processes/faults.py
+++ b/testsuite/platform_upstream_processes/faults.py
@@ -8,7 +8,8 @@
 QUIET_SECONDS = 4.0  # without faults, at the end
 LENGTHS = (0.3, 0.6, 1.2, 3.0)  # seconds
 KINDS = {"kill_upstream": 6, "stop_upstream": 5, "kill_stopped_upstream": 2, "drain_upstream": 2,
-         "remove_upstream": 1, "stop": 4, "kill": 2, "term": 2, "term_stopped": 1}
+         "remove_upstream": 1, "stop": 4, "kill": 2, "term": 2, "term_stopped": 1, "hup": 1, "kill_all": 0.5,
+         "store_down": 2, "cut_watches": 1}
 
 
 def draw_faults(options):
@@ -20,12 +21,9 @@
         at = chance.uniform(WARM_UP_SECONDS, end)
         kind = chance.choices(list(KINDS), list(KINDS.values()))[0]
         length = chance.choice(LENGTHS)
-        if kind.endswith("upstream"):
-            args = (chance.randrange(options.upstreams),)
-            if kind != "kill_upstream":
-                args += (length,)
-        else:
-            args = (chance.randrange(options.nodes),)
-            args += {"stop": (length,), "term_stopped": (round(chance.uniform(0, 2), 2), length)}.get(kind, ())
+        node, upstream = chance.randrange(options.nodes), chance.randrange(options.upstreams)
+        args = {"kill_upstream": (upstream,), "stop": (node, length), "kill": (node,), "term": (node,),
+                "term_stopped": (node, round(chance.uniform(0, 2), 2), length), "hup": (node,), "kill_all": (),
+                "store_down": (length,), "cut_watches": ()}.get(kind, (upstream, length))
         faults.append(Fault(at, kind, *args))
     return sorted(faults, key=lambda fault: fault.at)
--- a/testsuite/platform_upstream_processes/findings.py
+++ b/testsuite/platform_upstream_processes/findings.py
@@ -72,7 +72,8 @@
 
     def check_bytes(self, answer):
         if answer.unasked:
-            self.find("MIXED", "bytes unasked", answer.attempt, f"came before its request: {answer.unasked[:80]!r}")
+            self.find("MIXED", "bytes unasked", answer.attempt,
+                      f"came before its request: {answer.unasked[:80]!r}")
         if answer.behind:
             self.find("MIXED", "bytes behind", answer.attempt, f"after its response: {answer.behind[:80]!r}")
 
@@ -84,7 +85,8 @@
         if named not in (None, answer.attempt):
             self.find("MIXED", "id of another", answer.attempt, f"{answer.status} with the id of {named}")
         if others := {name.decode() for name in RESPONSE_TO.findall(answer.body)} - {answer.attempt}:
-            self.find("MIXED", "body of another", answer.attempt, f"{answer.status} with the body of {', '.join(sorted(others))}")
+            self.find("MIXED", "body of another", answer.attempt,
+                      f"{answer.status} with the body of {', '.join(sorted(others))}")
         elif signature is None and success:
             self.find("MIXED", "unsigned", answer.attempt, f"{answer.status} without a signature")
         elif success and answer.kind in STREAMING:
@@ -100,7 +102,8 @@
         ended = answer.body.endswith(f" end of {answer.attempt} {signature[2:]}\n".encode())
         sizes = [f"{line['status']} of {line['size']} bytes by {line['framing']}" for line in made]
         self.find("MIXED", "not as answered" if ended else "half a body", answer.attempt,
-                  f"{answer.status} of {len(answer.body)} bytes, framing {answer.framing}; the upstreams answered {', '.join(sizes) or 'nothing'}")
+                  f"{answer.status} of {len(answer.body)} bytes, framing {answer.framing}; "
+                  f"the upstreams answered {', '.join(sizes) or 'nothing'}")
 
     def check_stream(self, answer, signature):
         start, place, run, total = None, 0, None, None
@@ -111,7 +114,8 @@
             number, attempt, its_run = int(event[1]), event[2].decode(), event[3].decode()
             total = int(event[5])
             if attempt != answer.attempt or int(event[4]) != number:
-                self.find("ORDER", "event of another", answer.attempt, f"event {number} is event {event[4].decode()} of {attempt}")
+                self.find("ORDER", "event of another", answer.attempt,
+                          f"event {number} is event {event[4].decode()} of {attempt}")
             if number != (start or 0) + 1:
                 self.find("ORDER", "gap or repeat", answer.attempt, f"event {number} after {start or 0}")
             if its_run != run:
@@ -121,17 +125,21 @@
         if rest and answer.whole:
             self.find("ORDER", "ends in an event", answer.attempt, f"ends as complete with {rest[:60]!r}")
         elif answer.whole and (total is None or start != total):
-            self.find("ORDER", "ends too early", answer.attempt, f"ends as complete after event {start or 0} of {total}")
+            self.find("ORDER", "ends too early", answer.attempt,
+                      f"ends as complete after event {start or 0} of {total}")
         elif rest and EVENT.search(rest):
-            self.find("ORDER", "bytes between events", answer.attempt, f"bytes between events: {rest[:60]!r}")
+            self.find("ORDER", "bytes between events", answer.attempt,
+                      f"bytes between events: {rest[:60]!r}")
 
     def check_join(self, answer, run, its_run, number, signature):
         """A run that follows another one must have gone on behind the last event."""
         line = self.runs.get(its_run)
         if run is None and signature != f"s.{its_run}":
-            self.find("MIXED", "signature of another", answer.attempt, f"signature {signature}, first event of {its_run}")
+            self.find("MIXED", "signature of another", answer.attempt,
+                      f"signature {signature}, first event of {its_run}")
         if line is None or line["attempt"] != answer.attempt or line["last"] != number - 1:
-            self.find("ORDER", "joined runs", answer.attempt, f"event {number} of {its_run} follows {run}; that run began at "
+            self.find("ORDER", "joined runs", answer.attempt,
+                      f"event {number} of {its_run} follows {run}; that run began at "
                       f"{line and line['last']} of {line and line['attempt']}")
         if run is not None and answer.kind in AT_MOST_ONCE:
             self.find("ORDER", "joined runs", answer.attempt, f"pieces of {run} and {its_run} joined")
@@ -139,7 +147,7 @@
     # Evidence.
 
     def evidence(self, rule, what, attempt, text):
-        """The finding with what both ends and the nodes saw of its attempt, and of the one that its body names."""
+        """The finding with what both ends and the nodes saw of its attempt and of those its body names."""
         answers = [answer for answer in self.fleet.answers if answer.attempt == attempt]
         attempts = {attempt}
         for answer in answers:
@@ -147,10 +155,10 @@
         out = [f"{rule}, {what}: {attempt}: {text}"]
         for answer in answers:
             fields = " | ".join(line.strip() for line in answer.head.split("\r\n"))
-            out.append(f"  caller: {self.clock(answer.sent_at)} to {self.clock(answer.ended_at)} s, node {answer.node}, "
-                       f"request {answer.before + 1} of its connection, whole {answer.whole}, {answer.framing}, "
-                       f"{len(answer.body)} bytes, {answer.failure} [{fields}] {answer.body[:50]!r} .. "
-                       f"{answer.body[-50:]!r}")
+            out.append(f"  caller: {self.clock(answer.sent_at)} to {self.clock(answer.ended_at)} s, "
+                       f"node {answer.node}, request {answer.before + 1} of its connection, whole {answer.whole}, "
+                       f"{answer.framing}, {len(answer.body)} bytes, {answer.failure} [{fields}] "
+                       f"{answer.body[:50]!r} .. {answer.body[-50:]!r}")
         for name in sorted(attempts):
             for line in self.by_attempt[name]:
                 fields = " ".join(f"{key}={value}" for key, value in line.items() if key not in ("at", "event"))
--- a/testsuite/platform_upstream_processes/fleet.py
+++ b/testsuite/platform_upstream_processes/fleet.py
@@ -28,6 +28,7 @@
 from findings import RULES, Findings, read_events  # noqa: E402
 from platform_standins import Cloud, Node, Platform, Store, config, free_peer_port, free_port, route  # noqa: E402
 from soak import Soak  # noqa: E402
+from upstream import add_shares  # noqa: E402
 
 MAX_PROCESSES = 200
 PRINTED_FINDINGS = 3  # of each kind
@@ -84,7 +85,8 @@
         program = Path(__file__).resolve().parent / "upstream.py"
         self.process = subprocess.Popen(
             [sys.executable, program, "--name", self.name, "--address", self.address, "--store",
-             self.fleet.store.address, "--events", self.events, "--seed", str(self.fleet.options.seed)])
+             self.fleet.store.address, "--events", self.events, "--seed", str(self.fleet.options.seed),
+             "--unnamed", str(self.fleet.options.unnamed), "--dies", str(self.fleet.options.dies)])
 
     def entry(self):
         return json.loads(self.fleet.store.items[f"servers/{self.name}"][0])
@@ -99,7 +101,7 @@
 
     def restart(self):
         time.sleep(self.chance.choice((0.05, 0.3, 1.0, 2.0)))
-        if self.chance.random() < 0.5:
+        if self.chance.random() >= self.fleet.options.other_id:
             self.start()
             return
         gone, self.name = self.name, next(self.names)
@@ -276,13 +278,17 @@
 def parse_options(arguments=None):
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--seed", type=int, default=1, help="draws the faults and what upstreams and callers do")
-    parser.add_argument("--seconds", type=float, default=30, help=f"length; the last {QUIET_SECONDS:.0f} without faults")
+    parser.add_argument("--seconds", type=float, default=30,
+                        help=f"length; the last {QUIET_SECONDS:.0f} without faults")
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--upstreams", type=int, default=8)
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--faults", type=float, default=2.0, help="a second, on average")
     parser.add_argument("--cut", type=float, default=0.25, help="share of the nodes without a path to the upstreams")
     parser.add_argument("--build", type=Path, default=Node.build, help="folder of the build whose nodes are run")
+    add_shares(parser)
+    parser.add_argument("--other-id", type=float, default=0.5,
+                        help="share of the upstreams' starts under an address that get another id")
     options = parser.parse_args(arguments)
     options.production = None
     if options.seconds < WARM_UP_SECONDS + QUIET_SECONDS + 1:
@@ -290,7 +296,7 @@
     if min(options.nodes, options.upstreams, options.callers) < 1 or options.faults < 0:
         parser.error("--nodes, --upstreams and --callers must be 1 or more, --faults 0 or more")
     if options.nodes + options.upstreams > MAX_PROCESSES:
-        parser.error(f"--nodes and --upstreams: at most {MAX_PROCESSES} together, the processes that one machine bears")
+        parser.error(f"--nodes and --upstreams: at most {MAX_PROCESSES} together, which one machine bears")
     if not 0 <= options.cut < 1:
         parser.error("--cut must be 0 or more and less than 1")
     if not (options.build / "src/pollen_node/pollen_node").exists():
--- a/testsuite/platform_upstream_processes/upstream.py
+++ b/testsuite/platform_upstream_processes/upstream.py
@@ -39,17 +39,17 @@
 class Plan:
     """What the upstream does with one send of a request."""
 
-    def __init__(self, chance):
+    def __init__(self, chance, options):
         self.refusal = chance.choice((503, 503, 429, 421)) if chance.random() < 0.12 else 0
         self.early_refusal = chance.random() < 0.3
         self.status = chance.choices((200, 500, 404), (84, 8, 8))[0]
-        self.named = self.status == 200 or chance.random() < 0.5
+        self.named = self.status == 200 or chance.random() >= options.unnamed
         self.framing = chance.choices(("length", "chunks", "connection_end"), (4, 3, 3))[0]
         self.size = chance.choice((60, 3000, 30_000, 200_000))
         self.pieces = chance.randrange(2, 6)
         self.pause = chance.choice((0.002, 0.01, 0.05))  # seconds between the pieces
         self.run_seconds = chance.choice((0, 0, 0.01, 0.05, 0.3))
-        self.dies = chance.random() < 0.01  # in the middle of the body
+        self.dies = chance.random() < options.dies  # in the middle of the body
         self.copy = chance.choices(("none", "at_once", "late", "next"), (76, 6, 8, 10))[0]
         self.copy_delay = chance.uniform(0.001, 0.05)
         self.copy_whole = chance.random() < 0.5
@@ -137,7 +137,7 @@
         count = self.upstream.count_send(self.attempt)
         options = self.upstream.options
         chance = random.Random(f"{options.seed} {options.name} {self.attempt} {count}")
-        plan = Plan(chance)
+        plan = Plan(chance, options)
         target, kind = header(head, "Target-Instance"), path.split("/")[1]
         size = int(header(head, "Content-Length") or 0)
         last = int(header(head, "Last-Event-Id") or 0)
@@ -244,7 +244,8 @@
                     f"Content-Length: {len(body)}\r\n\r\n{body}").encode()
         self.connection.sendall(data)
         count = upstream.count_send(path)
-        plan = Plan(random.Random(f"{upstream.options.seed} {upstream.options.name} {path} {count}"))
+        chance = random.Random(f"{upstream.options.seed} {upstream.options.name} {path} {count}")
+        plan = Plan(chance, upstream.options)
         self.copy(plan, path, data)
         return True
 
@@ -273,6 +274,12 @@
             self.send_pieces([data[:len(data) // 2], data[len(data) // 2:]], 0.005)
 
 
+def add_shares(parser):
+    """Options of what the upstreams do how often. They are also those of a whole run."""
+    parser.add_argument("--unnamed", type=float, default=0.5, help="share of the failures that name no request")
+    parser.add_argument("--dies", type=float, default=0.01, help="share of the bodies in which an upstream ends itself")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--name", required=True, help="the id of this incarnation")
@@ -281,6 +288,7 @@
     parser.add_argument("--events", required=True, help="file to which it appends its events")
     parser.add_argument("--seed", default="1")
     parser.add_argument("--slots", type=int, default=16, help="requests that it says it runs at once")
+    add_shares(parser)
     Upstream(parser.parse_args()).serve()
 
 
