Upstream processes: bodies without a length as an option, callers resume streams

Cause: bodies cut in orderly ends and failures without an id made nearly all findings, so that other causes were hard to see. Callers took up no stream that broke, as the protocol allows.

Callers take up a broken stream of a resumable route with Last-Event-Id; ORDER is checked from there.

--- a/testsuite/platform_upstream_processes/clients.py
+++ b/testsuite/platform_upstream_processes/clients.py
@@ -9,12 +9,13 @@
 from callers import DEADLINE_MS, Caller, Connection, parse_chunks
 from checks import NOT_RUN
 from platform_standins import header
-from upstream import LONG_BODY_BYTES
+from upstream import EVENT_COUNT, LONG_BODY_BYTES
 
 IDLE_SECONDS = 6.0  # the idle timeout of callers' connections, by the configuration
 TRIES = 4  # of one request, within its deadline
 FINAL = (400, 401, 404, 413, 431)  # statuses after which no request is retried
 KINDS = ("read", "order", "order", "chat", "draft")
+EVENT_ID = re.compile(rb"id: (\d+)\ndata: .*\n\n")  # of a whole event
 MAX_WAIT_SHARE = 1 / 3  # of the time left, for which a caller honours Retry-After
 
 
@@ -28,6 +29,7 @@
     node: str
     sent_at: float = 0.0
     ended_at: float = 0.0
+    last: int = 0  # the event behind which the attempt asks a stream to go on
     before: int = 0
     status: int = 0
     head: str = ""
@@ -118,26 +120,29 @@
         """Sends a request, and again as the protocol allows."""
         size = self.chance.choices((0, 10, 3000, LONG_BODY_BYTES + 50_000), (4, 3, 2, 1))[0]
         end = time.monotonic() + DEADLINE_MS / 1000
+        last = 0
         for number in range(TRIES):
-            answer = self.send(kind, f"{name}-{number}", b"b" * size, kept=number == 0)
+            answer = self.send(kind, f"{name}-{number}", b"b" * size, number == 0, last)
             self.soak.on_answer(answer)
+            last = max([last, *(int(event) for event in EVENT_ID.findall(answer.body))])
             left = end - time.monotonic()
-            if not self.may_retry(answer) or left < 0.2 or self.soak.stopped.is_set():
+            if not self.may_retry(answer) or last >= EVENT_COUNT or left < 0.2 or self.soak.stopped.is_set():
                 return
             wait = header(answer.head, "Retry-After")
             time.sleep(min(float(wait), left * MAX_WAIT_SHARE) if wait else 0.02)
 
     @staticmethod
     def may_retry(answer):
+        """Streams that can be resumed are taken up again after a broken connection."""
         if answer.status in FINAL or 200 <= answer.status < 300 and answer.whole:
             return False
         if answer.kind in ("order", "chat"):
             return answer.unread or answer.status in NOT_RUN
-        return answer.kind == "read" or answer.status in NOT_RUN or answer.unread
+        return True
 
-    def send(self, kind, attempt, body, kept):
+    def send(self, kind, attempt, body, kept, last):
         node = self.chance.choice(self.home)
-        answer = Answer(attempt, kind, node.name, sent_at=time.monotonic())
+        answer = Answer(attempt, kind, node.name, sent_at=time.monotonic(), last=last)
         connection = None
         try:
             connection = self.connection_to(node, kept, answer)
@@ -159,7 +164,8 @@
     def send_and_read(self, connection, answer, body):
         """A node may respond before it has read the body and close, so a failed send is followed by a read."""
         try:
-            connection.send(answer.attempt, f"/{answer.kind}/x", body, cut=self.cut_place())
+            extra = f"Last-Event-Id: {answer.last}\r\n" if answer.last else ""
+            connection.send(answer.attempt, f"/{answer.kind}/x", body, extra, cut=self.cut_place())
         except OSError as error:
             connection.sent_at = time.monotonic()
             answer.failure = repr(error)
--- a/testsuite/platform_upstream_processes/findings.py
+++ b/testsuite/platform_upstream_processes/findings.py
@@ -14,11 +14,11 @@
 
 from checks import NOT_RUN
 from platform_standins import header
-from upstream import STREAMING, digest
+from upstream import EVENT_COUNT, STREAMING, digest
 
 AT_MOST_ONCE = ("order", "chat")
 RULES = ("REFUSED", "TWICE", "MIXED", "ORDER")
-EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\d+)/(\d+)\n\n")
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\d+)/\d+\n\n")
 RESPONSE_TO = re.compile(rb"((?:read|order|chat|draft)-\d+-\d+) ")  # the attempt that a body names
 
 
@@ -106,27 +106,26 @@
                   f"the upstreams answered {', '.join(sizes) or 'nothing'}")
 
     def check_stream(self, answer, signature):
-        start, place, run, total = None, 0, None, None
+        start, place, run = answer.last, 0, None
         for event in EVENT.finditer(answer.body):
             if event.start() != place:
                 break
             place = event.end()
             number, attempt, its_run = int(event[1]), event[2].decode(), event[3].decode()
-            total = int(event[5])
             if attempt != answer.attempt or int(event[4]) != number:
                 self.find("ORDER", "event of another", answer.attempt,
                           f"event {number} is event {event[4].decode()} of {attempt}")
-            if number != (start or 0) + 1:
-                self.find("ORDER", "gap or repeat", answer.attempt, f"event {number} after {start or 0}")
+            if number != start + 1:
+                self.find("ORDER", "gap or repeat", answer.attempt, f"event {number} after {start}")
             if its_run != run:
                 self.check_join(answer, run, its_run, number, signature)
             start, run = number, its_run
         rest = answer.body[place:]
         if rest and answer.whole:
             self.find("ORDER", "ends in an event", answer.attempt, f"ends as complete with {rest[:60]!r}")
-        elif answer.whole and (total is None or start != total):
+        elif answer.whole and start != EVENT_COUNT:
             self.find("ORDER", "ends too early", answer.attempt,
-                      f"ends as complete after event {start or 0} of {total}")
+                      f"ends as complete after event {start} of {EVENT_COUNT}")
         elif rest and EVENT.search(rest):
             self.find("ORDER", "bytes between events", answer.attempt,
                       f"bytes between events: {rest[:60]!r}")
--- a/testsuite/platform_upstream_processes/fleet.py
+++ b/testsuite/platform_upstream_processes/fleet.py
@@ -28,7 +28,7 @@
 from findings import RULES, Findings, read_events  # noqa: E402
 from platform_standins import Cloud, Node, Platform, Store, config, free_peer_port, free_port, route  # noqa: E402
 from soak import Soak  # noqa: E402
-from upstream import add_shares  # noqa: E402
+from upstream import SHARES, add_shares  # noqa: E402
 
 MAX_PROCESSES = 200
 PRINTED_FINDINGS = 3  # of each kind
@@ -86,7 +86,7 @@
         self.process = subprocess.Popen(
             [sys.executable, program, "--name", self.name, "--address", self.address, "--store",
              self.fleet.store.address, "--events", self.events, "--seed", str(self.fleet.options.seed),
-             "--unnamed", str(self.fleet.options.unnamed), "--dies", str(self.fleet.options.dies)])
+             *itertools.chain(*((f"--{name}", str(getattr(self.fleet.options, name))) for name in SHARES))])
 
     def entry(self):
         return json.loads(self.fleet.store.items[f"servers/{self.name}"][0])
--- a/testsuite/platform_upstream_processes/upstream.py
+++ b/testsuite/platform_upstream_processes/upstream.py
@@ -26,10 +26,15 @@
 from platform_standins import header, read_body, read_head  # noqa: E402
 
 STREAMING = ("chat", "draft")  # names of routes whose responses are streams of events
+EVENT_COUNT = 20  # of each stream
 LONG_BODY_BYTES = 100_000  # A request's body of this size may be rejected before it is read.
 REASONS = {200: "OK", 404: "Not Found", 421: "Misdirected Request", 429: "Too Many Requests", 500: "Oops",
            503: "Full"}
 
+SHARES = {"unnamed": (0.5, "the failures that name no request"),
+          "unframed": (0.3, "the bodies that end with the connection"),
+          "dies": (0.01, "the bodies in which an upstream ends itself")}
+
 
 def digest(status, body):
     """Identifies a response by its status and its whole body."""
@@ -44,7 +49,8 @@
         self.early_refusal = chance.random() < 0.3
         self.status = chance.choices((200, 500, 404), (84, 8, 8))[0]
         self.named = self.status == 200 or chance.random() >= options.unnamed
-        self.framing = chance.choices(("length", "chunks", "connection_end"), (4, 3, 3))[0]
+        framed = chance.choices(("length", "chunks"), (4, 3))[0]
+        self.framing = framed if chance.random() >= options.unframed else "connection_end"
         self.size = chance.choice((60, 3000, 30_000, 200_000))
         self.pieces = chance.randrange(2, 6)
         self.pause = chance.choice((0.002, 0.01, 0.05))  # seconds between the pieces
@@ -209,14 +215,13 @@
     def stream(self, plan, run, last):
         """Streams the events after `last`. Returns whether the connection stays open."""
         framing = "connection_end" if plan.framing == "connection_end" else "chunks"
-        total = 20  # The same at each upstream, so that a stream can go on elsewhere.
         breaks = plan.breaks_at is not None and plan.breaks_at > last and framing == "chunks"
-        self.log("stream_begun", run=run, last=last, total=total, framing=framing, copy=plan.copy,
+        self.log("stream_begun", run=run, last=last, framing=framing, copy=plan.copy,
                  breaks_at=plan.breaks_at if breaks else None, dies=plan.dies)
         head = self.head(200, framing, True, f"Server-Signature: s.{run}\r\nContent-Type: text/event-stream\r\n")
         pieces = [head]
-        for number in range(last + 1, total + 1):
-            event = f"id: {number}\ndata: {self.attempt} {run} {number}/{total}\n\n".encode()
+        for number in range(last + 1, EVENT_COUNT + 1):
+            event = f"id: {number}\ndata: {self.attempt} {run} {number}/{EVENT_COUNT}\n\n".encode()
             if breaks and number == plan.breaks_at:
                 event = event[:len(event) // 2]
             pieces.append(b"%x\r\n%s\r\n" % (len(event), event) if framing == "chunks" else event)
@@ -276,8 +281,8 @@
 
 def add_shares(parser):
     """Options of what the upstreams do how often. They are also those of a whole run."""
-    parser.add_argument("--unnamed", type=float, default=0.5, help="share of the failures that name no request")
-    parser.add_argument("--dies", type=float, default=0.01, help="share of the bodies in which an upstream ends itself")
+    for name, (share, text) in SHARES.items():
+        parser.add_argument(f"--{name}", type=float, default=share, help=f"share of {text}")
 
 
 def main():
