--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -268,20 +268,34 @@
         self.address = f"127.0.0.1:{self.server.server_port}"
 
 
-def read_message(connection, buffer):
-    """Reads one request. Returns its head, its body and the bytes after it; the head is
-    None if the connection was closed."""
+def read_head(connection, buffer):
+    """Reads the head of a request. Returns it and the bytes after it; the head is None if the
+    connection was closed."""
     while b"\r\n\r\n" not in buffer:
         data = connection.recv(65536)
         if not data:
-            return None, b"", b""
+            return None, b""
         buffer += data
     head, rest = buffer.split(b"\r\n\r\n", 1)
-    length = re.search(rb"(?i)content-length: *(\d+)", head)
-    size = int(length.group(1)) if length else 0
-    while len(rest) < size:
-        rest += connection.recv(65536)
-    return head.decode(), rest[:size], rest[size:]
+    return head.decode(), rest
+
+
+def read_body(connection, head, buffer):
+    """Reads the body of a request whose head was read. Returns it and the bytes after it."""
+    size = int(header(head, "Content-Length") or 0)
+    while len(buffer) < size:
+        data = connection.recv(65536)
+        if not data:
+            raise ConnectionResetError
+        buffer += data
+    return buffer[:size], buffer[size:]
+
+
+def read_message(connection, buffer):
+    """Reads one request. Returns its head, its body and the bytes after it; the head is
+    None if the connection was closed."""
+    head, rest = read_head(connection, buffer)
+    return (None, b"", b"") if head is None else (head, *read_body(connection, head, rest))
 
 
 def header(head, name):
@@ -890,6 +904,7 @@
     that concern a single node refer to the first one."""
 
     node_type = Node
+    runner_type = Runner
 
     def __init__(self, nodes=1, runners=3, slots=8):
         self.node_count, self.runner_count, self.slots = nodes, runners, slots
@@ -898,7 +913,7 @@
         self.store, self.cloud = Store(), Cloud()
         self.store.put("op/config", config(1))
         self.store.put("servers/garbage", b"\xff\xfe not json")
-        self.runners = [Runner(f"i-{i}", self.store, slots=self.slots) for i in range(self.runner_count)]
+        self.runners = [self.runner_type(f"i-{i}", self.store, slots=self.slots) for i in range(self.runner_count)]
         hosts = [f"127.0.0.{i + 1}" for i in range(self.node_count)]
         peer_port = free_peer_port()
         self.nodes = [self.node_type(f"n{i + 1}", host, peer_port, hosts[:3], self.store, self.cloud)
