Log: a line for each request refused before it was complete

Such a refusal (400, 408, 413, 431, 503) only had a counter, so that a promise that left a node couldn't be traced to it. refused_early names the request, whether a caller or a peer sent it, and the status; at most 20 lines a second, and the next line says how many were left out.

LogLineLimitTest passes (its two tests, built alone). The whole test program wasn't linked with this change.

--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -15,6 +15,7 @@
 #include "pollenledge/connection/loop_clock.h"
 #include "pollenledge/process/forward_metrics.h"
 #include "pollenledge/process/forward_node.h"
+#include "pollenledge/process/log_line_limit.h"
 #include "pollenledge/process/prompt_cache_client.h"
 #include "pollenledge/request/event_splitter.h"
 
@@ -103,9 +104,10 @@
                  const HttpHead& head, std::string body, bool is_relayed);
   /// Returns whose memory a body counts as and when it must be complete.
   BodyTerms TermsOfBody(const HttpHead& head) const;
-  /// Counts a refusal before a request was complete and returns the header
-  /// fields of its response.
-  std::vector<HttpField> OnRefusedEarly(const HttpHead& request, int status);
+  /// Counts and logs a refusal of a request that was not handed on because it
+  /// was not complete, and returns the header fields of its response.
+  std::vector<HttpField> OnRefusedEarly(const HttpHead& request, int status,
+                                        bool is_relayed);
   void OnCallerDrained(const std::shared_ptr<CallerConnection>& caller);
   /// Counts a closed connection, and logs it if a request was lost with it.
   void OnCallerClosed(const CallerConnection& caller, const CallerClose& close,
@@ -202,6 +204,8 @@
   /// Also owned by the connections, which release what they hold at the end.
   std::shared_ptr<ByteBudget> byte_budget_;
   TimePoint refusal_logged_at_;
+  /// A flood of refusals must not become a flood of log lines.
+  LogLineLimit refusal_log_limit_{20, std::chrono::seconds(1)};
   TimePoint loop_delay_logged_at_;
   ClientConnectionPool upstream_pool_;
   PromptCacheClient prompt_cache_client_;
--- a/src/libpollenledge/process/forward_callers.cc
+++ b/src/libpollenledge/process/forward_callers.cc
@@ -36,8 +36,9 @@
   handlers.limits_delay = options_.node_options.tables_bound;
   handlers.on_head = [this](const HttpHead& head) { return TermsOfBody(head); };
   handlers.on_drained = [this](const auto& caller) { OnCallerDrained(caller); };
-  handlers.on_refused = [this](const HttpHead& request, int status) {
-    return OnRefusedEarly(request, status);
+  handlers.on_refused = [this, is_relayed](const HttpHead& request,
+                                           int status) {
+    return OnRefusedEarly(request, status, is_relayed);
   };
   handlers.on_closed = [this, is_relayed](const CallerConnection& caller,
                                           const CallerClose& close) {
@@ -92,7 +93,8 @@
 }
 
 std::vector<HttpField> ForwardService::OnRefusedEarly(const HttpHead& request,
-                                                      int status) {
+                                                      int status,
+                                                      bool is_relayed) {
   const std::string label = "status=\"" + std::to_string(status) + "\"";
   metrics_.IncrementCounter("early_refusals_total", label);
   const TimePoint now = BootClockNow();
@@ -107,6 +109,14 @@
           std::to_string(byte_budget_->connections(ClientGroup::kCallers))}});
   }
   const Result<ForwardSpec> decoded = codec_.decode_request(request);
+  if (refusal_log_limit_.TryWrite(now)) {
+    // A request without a whole head has no id that could be read.
+    Log(LogLevel::kInfo, "refused_early",
+        {{"request", Ok(decoded) ? Value(decoded).trace_id : ""},
+         {"by", is_relayed ? "peer" : "caller"},
+         {"status", std::to_string(status)},
+         {"left_out", std::to_string(refusal_log_limit_.TakeLeftOut())}});
+  }
   return codec_.encode_local_response(
       Ok(decoded) ? Value(decoded) : ForwardSpec(),
       status == kStatusUnavailable ? kRefusalRetryAfter : Duration::zero());
