Half a body of a killed upstream no longer passes as a whole response

Callers saw a signed 200 with a part of the body, or a stream that ended like a whole one. The kernel of a killed process ends its connections with FIN if the process had read all that it received. ClientConnection takes an orderly end of a response without a length as its end, and ClassifyEnd let a signed success pass.

Another incarnation, no connection or no answer make the attempt end as broken; the retry logic does the rest. A process that answers without saying which it is (404, no `born`, list without `born`) counts as the same one, unless the node's loop was late or reading was paused, so that the end may be old and another process may have started. Only responses without a length pay for it. During the check the exchange keeps the ended connection, by which a check whose attempt has been cancelled meanwhile is recognised; the node counts its upstream as not silent. A peer's response that ends with its connection is broken off, because nodes always send a length or chunks.

--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -72,6 +72,11 @@
   /// because the response's receiver is slower. Ends with the exchange.
   void PauseReading();
   void ResumeReading();
+  /// When reading was resumed last in the current exchange; empty if it was not
+  /// paused. What is read soon after may have been received long before.
+  std::optional<TimePoint> reading_resumed_at() const {
+    return reading_resumed_at_;
+  }
   /// Ends the exchange without calling its handlers and closes the connection.
   /// If a request was being sent, the connection is reset, so that the kernel
   /// discards the bytes that it has not transmitted yet.
@@ -127,6 +132,7 @@
   bool open_ = false;
   bool reading_ = false;
   bool reading_paused_ = false;
+  std::optional<TimePoint> reading_resumed_at_;
   bool busy_ = false;
   bool may_have_sent_ = false;
   bool request_written_ = false;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -16,6 +16,7 @@
 #include "pollenledge/process/forward_metrics.h"
 #include "pollenledge/process/forward_node.h"
 #include "pollenledge/process/prompt_cache_client.h"
+#include "pollenledge/process/response_end_verifier.h"
 #include "pollenledge/request/event_splitter.h"
 
 namespace pollenledge {
@@ -84,6 +85,12 @@
     bool expects_stream = false;  ///< The route's responses are event streams.
     bool response_started = false;  ///< The caller received the response head.
     std::shared_ptr<ClientConnection> upstream_connection;
+    /// To which the current attempt was sent, unless it `is_relayed_on`.
+    UpstreamId upstream;
+    TimePoint attempt_started_at;
+    /// The response's connection has ended, and its upstream is being asked
+    /// whether that was the end of the response.
+    bool verifying_end = false;
     /// How long its connection had been idle before; empty for a new one.
     std::optional<Duration> connection_idle;
     bool is_relayed_on = false;  ///< The current attempt is at another node.
@@ -164,6 +171,18 @@
                                const UpstreamSignals& signals);
   void OnResponseBody(ForwardId id, const std::string& bytes);
   void OnAttemptEnd(ForwardId id, ClientExchangeResult end);
+  /// Passes the end of the current attempt to the node.
+  void FinishAttempt(ForwardId id, Exchange* exchange, ForwardOutcome end);
+  /// Returns true if the response counts as whole only because its connection
+  /// ended in order.
+  bool RestsOnClose(const Exchange& exchange, ClientExchangeResult end) const;
+  /// Asks the upstream whether it lives on after the end of the connection.
+  void VerifyEnd(ForwardId id, Exchange* exchange);
+  /// `connection` is that of the response, `may_be_old` as in `IsWholeAtClose`.
+  void OnEndVerified(ForwardId id,
+                     const std::shared_ptr<ClientConnection>& connection,
+                     bool may_be_old, TimePoint started,
+                     ResponseEndProof proof);
   /// Aborts an attempt whose response exceeds a size limit.
   void RejectResponse(ForwardId id, const char* reason);
   void DiscardBufferedResponse(Exchange* exchange);
@@ -190,6 +209,9 @@
   void OnTimer();
   /// Counts and logs by how much the event loop is behind its timers.
   void RecordLoopDelay(TimePoint now, Duration delay);
+  /// Returns true if the event loop is behind or just was, so that what it
+  /// handles now may have been received long ago, but after `sent_at`.
+  bool IsLoopBehind(TimePoint sent_at, TimePoint now) const;
   void ContinueDrain();
   void LogDrainEnd(Duration elapsed, bool timed_out);
 
@@ -203,8 +225,10 @@
   std::shared_ptr<ByteBudget> byte_budget_;
   TimePoint refusal_logged_at_;
   TimePoint loop_delay_logged_at_;
+  std::optional<TimePoint> loop_delayed_at_;  ///< By `kLoggedLoopDelay`.
   ClientConnectionPool upstream_pool_;
   PromptCacheClient prompt_cache_client_;
+  ResponseEndVerifier response_end_verifier_;
   std::unordered_map<ForwardId, Exchange> exchanges_;
   std::size_t held_response_bytes_ = 0;  ///< Over all exchanges.
   ForwardId next_id_ = 1;
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -83,6 +83,7 @@
   head_processed_ = false;
   skipping_response_ = false;
   skipped_responses_ = 0;
+  reading_resumed_at_.reset();
   reader_.ExpectResponseTo(method);
   if (open_) {
     Write();
@@ -181,6 +182,7 @@
 void ClientConnection::ResumeReading() {
   if (!reading_paused_) return;
   reading_paused_ = false;
+  reading_resumed_at_ = BootClockNow();
   if (open_) Read();
 }
 
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -19,6 +19,9 @@
 /// interval.
 constexpr Duration kLoggedLoopDelay = std::chrono::milliseconds(100);
 constexpr Duration kLoopDelayLogInterval = std::chrono::seconds(1);
+/// Time after a late timer for which the loop counts as behind: what arrived
+/// meanwhile is handled after it.
+constexpr Duration kLoopBehindTime = std::chrono::seconds(1);
 /// Path on the admin address, followed by the fingerprint of a suspect.
 constexpr std::string_view kSuspectsPath = "/suspects/";
 constexpr int kStatusOk = 200;
@@ -60,6 +63,7 @@
       byte_budget_(std::make_shared<ByteBudget>(options_.byte_limits)),
       upstream_pool_(loop),
       prompt_cache_client_(loop, codec_),
+      response_end_verifier_(loop, codec_),
       timer_(loop),
       heartbeat_link_(
           loop, options_.peer_address,
@@ -76,7 +80,8 @@
   node_.SetUnreadResponseSource([this](ForwardId id) {
     const Exchange* exchange = FindExchange(id);
     return exchange != nullptr && exchange->upstream_connection != nullptr &&
-           exchange->upstream_connection->HasUnhandledInput();
+           (exchange->verifying_end ||
+            exchange->upstream_connection->HasUnhandledInput());
   });
   // The first event gives the node the wall-clock time.
   Submit(forward_event::Ticked{});
@@ -356,15 +361,25 @@
 void ForwardService::RecordLoopDelay(TimePoint now, Duration delay) {
   metrics_.Observe("loop_delay_seconds", "",
                    std::max<Duration>(delay, Duration::zero()));
-  if (delay < kLoggedLoopDelay ||
-      now - loop_delay_logged_at_ < kLoopDelayLogInterval)
-    return;
+  if (delay < kLoggedLoopDelay) return;
+  loop_delayed_at_ = now;
+  if (now - loop_delay_logged_at_ < kLoopDelayLogInterval) return;
   loop_delay_logged_at_ = now;
   Log(LogLevel::kWarn, "loop_delayed",
       {{"delay_ms", FormatMilliseconds(delay)},
        {"requests", std::to_string(exchanges_.size())}});
 }
 
+bool ForwardService::IsLoopBehind(TimePoint sent_at, TimePoint now) const {
+  const bool is_timer_late =
+      timer_at_.has_value() &&
+      now - std::max(*timer_at_, sent_at) >= kLoggedLoopDelay;
+  const bool was_timer_late = loop_delayed_at_.has_value() &&
+                              now - *loop_delayed_at_ < kLoopBehindTime &&
+                              *loop_delayed_at_ - sent_at >= kLoggedLoopDelay;
+  return is_timer_late || was_timer_late;
+}
+
 void ForwardService::OnTimer() {
   const TimePoint now = BootClockNow();
   RecordLoopDelay(now, now - timer_at_.value_or(now));
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -21,6 +21,9 @@
 constexpr std::size_t kMaxReportBytes = std::size_t{64} * 1024;
 /// Maximum size of a stream event that has been received only in part.
 constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
+/// After reading was paused, what is read within this time may have been
+/// received long before.
+constexpr Duration kOldInputTime = std::chrono::seconds(1);
 constexpr int kStatusOk = 200;
 constexpr int kMinStatusServerError = 500;
 
@@ -62,6 +65,7 @@
   exchange->response_info = ResponseInfo();
   exchange->evidence = ResponseEvidence();
   DiscardBufferedResponse(exchange);
+  exchange->verifying_end = false;
   exchange->forwarding_events = false;
   exchange->is_relayed_on = false;
   exchange->expects_stream = kind == RouteKind::kStreaming;
@@ -73,6 +77,7 @@
   Exchange* exchange = FindExchange(send.id);
   if (exchange == nullptr) return;
   ResetResponse(exchange, send.kind);
+  exchange->upstream = send.upstream;
   exchange->upstream_connection = upstream_pool_.Acquire(
       send.address, send.connection_reuse, BootClockNow());
   metrics_.IncrementCounter("attempts_total");
@@ -199,6 +204,7 @@
   } else {
     exchange->connection_idle.reset();
   }
+  exchange->attempt_started_at = BootClockNow();
   ExchangeHandlers handlers;
   handlers.may_send = std::move(may_send);
   handlers.on_head = [this, id](const HttpHead& head) {
@@ -357,13 +363,75 @@
 void ForwardService::OnAttemptEnd(ForwardId id, ClientExchangeResult end) {
   Exchange* exchange = FindExchange(id);
   if (exchange == nullptr) return;
+  // Another node always states where its response ends.
+  if (exchange->is_relayed_on && end == ClientExchangeResult::kCompleteAtClose)
+    end = ClientExchangeResult::kConnectionLost;
+  if (RestsOnClose(*exchange, end)) {
+    VerifyEnd(id, exchange);
+    return;
+  }
+  FinishAttempt(id, exchange, ClassifyEnd(*exchange, end));
+}
+
+void ForwardService::FinishAttempt(ForwardId id, Exchange* exchange,
+                                   ForwardOutcome end) {
   upstream_pool_.Release(exchange->upstream_connection);
   exchange->upstream_connection.reset();
-  const ForwardOutcome forward_end = ClassifyEnd(*exchange, end);
-  Submit(forward_event::AttemptEnded{
-      id, forward_end, exchange->response_head.status,
-      exchange->response_info.signals.load, exchange->connection_idle,
-      exchange->evidence});
+  exchange->verifying_end = false;
+  Submit(forward_event::AttemptEnded{id, end, exchange->response_head.status,
+                                     exchange->response_info.signals.load,
+                                     exchange->connection_idle,
+                                     exchange->evidence});
+}
+
+bool ForwardService::RestsOnClose(const Exchange& exchange,
+                                  ClientExchangeResult end) const {
+  if (end != ClientExchangeResult::kCompleteAtClose) return false;
+  const ForwardOutcome outcome = ClassifyEnd(exchange, end);
+  return outcome == ForwardOutcome::kCompleted ||
+         outcome == ForwardOutcome::kFailed;
+}
+
+void ForwardService::VerifyEnd(ForwardId id, Exchange* exchange) {
+  exchange->verifying_end = true;
+  // The exchange keeps the connection, which has ended, until the attempt ends.
+  const std::shared_ptr<ClientConnection> connection =
+      exchange->upstream_connection;
+  const TimePoint now = BootClockNow();
+  const std::optional<TimePoint> resumed_at = connection->reading_resumed_at();
+  const bool may_be_old =
+      IsLoopBehind(exchange->attempt_started_at, now) ||
+      (resumed_at.has_value() && now - *resumed_at < kOldInputTime);
+  response_end_verifier_.Verify(
+      connection->address(), exchange->upstream.incarnation,
+      exchange->attempt_started_at,
+      [this, id, connection, may_be_old, now](ResponseEndProof proof) {
+        OnEndVerified(id, connection, may_be_old, now, proof);
+      });
+}
+
+void ForwardService::OnEndVerified(
+    ForwardId id, const std::shared_ptr<ClientConnection>& connection,
+    bool may_be_old, TimePoint started, ResponseEndProof proof) {
+  Exchange* exchange = FindExchange(id);
+  // The request or this attempt may have ended meanwhile.
+  if (exchange == nullptr || exchange->upstream_connection != connection)
+    return;
+  const bool is_whole = IsWholeAtClose(proof, may_be_old);
+  metrics_.IncrementCounter(
+      "response_ends_verified_total",
+      std::string("outcome=\"") + (is_whole ? "whole" : "cut") + "\"");
+  Log(is_whole ? LogLevel::kInfo : LogLevel::kWarn, "response_end_verified",
+      {{"request", exchange->spec.trace_id},
+       {"upstream", exchange->upstream.name},
+       {"outcome", is_whole ? "whole" : "cut"},
+       {"proof", ToString(proof)},
+       {"may_be_old", may_be_old ? "yes" : "no"},
+       {"took_ms", FormatMilliseconds(BootClockNow() - started)}});
+  FinishAttempt(
+      id, exchange,
+      ClassifyEnd(*exchange, is_whole ? ClientExchangeResult::kCompleteAtClose
+                                      : ClientExchangeResult::kConnectionLost));
 }
 
 bool ForwardService::IsRefusal(const Exchange& exchange) {
