--- a/src/include/pollenledge/process/response_end_verifier.h
+++ b/src/include/pollenledge/process/response_end_verifier.h
@@ -21,7 +21,8 @@
   kSameIncarnation,   ///< The process that sent the response lives on.
   kLivingProcess,     ///< A process responds there, but does not say which.
   kOtherIncarnation,  ///< Another process has taken its place.
-  kNone,              ///< No process responded.
+  kNoProcess,         ///< No process accepts connections there.
+  kNoAnswer,          ///< The process gave no usable answer in time.
 };
 
 /// Returns the name of `proof` as used in logs and metrics.
@@ -30,7 +31,7 @@
 /// How a call for an upstream's report ended.
 struct ReportCall {
   ClientExchangeResult end = ClientExchangeResult::kNotSent;
-  int status = 0;  ///< 0 if there was no response.
+  int status = 0;                            ///< 0 if there was no response.
   std::optional<std::uint64_t> incarnation;  ///< That the report states.
 };
 
@@ -44,6 +45,10 @@
 /// that another process may have started since.
 bool IsWholeAtClose(ResponseEndProof proof, bool may_be_old);
 
+/// Returns true if the process that sent the response has ended, so that it
+/// counts as lost. Without an answer nothing is known about it.
+bool ShowsEndedProcess(ResponseEndProof proof);
+
 /// Finds out whether upstreams still live after the connections of their
 /// responses have ended. The kernel of a killed process ends its connections in
 /// order if the process had read all that it had received, so that a response
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -471,10 +471,10 @@
        {"proof", ToString(proof)},
        {"may_be_old", may_be_old ? "yes" : "no"},
        {"took_ms", FormatMilliseconds(BootClockNow() - started)}});
-  FinishAttempt(
-      id, exchange,
-      ClassifyEnd(*exchange, is_whole ? ClientExchangeResult::kCompleteAtClose
-                                      : ClientExchangeResult::kConnectionLost));
+  ClientExchangeResult end = ClientExchangeResult::kInvalid;
+  if (is_whole) end = ClientExchangeResult::kCompleteAtClose;
+  if (ShowsEndedProcess(proof)) end = ClientExchangeResult::kConnectionLost;
+  FinishAttempt(id, exchange, ClassifyEnd(*exchange, end));
 }
 
 ForwardOutcome ForwardService::ClassifyEnd(const Exchange& exchange,
--- a/src/libpollenledge/process/response_end_verifier.cc
+++ b/src/libpollenledge/process/response_end_verifier.cc
@@ -32,8 +32,10 @@
       return "living_process";
     case ResponseEndProof::kOtherIncarnation:
       return "other_incarnation";
-    case ResponseEndProof::kNone:
-      return "none";
+    case ResponseEndProof::kNoProcess:
+      return "no_process";
+    case ResponseEndProof::kNoAnswer:
+      return "no_answer";
   }
   return "";
 }
@@ -45,12 +47,14 @@
                ? ResponseEndProof::kSameIncarnation
                : ResponseEndProof::kOtherIncarnation;
   }
+  if (call.end == ClientExchangeResult::kNotSent)
+    return ResponseEndProof::kNoProcess;
   // A report without a length may itself be broken off, and a failure need not
   // be the process's own.
   const bool is_response = call.end == ClientExchangeResult::kComplete &&
                            call.status < kMinStatusServerError;
   return is_response ? ResponseEndProof::kLivingProcess
-                     : ResponseEndProof::kNone;
+                     : ResponseEndProof::kNoAnswer;
 }
 
 bool IsWholeAtClose(ResponseEndProof proof, bool may_be_old) {
@@ -60,6 +64,11 @@
   return proof == ResponseEndProof::kSameIncarnation;
 }
 
+bool ShowsEndedProcess(ResponseEndProof proof) {
+  return proof == ResponseEndProof::kOtherIncarnation ||
+         proof == ResponseEndProof::kNoProcess;
+}
+
 struct ResponseEndVerifier::Call {
   Call(boost::asio::io_context& loop, const std::string& address,
        std::uint64_t listed, TimePoint sent, Callback done)
@@ -96,9 +105,8 @@
                                            sent_at, std::move(callback));
   calls_.insert(call);
   ArmTimeout(call, kReportTimeout);
-  call->connection->Start("GET " + codec_.report_path +
-                              " HTTP/1.1\r\nHost: " + address +
-                              "\r\nConnection: close\r\n\r\n",
+  call->connection->Start("GET " + codec_.report_path + " HTTP/1.1\r\nHost: " +
+                              address + "\r\nConnection: close\r\n\r\n",
                           "GET", kConnectTimeout, HandlersOf(call));
 }
 
@@ -146,10 +154,11 @@
   if (end == ClientExchangeResult::kComplete ||
       end == ClientExchangeResult::kCompleteAtClose)
     incarnation = codec_.decode_incarnation(call->report);
-  const bool was_there = incarnation.has_value() && WasThere(*call, *incarnation);
-  const ResponseEndProof proof = AssessReportCall(
-      was_there ? *incarnation : call->listed_incarnation,
-      {end, call->status, incarnation});
+  const bool was_there =
+      incarnation.has_value() && WasThere(*call, *incarnation);
+  const ResponseEndProof proof =
+      AssessReportCall(was_there ? *incarnation : call->listed_incarnation,
+                       {end, call->status, incarnation});
   if (incarnation.has_value())
     RecordReport(call->connection->address(), *incarnation, BootClockNow());
   call->callback(proof);
@@ -158,8 +167,7 @@
 bool ResponseEndVerifier::WasThere(const Call& call,
                                    std::uint64_t incarnation) const {
   const auto known = reported_.find(call.connection->address());
-  return known != reported_.end() &&
-         known->second.incarnation == incarnation &&
+  return known != reported_.end() && known->second.incarnation == incarnation &&
          known->second.first_at <= call.sent_at;
 }
 
--- a/src/libpollenledge/process/response_end_verifier_test.cc
+++ b/src/libpollenledge/process/response_end_verifier_test.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <thread>
 #include <utility>
@@ -32,10 +33,10 @@
   EXPECT_EQ(assess(7, Result::kCompleteAtClose, 200, 7),
             Proof::kSameIncarnation);
   EXPECT_EQ(assess(7, Result::kComplete, 200, 8), Proof::kOtherIncarnation);
-  EXPECT_EQ(assess(7, Result::kNotSent, 0, std::nullopt), Proof::kNone);
+  EXPECT_EQ(assess(7, Result::kNotSent, 0, std::nullopt), Proof::kNoProcess);
   EXPECT_EQ(assess(7, Result::kConnectionLost, 200, std::nullopt),
-            Proof::kNone);
-  EXPECT_EQ(assess(7, Result::kInvalid, 200, std::nullopt), Proof::kNone);
+            Proof::kNoAnswer);
+  EXPECT_EQ(assess(7, Result::kInvalid, 200, std::nullopt), Proof::kNoAnswer);
   // The upstream has no report, the report has no incarnation, or it is not
   // known which one is expected.
   EXPECT_EQ(assess(7, Result::kComplete, 404, std::nullopt),
@@ -44,8 +45,8 @@
             Proof::kLivingProcess);
   EXPECT_EQ(assess(0, Result::kComplete, 200, 7), Proof::kLivingProcess);
   EXPECT_EQ(assess(7, Result::kCompleteAtClose, 200, std::nullopt),
-            Proof::kNone);
-  EXPECT_EQ(assess(7, Result::kComplete, 502, std::nullopt), Proof::kNone);
+            Proof::kNoAnswer);
+  EXPECT_EQ(assess(7, Result::kComplete, 502, std::nullopt), Proof::kNoAnswer);
 }
 
 // Guards against a process that was started again while the node was late, and
@@ -55,7 +56,8 @@
   EXPECT_TRUE(IsWholeAtClose(ResponseEndProof::kLivingProcess, false));
   EXPECT_FALSE(IsWholeAtClose(ResponseEndProof::kLivingProcess, true));
   EXPECT_FALSE(IsWholeAtClose(ResponseEndProof::kOtherIncarnation, false));
-  EXPECT_FALSE(IsWholeAtClose(ResponseEndProof::kNone, false));
+  EXPECT_FALSE(IsWholeAtClose(ResponseEndProof::kNoProcess, false));
+  EXPECT_FALSE(IsWholeAtClose(ResponseEndProof::kNoAnswer, false));
 }
 
 /// An upstream on a loopback address that writes `response_` to each request.
@@ -97,7 +99,7 @@
   std::optional<ResponseEndProof> Verify(TimePoint sent_at = TimePoint()) {
     std::optional<ResponseEndProof> proof;
     verifier_.Verify(address_, kIncarnation, sent_at,
-                    [&](ResponseEndProof shown) { proof = shown; });
+                     [&](ResponseEndProof shown) { proof = shown; });
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     while (!proof.has_value() && std::chrono::steady_clock::now() < end)
       loop_.run_one_for(std::chrono::milliseconds(10));
@@ -130,8 +132,8 @@
 }
 
 // Guards against responses that fail until the list of upstreams has the
-// incarnation that sends them, and against a process that was not there yet when
-// the request was sent.
+// incarnation that sends them, and against a process that was not there yet
+// when the request was sent.
 TEST_F(ResponseEndVerifierTest, KnowsAnIncarnationThatTheListHasNotYet) {
   const TimePoint before = BootClockNow();
   response_ = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n8";
@@ -147,14 +149,14 @@
 // request for longer than the bound.
 TEST_F(ResponseEndVerifierTest, NoResponseShowsNothing) {
   const auto started = std::chrono::steady_clock::now();
-  EXPECT_EQ(Verify(), ResponseEndProof::kNone) << "silent";
+  EXPECT_EQ(Verify(), ResponseEndProof::kNoAnswer) << "silent";
   EXPECT_LT(std::chrono::steady_clock::now() - started,
             std::chrono::seconds(3));
   response_ = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n7";
   closes_ = true;
-  EXPECT_EQ(Verify(), ResponseEndProof::kNone) << "broken off";
+  EXPECT_EQ(Verify(), ResponseEndProof::kNoAnswer) << "broken off";
   acceptor_.close();
-  EXPECT_EQ(Verify(), ResponseEndProof::kNone) << "refused";
+  EXPECT_EQ(Verify(), ResponseEndProof::kNoProcess) << "refused";
 }
 
 // Guards against a late event loop that takes a report that is already there
@@ -165,15 +167,27 @@
   verifier.Verify(address_, kIncarnation, TimePoint(),
                   [&](ResponseEndProof shown) { proof = shown; });
   while (request_.empty()) loop_.run_one();
-  boost::asio::write(
-      *peers_.back(),
-      boost::asio::buffer(
-          std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")));
+  // Runs in the turn of the loop in which the timeout is handled, just before
+  // it, so that the report can't have been read.
+  boost::asio::steady_timer responds(loop_, std::chrono::milliseconds(1));
+  responds.async_wait([this](const boost::system::error_code&) {
+    boost::asio::write(*peers_.back(),
+                       boost::asio::buffer(std::string(
+                           "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")));
+  });
   std::this_thread::sleep_for(std::chrono::milliseconds(800));
   while (!proof.has_value()) loop_.run_one();
   EXPECT_EQ(proof, ResponseEndProof::kSameIncarnation);
 }
 
+// Guards against blaming requests for upstreams that were only slow to report.
+TEST(ResponseEndTest, OnlyAnEndedProcessCountsAsLost) {
+  EXPECT_TRUE(ShowsEndedProcess(ResponseEndProof::kNoProcess));
+  EXPECT_TRUE(ShowsEndedProcess(ResponseEndProof::kOtherIncarnation));
+  EXPECT_FALSE(ShowsEndedProcess(ResponseEndProof::kNoAnswer));
+  EXPECT_FALSE(ShowsEndedProcess(ResponseEndProof::kLivingProcess));
+}
+
 // Guards against a callback to an owner that no longer exists.
 TEST_F(ResponseEndVerifierTest, DoesNotCallBackAfterItsEnd) {
   bool is_called = false;
--- a/testsuite/platform_prompt_caches/run.py
+++ b/testsuite/platform_prompt_caches/run.py
@@ -10,7 +10,6 @@
 from urllib.parse import parse_qs, urlparse
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-import platform_standins  # noqa: E402
 from platform_standins import EXECUTIONS, Platform, Runner, config, header, prompt_header, route  # noqa: E402
 from story import run_case  # noqa: E402
 
@@ -71,8 +70,9 @@
 class CachingPlatform(Platform):
     """Nodes that schedule by prediction before runners that serve cache events."""
 
+    runner_type = CachingRunner
+
     def __enter__(self):
-        platform_standins.Runner = CachingRunner
         super().__enter__()
         self.store.put("op/config", config(
             2, routes=[route("draft", "streaming", resumable=True, affinity=True)],
--- a/testsuite/platform_reused_address/run.py
+++ b/testsuite/platform_reused_address/run.py
@@ -18,19 +18,23 @@
 REQUESTS = 8  # of each kind
 LIST_SECONDS = 1.5  # until the node uses the list that was written
 COPY_DELAY_SECONDS = 0.02
+LATE_RUN_SECONDS = 0.3  # within which a request that was refused may still run
 NOT_RUN = (408, 421, 429, 503)  # statuses that promise that the request hasn't run
 
 
 class StutteringRunner(Runner):
     """A runner that rejects requests for another id twice."""
 
-    rejected = Counter()  # attempt id: how often it was rejected
+    rejected = set()  # (attempt id, address) of each rejection
+    ran = []  # the same of each run
 
     def respond(self, connection, head, body):
         if header(head, "Target-Instance") in (None, self.name):
+            if header(head, "Attempt-Id") is not None:
+                self.ran.append((header(head, "Attempt-Id"), self.address))
             return super().respond(connection, head, body)
         attempt = header(head, "Attempt-Id")
-        self.rejected[attempt] += 1
+        self.rejected.add((attempt, self.address))
         refusal = (f"HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n"
                    "Content-Length: 0\r\n\r\n").encode()
         connection.sendall(refusal)
@@ -69,19 +73,21 @@
 
 def check_kind(platform, transcript, kind, action):
     """The node knows the earlier ids as sound and the later ones not at all, so that it prefers the former."""
-    refused, twice, sent_again = 0, 0, 0
+    statuses = {}
     for number in range(REQUESTS):
         for other in range(4):
             platform.send_request(f"other-{kind}-{number}-{other}", f"/{kind}/{action}", "POST", b"x")
         platform.rename()
         attempt = f"{kind}-{number}"
-        status, _, _ = platform.send_request(attempt, f"/{kind}/{action}", "POST", b"x")
-        runs = sum(run[0] == attempt for run in EXECUTIONS)
-        refused += status in NOT_RUN and runs > 0
-        twice += runs > 1
-        sent_again += StutteringRunner.rejected[attempt] > 0
-    transcript.write(f"{kind}: some were sent again: {sent_again > 0}, said not to have run, but ran: "
-                     f"{refused}, ran more than once: {twice}")
+        statuses[attempt] = platform.send_request(attempt, f"/{kind}/{action}", "POST", b"x")[0]
+    time.sleep(LATE_RUN_SECONDS)
+    runs = Counter(run[0] for run in EXECUTIONS)
+    refused = sum(status in NOT_RUN and runs[attempt] > 0 for attempt, status in statuses.items())
+    twice = sum(runs[attempt] > 1 for attempt in statuses)
+    sent_again = StutteringRunner.rejected.intersection(StutteringRunner.ran)
+    transcript.write(f"{kind}: some ran at an address that had rejected them: "
+                     f"{any(attempt in statuses for attempt, _ in sent_again)}, said not to have run, "
+                     f"but ran: {refused}, ran more than once: {twice}")
 
 
 def run_checks(platform, transcript):
