Testsuite: a caller that is refused for a moment returns when it was told to

Cause: all streams of the check fall silent at both runners shortly before, so the node uses neither for a moment. The request waits in the queue and is refused there if the moment lasts longer than the queue's wait: "no-room", attempts 0, retry_after_ms 614. That is a true refusal, and the check is for a node that ends, so it may not go by the machine's pace.

The caller now follows Retry-After, at most twice, and must be served then. The check still fails if the node ends, if it refuses without a time, or if it goes on refusing.

--- a/testsuite/platform_late_copies/run.py
+++ b/testsuite/platform_late_copies/run.py
@@ -4,14 +4,16 @@
 
 import sys
 import threading
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from platform_standins import EXECUTIONS, STREAM_RUNS, Platform, config, route  # noqa: E402
+from platform_standins import EXECUTIONS, STREAM_RUNS, Platform, config, header, route  # noqa: E402
 from story import run_case  # noqa: E402
 
 REPEATED_STREAMS = 3
 LARGE_REFUSALS = 16
+MAX_RETURNS = 2  # of a caller that is refused with a time to return
 EARNING_REQUESTS = 200  # The retry budget grows with them.
 REPORTS = (
     ("of 503", b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"),
@@ -101,13 +103,26 @@
         wait_for_runners(platform)
 
 
+def status_after_returns(platform, attempt):
+    """Returns the last status of a caller that is refused and returns when it was told to."""
+    for number in range(MAX_RETURNS + 1):
+        status, head, _ = platform.send_request(f"{attempt}{number}", "/read/ok")
+        retry_after = header(head, "Retry-After")
+        if status != 503 or retry_after is None:
+            break
+        time.sleep(float(retry_after))
+    return status
+
+
 # Guards against a node that ends because a stream that waits for an upstream holds the most bytes.
 def check_large_refusals(platform, transcript):
     earn_retries(platform)
     for_each(LARGE_REFUSALS, lambda number: platform.send_request(
         f"large{number}", "/story/refusedlarge", "POST", b"%d" % number))
+    # All runners have just been silent, so that the node may refuse a request for a moment.
+    status = status_after_returns(platform, "after")
     transcript.write(f"large refusals of streams that wait: the node runs: {platform.process.poll() is None}, "
-                     f"serves: {platform.send_request('after', '/read/ok')[0]}")
+                     f"serves: {status}")
 
 
 def run_checks(platform, transcript):
