--- a/src/bench/pollenledge_bench.cc
+++ b/src/bench/pollenledge_bench.cc
@@ -8,6 +8,7 @@
 #include <malloc.h>
 
 #include "allocation_count.h"
+#include "heartbeat_codec.h"
 #include "pollenledge/process/entry_node.h"
 #include "virtual_world.h"
 #include "wire_codec.h"
--- a/src/libpollenledge/connection/heartbeat_link.cc
+++ b/src/libpollenledge/connection/heartbeat_link.cc
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "heartbeat_codec.h"
 #include "pollenledge/connection/endpoint.h"
 #include "pollenledge/process/log.h"
 #include "wire_codec.h"
--- a/src/libpollenledge/connection/peer_link.cc
+++ b/src/libpollenledge/connection/peer_link.cc
@@ -11,6 +11,7 @@
 #include <thread>
 #include <utility>
 
+#include "heartbeat_codec.h"
 #include "wire_codec.h"
 
 namespace pollenledge {
--- a/src/libpollenledge/connection/wire_codec.h
+++ b/src/libpollenledge/connection/wire_codec.h
@@ -9,8 +9,11 @@
 
 namespace pollenledge {
 
-// Conversions between the library's types and their Cap'n Proto messages.
+// Conversions of identifiers, requests and upstreams to and from their Cap'n
+// Proto messages. heartbeat_codec.h has those of heartbeats.
 
+Fingerprint FromWire(wire::Fingerprint::Reader reader);
+void ToWire(const Fingerprint& fingerprint, wire::Fingerprint::Builder builder);
 NodeId FromWire(wire::NodeId::Reader reader);
 void ToWire(const NodeId& id, wire::NodeId::Builder builder);
 RequestId FromWire(wire::RequestId::Reader reader);
@@ -19,10 +22,6 @@
 void ToWire(const UpstreamId& id, wire::UpstreamId::Builder builder);
 HybridTime FromWire(wire::HybridTime::Reader reader);
 void ToWire(const HybridTime& time, wire::HybridTime::Builder builder);
-MemberRecord FromWire(wire::MemberRecord::Reader reader);
-void ToWire(const MemberRecord& record, wire::MemberRecord::Builder builder);
-Heartbeat FromWire(wire::NodeHeartbeat::Reader reader);
-void ToWire(const Heartbeat& heartbeat, wire::NodeHeartbeat::Builder builder);
 HandOverMessage FromWire(wire::HandedOverRequest::Reader reader);
 void ToWire(const HandOverMessage& message,
             wire::HandedOverRequest::Builder builder);
