Metrics: bytes of heartbeats, and those that the kernel does not take

HeartbeatLink dropped the result of each send, so that a heartbeat larger than a datagram would leave no trace.

HeartbeatTraffic counts bytes sent and received and failed sends; /metrics has them as heartbeat_sent_bytes, heartbeat_received_bytes and heartbeat_send_failures. Bytes of relays are not counted.

--- a/src/include/pollenledge/connection/heartbeat_link.h
+++ b/src/include/pollenledge/connection/heartbeat_link.h
@@ -3,6 +3,8 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <compare>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -18,6 +20,17 @@
 /// they are not a heartbeat that contains its sender's record.
 Result<Heartbeat> DecodeHeartbeat(const char* bytes, std::size_t size);
 
+/// What a link has sent and received since it was made.
+struct HeartbeatTraffic {
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_bytes = 0;
+  /// Heartbeats that the kernel did not take, e.g. because they are larger than
+  /// a datagram.
+  std::uint64_t send_failures = 0;
+
+  auto operator<=>(const HeartbeatTraffic&) const = default;
+};
+
 /// Sends and receives heartbeats as Cap'n Proto messages in UDP datagrams. Owns
 /// the socket.
 ///
@@ -31,9 +44,11 @@
   HeartbeatLink(boost::asio::io_context& loop, const std::string& address,
                 Callback on_heartbeat);
 
-  /// Sends one heartbeat and ignores network errors.
+  /// Sends one heartbeat. Network errors are only counted.
   void Send(const HeartbeatMessage& message);
 
+  const HeartbeatTraffic& traffic() const { return traffic_; }
+
  private:
   void Receive();
 
@@ -42,6 +57,7 @@
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   Callback on_heartbeat_;
+  HeartbeatTraffic traffic_;
   std::array<char, kMaxDatagramBytes> buffer_{};
 };
 
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -132,6 +132,7 @@
                       bool is_relayed);
   CallerHandlers ReadinessHandlers();
   void SetMemoryGauges();
+  void SetHeartbeatGauges();
   /// Returns the handlers of a server that receives requests from callers, or
   /// from other nodes that relay them.
   CallerHandlers RequestHandlers(bool is_relayed);
--- a/src/libpollenledge/connection/heartbeat_link.cc
+++ b/src/libpollenledge/connection/heartbeat_link.cc
@@ -67,8 +67,10 @@
     return;
   }
   const std::string bytes = EncodeHeartbeat(message.heartbeat);
-  SystemError ignored;  // The next heartbeat replaces a lost one.
-  socket_.send_to(boost::asio::buffer(bytes), Value(endpoint), 0, ignored);
+  SystemError error;  // The next heartbeat replaces a lost one.
+  traffic_.sent_bytes +=
+      socket_.send_to(boost::asio::buffer(bytes), Value(endpoint), 0, error);
+  if (error) ++traffic_.send_failures;
 }
 
 void HeartbeatLink::Receive() {
@@ -77,6 +79,7 @@
       [this](const SystemError& error, std::size_t size) {
         if (error == boost::asio::error::operation_aborted) return;
         if (!error) {
+          traffic_.received_bytes += size;
           Result<Heartbeat> heartbeat = DecodeHeartbeat(buffer_.data(), size);
           if (Ok(heartbeat)) {
             on_heartbeat_(std::move(Value(heartbeat)));
--- a/src/libpollenledge/connection/heartbeat_link_test.cc
+++ b/src/libpollenledge/connection/heartbeat_link_test.cc
@@ -2,7 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <chrono>
 #include <random>
+#include <string>
 
 #include "pollenledge/process/forward_node.h"
 
@@ -117,5 +121,58 @@
   EXPECT_GT(accepted, 0);
 }
 
+class HeartbeatLinkTest : public ::testing::Test {
+ protected:
+  /// Returns a free local address for a link.
+  std::string FreeAddress() {
+    boost::asio::ip::udp::socket socket(
+        loop_, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+  }
+
+  /// Runs the loop until `count` heartbeats have been received or some time has
+  /// passed.
+  void RunUntilReceived(int count) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (received_ < count && std::chrono::steady_clock::now() < end) {
+      loop_.run_for(std::chrono::milliseconds(10));
+    }
+  }
+
+  boost::asio::io_context loop_;
+  const std::string sender_address_ = FreeAddress();
+  const std::string receiver_address_ = FreeAddress();
+  int received_ = 0;
+  HeartbeatLink sender_{loop_, sender_address_, [](const Heartbeat&) {}};
+  HeartbeatLink receiver_{loop_, receiver_address_,
+                          [this](const Heartbeat&) { ++received_; }};
+};
+
+// Guards against links that fill up unseen.
+TEST_F(HeartbeatLinkTest, CountsTheBytesThatNodesExchange) {
+  const Heartbeat heartbeat = FullHeartbeat();
+  const std::uint64_t size = EncodeHeartbeat(heartbeat).size();
+
+  sender_.Send({receiver_address_, heartbeat});
+  sender_.Send({receiver_address_, heartbeat});
+  RunUntilReceived(2);
+
+  ASSERT_EQ(received_, 2);
+  EXPECT_EQ(sender_.traffic(), (HeartbeatTraffic{.sent_bytes = 2 * size}));
+  EXPECT_EQ(receiver_.traffic(),
+            (HeartbeatTraffic{.received_bytes = 2 * size}));
+}
+
+// Guards against heartbeats that never leave the node, without a trace.
+TEST_F(HeartbeatLinkTest, CountsAHeartbeatLargerThanADatagram) {
+  constexpr int kReports = 10'000;
+  Heartbeat heartbeat = FullHeartbeat();
+  heartbeat.load_reports.resize(kReports, heartbeat.load_reports.front());
+
+  sender_.Send({receiver_address_, heartbeat});
+
+  EXPECT_EQ(sender_.traffic(), (HeartbeatTraffic{.send_failures = 1}));
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -198,6 +198,7 @@
       "prompt_cache_watched_upstreams",
       static_cast<double>(node_.prompt_cache_watch().watched_count()));
   SetMemoryGauges();
+  SetHeartbeatGauges();
   // The lowest level and the highest pressure of the services.
   double admission_level = 1;
   double admission_pressure = 0;
@@ -217,6 +218,16 @@
   caller->SendResponse(head, metrics_.Render());
 }
 
+void ForwardService::SetHeartbeatGauges() {
+  const HeartbeatTraffic& traffic = heartbeat_link_.traffic();
+  metrics_.SetGauge("heartbeat_sent_bytes",
+                    static_cast<double>(traffic.sent_bytes));
+  metrics_.SetGauge("heartbeat_received_bytes",
+                    static_cast<double>(traffic.received_bytes));
+  metrics_.SetGauge("heartbeat_send_failures",
+                    static_cast<double>(traffic.send_failures));
+}
+
 void ForwardService::LiftSuspect(
     const std::shared_ptr<CallerConnection>& caller, std::string_view target) {
   std::optional<Fingerprint> fingerprint;
