Testsuite: runs of the soak and of the fleet need no context manager

platform_soak and platform_upstream_processes each had a class that only made run_case's with statement work. The runs are functions now, and run_case gets contextlib.nullcontext. Options, seeds and checks are the same.

--- a/testsuite/platform_soak/run.py
+++ b/testsuite/platform_soak/run.py
@@ -8,7 +8,7 @@
 
 import sys
 from collections import Counter
-from contextlib import redirect_stdout
+from contextlib import nullcontext, redirect_stdout
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -20,32 +20,23 @@
 SEEDS = (24, 50)
 
 
-class Runs:
-    """Context manager that runs one soak after another."""
+def findings_of(seed):
+    """The findings of one run, by their rules."""
+    EXECUTIONS.clear()  # Else this run reports those of the earlier one again.
+    soak = Soak(parse_options(["--seed", str(seed)]))
+    try:
+        with redirect_stdout(sys.stderr):
+            soak.run()
+    finally:
+        soak.close()
+    return Counter(line.split(" at ")[0] for line in soak.findings)
 
-    def __enter__(self):
-        return self
 
-    def __exit__(self, *_):
-        pass
-
-    def run(self, seed):
-        """The findings of one run, by their rules."""
-        EXECUTIONS.clear()  # Else this run reports those of the earlier one again.
-        soak = Soak(parse_options(["--seed", str(seed)]))
-        try:
-            with redirect_stdout(sys.stderr):
-                soak.run()
-        finally:
-            soak.close()
-        return Counter(line.split(" at ")[0] for line in soak.findings)
-
-
-def run_checks(runs, transcript):
+def run_checks(_, transcript):
     for seed in SEEDS:
-        findings = runs.run(seed)
+        findings = findings_of(seed)
         transcript.write(f"seed {seed}: " + ", ".join(f"{rule} {findings[rule]}" for rule in EVENT_RULES))
 
 
 if __name__ == "__main__":
-    run_case(run_checks, Runs)
+    run_case(run_checks, nullcontext)
--- a/testsuite/platform_upstream_processes/run.py
+++ b/testsuite/platform_upstream_processes/run.py
@@ -6,7 +6,7 @@
 connection; REFUSED is seldom, so platform_reused_address guards against it."""
 
 import sys
-from contextlib import redirect_stdout
+from contextlib import nullcontext, redirect_stdout
 
 from fleet import Fleet, parse_options
 from findings import RULES
@@ -17,24 +17,15 @@
 MIN_ATTEMPTS = 200  # of a run, a fifth of what an idle machine bears
 
 
-class Runs:
-    """Context manager that plays one run after another."""
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        pass
-
-    def run(self, seed):
-        """The findings of one run, by their rules."""
-        fleet = Fleet(parse_options(["--seed", str(seed), "--seconds", str(SECONDS)]))
-        try:
-            with redirect_stdout(sys.stderr):
-                fleet.run()
-            return fleet.counts(), missing_activity(fleet)
-        finally:
-            fleet.close()
+def run_fleet(seed):
+    """The findings of one run, by their rules, and the activity that it lacks."""
+    fleet = Fleet(parse_options(["--seed", str(seed), "--seconds", str(SECONDS)]))
+    try:
+        with redirect_stdout(sys.stderr):
+            fleet.run()
+        return fleet.counts(), missing_activity(fleet)
+    finally:
+        fleet.close()
 
 
 def missing_activity(fleet):
@@ -52,13 +43,13 @@
     return [name for name, is_there in activity.items() if not is_there]
 
 
-def run_checks(runs, transcript):
+def run_checks(_, transcript):
     for seed in SEEDS:
-        findings, missing = runs.run(seed)
+        findings, missing = run_fleet(seed)
         transcript.write(f"seed {seed}: " + ", ".join(
             f"{rule} {findings[rule]}" for rule in (*RULES, "ended by itself", "soak failed")))
         transcript.write(f"seed {seed}: missing activity: {', '.join(missing) or 'none'}")
 
 
 if __name__ == "__main__":
-    run_case(run_checks, Runs)
+    run_case(run_checks, nullcontext)
