One call for an upstream's report, which ends in a bounded time

Callers of streams that were to go on at an upstream whose report never came waited until their own deadline: the call before such a stream was bounded by nothing else. The check of responses that end with their connection made the same call with a bound and other rules of its own.

UpstreamReportClient makes the call for both: on a connection that has carried nothing, with at most 64 KB of response, within 600 ms (longer only while the event loop has a response to read). What counts as a report is one rule, IsReport: 200 or 404, whole, without the id of a request. For the check of ended responses this is stricter than before: a 429 or another 4xx, and a response with an id, no longer show that a process lives. A response of more than 64 KB is no report; before, it counted as one without an incarnation.

platform_late_copies: the row "that is cut" sent a report that never ended. It has its true name now, and a row that is truly cut stands beside it. Each row says whether the caller was told in time.

--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -19,6 +19,7 @@
 #include "pollenledge/process/log_line_limit.h"
 #include "pollenledge/process/prompt_cache_client.h"
 #include "pollenledge/process/response_end_verifier.h"
+#include "pollenledge/process/upstream_report_client.h"
 #include "pollenledge/request/event_splitter.h"
 
 namespace pollenledge {
@@ -111,13 +112,6 @@
     std::size_t held_bytes = 0;
   };
 
-  /// The response to the question which incarnation an upstream is.
-  struct UpstreamReport {
-    int status = 0;
-    bool names_request = false;
-    std::string body;
-  };
-
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  const HttpHead& head, std::string body, bool is_relayed);
   /// Returns whose memory a body counts as and when it must be complete.
@@ -179,12 +173,12 @@
                      const std::vector<HttpField>& fields,
                      TimePoint send_before, std::function<bool()> may_send);
   /// Asks the upstream's process which incarnation it is and starts the attempt
-  /// on the same connection if it is the expected one. The question names no
-  /// request, so it is asked only on a connection that has carried nothing.
+  /// on the same connection if it is the expected one.
   void VerifyUpstream(Exchange* exchange,
                       const forward_action::SendAttempt& send);
   void OnUpstreamReport(const forward_action::SendAttempt& send,
-                        ClientExchangeResult end, const UpstreamReport& report);
+                        const std::shared_ptr<ClientConnection>& connection,
+                        const UpstreamReport& report);
   bool OnResponseHead(ForwardId id, const HttpHead& head);
   /// Logs and counts what an upstream stated in a malformed way.
   void ReportUnreadableSignals(const Exchange& exchange,
@@ -248,6 +242,7 @@
   std::optional<TimePoint> loop_delayed_at_;  ///< By `kLoggedLoopDelay`.
   ClientConnectionPool upstream_pool_;
   PromptCacheClient prompt_cache_client_;
+  UpstreamReportClient upstream_reports_;
   ResponseEndVerifier response_end_verifier_;
   std::unordered_map<ForwardId, Exchange> exchanges_;
   std::size_t held_response_bytes_ = 0;  ///< Over all exchanges.
--- a/src/include/pollenledge/process/response_end_verifier.h
+++ b/src/include/pollenledge/process/response_end_verifier.h
@@ -4,13 +4,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
-#include <optional>
-#include <set>
 #include <string>
 
-#include "pollenledge/connection/client_connection.h"
 #include "pollenledge/connection/forwarding_codec.h"
+#include "pollenledge/process/upstream_report_client.h"
 #include "pollenledge/time.h"
 
 namespace pollenledge {
@@ -28,17 +25,10 @@
 /// Returns the name of `proof` as used in logs and metrics.
 const char* ToString(ResponseEndProof proof);
 
-/// How a call for an upstream's report ended.
-struct ReportCall {
-  ClientExchangeResult end = ClientExchangeResult::kNotSent;
-  int status = 0;                            ///< 0 if there was no response.
-  std::optional<std::uint64_t> incarnation;  ///< That the report states.
-};
-
-/// Returns what the call shows about the process of `expected_incarnation`,
-/// which is 0 if it is not known.
-ResponseEndProof AssessReportCall(std::uint64_t expected_incarnation,
-                                  const ReportCall& call);
+/// Returns what the call for a report shows about the process of
+/// `expected_incarnation`, which is 0 if it is not known.
+ResponseEndProof AssessReport(std::uint64_t expected_incarnation,
+                              const UpstreamReport& report);
 
 /// Returns true if the orderly end of a connection is the end of its response.
 /// `may_be_old`: the end may have been received long before it was handled, so
@@ -56,7 +46,7 @@
 ///
 /// Asks for the upstream's report on a new connection each time: only a process
 /// that lives then can respond. Not thread-safe; everything runs on the loop's
-/// thread.
+/// thread. Its end ends all calls without calling back.
 class ResponseEndVerifier {
  public:
   using Callback = std::function<void(ResponseEndProof)>;
@@ -64,10 +54,6 @@
   /// `codec` must outlive the verifier.
   ResponseEndVerifier(boost::asio::io_context& loop,
                       const ForwardingCodec& codec);
-  /// Ends all calls without calling back.
-  ~ResponseEndVerifier();
-  ResponseEndVerifier(const ResponseEndVerifier&) = delete;
-  ResponseEndVerifier& operator=(const ResponseEndVerifier&) = delete;
 
   /// Asks the upstream at `address` for its report. The request was sent at
   /// `sent_at`, to the process of `listed_incarnation` (0: not known) or of an
@@ -77,7 +63,12 @@
               TimePoint sent_at, Callback callback);
 
  private:
-  struct Call;
+  /// The response whose end is in question.
+  struct Response {
+    std::string address;
+    std::uint64_t listed_incarnation = 0;
+    TimePoint sent_at;  ///< When its request was sent.
+  };
   /// An incarnation that reported itself at an address.
   struct Reported {
     std::uint64_t incarnation = 0;
@@ -85,21 +76,21 @@
     TimePoint last_at;
   };
 
-  /// Returns true if `incarnation` reported itself at the call's address before
-  /// the request was sent. The list of upstreams may lag behind; a process that
-  /// was there before and is there after the end has been there all the time.
-  bool WasThere(const Call& call, std::uint64_t incarnation) const;
+  /// Returns what `report` shows about the response's process, and remembers
+  /// the incarnation that it states.
+  ResponseEndProof OnReport(const Response& response,
+                            const UpstreamReport& report, TimePoint now);
+  /// Returns true if `incarnation` reported itself at the response's address
+  /// before the request was sent. The list of upstreams may lag behind; a
+  /// process that was there before and is there after the end has been there
+  /// all the time.
+  bool WasThere(const Response& response, std::uint64_t incarnation) const;
   void RecordReport(const std::string& address, std::uint64_t incarnation,
                     TimePoint now);
-  ExchangeHandlers HandlersOf(const std::shared_ptr<Call>& call);
-  /// Ends `call` after `timeout`, unless its response is being read then.
-  void ArmTimeout(const std::shared_ptr<Call>& call, Duration timeout);
-  void Finish(const std::shared_ptr<Call>& call, ClientExchangeResult end);
 
   boost::asio::io_context& loop_;
-  const ForwardingCodec& codec_;
-  std::set<std::shared_ptr<Call>> calls_;
   std::map<std::string, Reported> reported_;  ///< By address.
+  UpstreamReportClient reports_;
 };
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -63,6 +63,7 @@
       byte_budget_(std::make_shared<ByteBudget>(options_.byte_limits)),
       upstream_pool_(loop),
       prompt_cache_client_(loop, codec_),
+      upstream_reports_(loop, codec_),
       response_end_verifier_(loop, codec_),
       timer_(loop),
       heartbeat_link_(
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -17,15 +17,12 @@
 /// Maximum size of all incomplete responses and events together: a fifth of the
 /// memory of the smallest machine.
 constexpr std::size_t kMaxTotalHeldBytes = std::size_t{32} * 1024 * 1024;
-/// Maximum size of an upstream's report about itself; the rest is ignored.
-constexpr std::size_t kMaxReportBytes = std::size_t{64} * 1024;
 /// Maximum size of a stream event that has been received only in part.
 constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
 /// After reading was paused, what is read within this time may have been
 /// received long before.
 constexpr Duration kOldInputTime = std::chrono::seconds(1);
 constexpr int kStatusOk = 200;
-constexpr int kStatusNotFound = 404;
 constexpr int kMinStatusServerError = 500;
 
 bool IsSuccess(int status) {
@@ -157,44 +154,29 @@
     exchange->upstream_connection->Abort();
     exchange->upstream_connection = upstream_pool_.Open(send.address);
   }
-  const auto report = std::make_shared<UpstreamReport>();
-  ExchangeHandlers handlers;
-  handlers.on_head = [this, report](const HttpHead& head) {
-    report->status = head.status;
-    report->names_request = codec_.decode_response(head).trace_id.has_value();
-    return true;
-  };
-  handlers.on_body = [report](const std::string& bytes) {
-    if (report->body.size() + bytes.size() <= kMaxReportBytes)
-      report->body += bytes;
-  };
-  handlers.on_finished = [this, send, report](ClientExchangeResult end) {
-    OnUpstreamReport(send, end, *report);
-  };
-  exchange->upstream_connection->Start(
-      "GET " + codec_.report_path + " HTTP/1.1\r\nHost: " + send.address +
-          "\r\n\r\n",
-      "GET", kConnectTimeout, std::move(handlers), send.send_before);
+  upstream_reports_.Call(
+      exchange->upstream_connection,
+      [this, send, connection = exchange->upstream_connection](
+          const UpstreamReport& report) {
+        OnUpstreamReport(send, connection, report);
+      });
 }
 
-void ForwardService::OnUpstreamReport(const forward_action::SendAttempt& send,
-                                      ClientExchangeResult end,
-                                      const UpstreamReport& report) {
+void ForwardService::OnUpstreamReport(
+    const forward_action::SendAttempt& send,
+    const std::shared_ptr<ClientConnection>& connection,
+    const UpstreamReport& report) {
   Exchange* exchange = FindExchange(send.id);
-  if (exchange == nullptr) return;
-  // Some services have no reports, or none that states an incarnation.
-  const bool is_report =
-      end == ClientExchangeResult::kComplete && !report.names_request &&
-      (report.status == kStatusOk || report.status == kStatusNotFound);
-  const std::optional<std::uint64_t> incarnation =
-      report.status == kStatusOk ? codec_.decode_incarnation(report.body)
-                                 : std::nullopt;
+  // The request or this attempt may have ended meanwhile.
+  if (exchange == nullptr || exchange->upstream_connection != connection)
+    return;
+  const std::optional<std::uint64_t> incarnation = report.incarnation;
   const bool is_other =
       incarnation.has_value() && *incarnation != send.upstream.incarnation;
   // If the connection has ended with the report, the next one may lead to
   // another process.
-  const bool is_closed = !exchange->upstream_connection->reusable();
-  if (is_other || !is_report || is_closed ||
+  const bool is_closed = !connection->reusable();
+  if (is_other || !IsReport(report) || is_closed ||
       BootClockNow() >= send.send_before) {
     Log(LogLevel::kInfo, "upstream_not_verified",
         {{"request", exchange->spec.trace_id},
@@ -204,11 +186,11 @@
          {"incarnation", std::to_string(send.upstream.incarnation)},
          {"reported",
           incarnation.has_value() ? std::to_string(*incarnation) : "none"}});
-    exchange->upstream_connection->Abort();
+    connection->Abort();
     OnAttemptEnd(send.id, ClientExchangeResult::kNotSent);
     return;
   }
-  exchange->upstream_connection->verified_incarnation = incarnation;
+  connection->verified_incarnation = incarnation;
   StartAttempt(exchange, send);
 }
 
--- a/src/libpollenledge/process/response_end_verifier_test.cc
+++ b/src/libpollenledge/process/response_end_verifier_test.cc
@@ -25,7 +25,7 @@
 TEST(ResponseEndTest, OnlyTheSameIncarnationShowsThatItLivesOn) {
   const auto assess = [](std::uint64_t expected, ClientExchangeResult end,
                          int status, std::optional<std::uint64_t> reported) {
-    return AssessReportCall(expected, {end, status, reported});
+    return AssessReport(expected, {end, status, false, reported});
   };
   using Result = ClientExchangeResult;
   using Proof = ResponseEndProof;
@@ -69,6 +69,7 @@
         address_("127.0.0.1:" +
                  std::to_string(acceptor_.local_endpoint().port())) {
     codec_.report_path = "/report";
+    codec_.decode_response = [](const HttpHead&) { return ResponseInfo(); };
     codec_.decode_incarnation =
         [](const std::string& report) -> std::optional<std::uint64_t> {
       if (report.empty()) return std::nullopt;
--- a/testsuite/platform_late_copies/run.py
+++ b/testsuite/platform_late_copies/run.py
@@ -15,10 +15,12 @@
 LARGE_REFUSALS = 16
 MAX_RETURNS = 2  # of a caller that is refused with a time to return
 EARNING_REQUESTS = 200  # The retry budget grows with them.
-REPORTS = (
+TOLD_SECONDS = 2.5  # Well before the deadline of a request, 5 s.
+REPORTS = (  # A runner closes the connection after one with "Connection: close".
     ("of 503", b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"),
     ("with an id", b"HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nContent-Length: 2\r\n\r\n{}"),
     ("that isn't one", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"),
+    ("that never ends", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}"),
     ("that is cut", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\n{}"),
     ("without an incarnation", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
     ("of 404", b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"),
@@ -88,16 +90,20 @@
     transcript.write(f"an earlier response before a report: complete {complete}, runs {runs}")
 
 
-# Guards against a stream that goes on at a process of which nothing is known (ORDER).
+# Guards against a stream that goes on at a process of which nothing is known (ORDER), and against a
+# caller that waits for a report until its own deadline.
 def check_unclear_reports(platform, transcript):
     earn_retries(platform)
     for name, report in REPORTS:
         for runner in platform.runners:
             runner.report = report
         attempt = f"unclear {name}".replace(" ", "-")
+        start = time.monotonic()
         complete = stream_of(platform, attempt, "/draft/break")
+        took = time.monotonic() - start
+        print(f"# a report {name}: {took:.2f} s", file=sys.stderr)
         runs = sum(1 for run in EXECUTIONS if run[0] == attempt)
-        transcript.write(f"a report {name}: goes on: {complete}, runs {runs}")
+        transcript.write(f"a report {name}: goes on: {complete}, runs {runs}, ends in time: {took < TOLD_SECONDS}")
         for runner in platform.runners:
             runner.report = None
         wait_for_runners(platform)
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -417,7 +417,7 @@
                 time.sleep(0.05)
             if self.report is not None:
                 connection.sendall(self.report)
-                return True
+                return b"Connection: close" not in self.report
             report = json.dumps({"born": self.start_count, "active": 0}).encode()
             connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                                b"Content-Length: %d\r\n\r\n%s" % (len(report), report))
