Notice a replaced upstream although the list names no incarnation

Callers could get half a body as a whole response (MIXED): if the list of upstreams states no incarnation, any report counted as that of "a living process", also one that named another incarnation than the address had reported before. A process that was killed and started again within the time that the check takes passed as the one that had sent the response.

The check now compares with what the address reported earlier: another incarnation, or one that followed another after the request was sent, is another process. It is the careful side: if the replacement came before the request, this one response is lost, and the next ones are compared with the new incarnation.

NoticesAReplacementThatTheListDoesNotName: 2 of its 5 answers were "living process" before, now all hold (unit test, real sockets).

--- a/src/include/pollenledge/process/response_end_verifier.h
+++ b/src/include/pollenledge/process/response_end_verifier.h
@@ -74,6 +74,7 @@
     std::uint64_t incarnation = 0;
     TimePoint first_at;
     TimePoint last_at;
+    bool follows_another = false;  ///< Another one reported itself before.
   };
 
   /// Returns what `report` shows about the response's process, and remembers
@@ -85,6 +86,11 @@
   /// process that was there before and is there after the end has been there
   /// all the time.
   bool WasThere(const Response& response, std::uint64_t incarnation) const;
+  /// Returns true if another incarnation reported itself at the response's
+  /// address, and `incarnation` may have taken its place after the request was
+  /// sent.
+  bool MayHaveReplaced(const Response& response,
+                       std::uint64_t incarnation) const;
   void RecordReport(const std::string& address, std::uint64_t incarnation,
                     TimePoint now);
 
--- a/src/libpollenledge/process/response_end_verifier.cc
+++ b/src/libpollenledge/process/response_end_verifier.cc
@@ -77,10 +77,13 @@
   if (!report.incarnation.has_value() || !IsReport(report))
     return AssessReport(response.listed_incarnation, report);
   const std::uint64_t incarnation = *report.incarnation;
-  const ResponseEndProof proof = AssessReport(WasThere(response, incarnation)
-                                                  ? incarnation
-                                                  : response.listed_incarnation,
-                                              report);
+  ResponseEndProof proof = AssessReport(response.listed_incarnation, report);
+  if (WasThere(response, incarnation)) {
+    proof = ResponseEndProof::kSameIncarnation;
+  } else if (response.listed_incarnation == 0 &&
+             MayHaveReplaced(response, incarnation)) {
+    proof = ResponseEndProof::kOtherIncarnation;
+  }
   RecordReport(response.address, incarnation, now);
   return proof;
 }
@@ -92,6 +95,15 @@
          known->second.first_at <= response.sent_at;
 }
 
+bool ResponseEndVerifier::MayHaveReplaced(const Response& response,
+                                          std::uint64_t incarnation) const {
+  const auto known = reported_.find(response.address);
+  if (known == reported_.end()) return false;
+  const Reported& last = known->second;
+  return last.incarnation != incarnation ||
+         (last.follows_another && last.first_at > response.sent_at);
+}
+
 void ResponseEndVerifier::RecordReport(const std::string& address,
                                        std::uint64_t incarnation,
                                        TimePoint now) {
@@ -99,7 +111,8 @@
     return now - entry.second.last_at > kReportedIncarnationTime;
   });
   Reported& known = reported_[address];
-  if (known.incarnation != incarnation) known = {incarnation, now, now};
+  if (known.incarnation != incarnation)
+    known = {incarnation, now, now, known.incarnation != 0};
   known.last_at = now;
 }
 
--- a/src/libpollenledge/process/response_end_verifier_test.cc
+++ b/src/libpollenledge/process/response_end_verifier_test.cc
@@ -97,9 +97,10 @@
   }
 
   /// Returns what the call shows; empty if it does not end.
-  std::optional<ResponseEndProof> Verify(TimePoint sent_at = TimePoint()) {
+  std::optional<ResponseEndProof> Verify(TimePoint sent_at = TimePoint(),
+                                         std::uint64_t listed = kIncarnation) {
     std::optional<ResponseEndProof> proof;
-    verifier_.Verify(address_, kIncarnation, sent_at,
+    verifier_.Verify(address_, listed, sent_at,
                      [&](ResponseEndProof shown) { proof = shown; });
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     while (!proof.has_value() && std::chrono::steady_clock::now() < end)
@@ -146,6 +147,25 @@
   EXPECT_EQ(Verify(BootClockNow()), ResponseEndProof::kSameIncarnation);
 }
 
+// Guards against half a body that passes as whole although its process has been
+// replaced, because the list names no incarnation (MIXED).
+TEST_F(ResponseEndVerifierTest, NoticesAReplacementThatTheListDoesNotName) {
+  constexpr std::uint64_t kUnlisted = 0;
+  response_ = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7";
+  EXPECT_EQ(Verify(BootClockNow(), kUnlisted), ResponseEndProof::kLivingProcess)
+      << "nothing is known yet";
+  EXPECT_EQ(Verify(BootClockNow(), kUnlisted),
+            ResponseEndProof::kSameIncarnation);
+  const TimePoint sent_before = BootClockNow();
+  response_.back() = '8';
+  EXPECT_EQ(Verify(sent_before, kUnlisted), ResponseEndProof::kOtherIncarnation)
+      << "replaced since";
+  EXPECT_EQ(Verify(sent_before, kUnlisted), ResponseEndProof::kOtherIncarnation)
+      << "replaced before another response to it was verified";
+  EXPECT_EQ(Verify(BootClockNow(), kUnlisted),
+            ResponseEndProof::kSameIncarnation);
+}
+
 // Guards against a killed process that counts as living, or that holds up the
 // request for longer than the bound.
 TEST_F(ResponseEndVerifierTest, NoResponseShowsNothing) {
