Prompt cache polls skip responses to other requests

A late copy of another response on a kept connection was taken for an upstream's cache events, so that the node placed prompts by events that the upstream had not stated.

A poll has no id, so a response with one is skipped, and the connection ends with the call. A connection on which something waits unread before the poll is sent is closed, as the pool does for requests. An empty id names no request; polls and calls for reports go by the same function.

A late copy of an earlier poll's own response that comes after the next poll was sent is still taken: only the events' numbers tell it apart, by which the directory drops old ones.

--- a/src/include/pollenledge/connection/forwarding_codec.h
+++ b/src/include/pollenledge/connection/forwarding_codec.h
@@ -45,6 +45,12 @@
   bool is_encoded = false;
   UpstreamSignals signals;
 
+  /// Returns true if the response has the id of a request. An empty id names
+  /// none.
+  bool names_request() const {
+    return trace_id.has_value() && !trace_id->empty();
+  }
+
   friend bool operator==(const ResponseInfo&, const ResponseInfo&) = default;
 };
 
--- a/src/libpollenledge/process/prompt_cache_client.cc
+++ b/src/libpollenledge/process/prompt_cache_client.cc
@@ -49,8 +49,12 @@
   exchanges_[address] = exchange;
   ExchangeHandlers handlers;
   const std::weak_ptr<Exchange> weak = exchange;
-  handlers.on_head = [weak](const HttpHead& head) {
-    if (const auto current = weak.lock()) current->status = head.status;
+  handlers.on_head = [this, weak](const HttpHead& head) {
+    const auto current = weak.lock();
+    // Calls have no id, so a response with one belongs to another request.
+    if (current == nullptr || codec_.decode_response(head).names_request())
+      return false;
+    current->status = head.status;
     return true;
   };
   handlers.on_body = [weak](const std::string& bytes) {
@@ -107,8 +111,13 @@
 std::shared_ptr<ClientConnection> PromptCacheClient::Connection(
     const std::string& address) {
   std::shared_ptr<ClientConnection>& connection = connections_[address];
-  if (connection == nullptr || !connection->reusable())
+  // What was received before the call is sent can't be the response to it.
+  const bool is_usable = connection != nullptr && connection->reusable() &&
+                         !connection->HasUnhandledInput();
+  if (!is_usable) {
+    if (connection != nullptr) connection->Abort();
     connection = std::make_shared<ClientConnection>(loop_, address);
+  }
   return connection;
 }
 
--- a/src/libpollenledge/process/prompt_cache_client_test.cc
+++ b/src/libpollenledge/process/prompt_cache_client_test.cc
@@ -32,6 +32,11 @@
       if (body == "malformed") return std::nullopt;
       return PromptCacheEvents{1, body.size(), 0, {}};
     };
+    codec_.decode_response = [](const HttpHead& head) {
+      ResponseInfo info;
+      if (const std::string* id = head.Find("Id")) info.trace_id = *id;
+      return info;
+    };
     address_ = "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     Accept();
   }
@@ -59,10 +64,10 @@
   }
 
   static std::string Response(const std::string& status,
-                              const std::string& body) {
-    return "HTTP/1.1 " + status +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+                              const std::string& body,
+                              const std::string& fields = "") {
+    return "HTTP/1.1 " + status + "\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
   /// Makes a call and waits for its result.
@@ -99,6 +104,24 @@
   EXPECT_EQ(connections_, 1);
 }
 
+// Guards against the response to another request, written late, that is taken
+// for an upstream's cache events.
+TEST_F(PromptCacheClientTest, LateResponsesToOtherRequests) {
+  PromptCacheClient client(loop_, codec_);
+  const PromptCachePollResult own = PromptCacheEvents{1, 5, 0, {}};
+  const std::string late = Response("200 OK", "late", "Id: a\r\n");
+  response_ = late + Response("200 OK", "12345");
+  EXPECT_EQ(Call(&client, 0), own) << "before the poll's own response";
+  response_ = Response("200 OK", "12345");
+  EXPECT_EQ(Call(&client, 1), own);
+  const int connections = connections_;
+  // The event loop does not run between the write and the next call.
+  boost::asio::write(*peers_.back(),
+                     boost::asio::buffer(Response("200 OK", "unasked")));
+  EXPECT_EQ(Call(&client, 2), own) << "before the poll was sent";
+  EXPECT_EQ(connections_, connections + 1);
+}
+
 // Guards against a refusal, a malformed response or one without end that is
 // taken for events, or that is waited for without end.
 TEST_F(PromptCacheClientTest, RefusedMalformedAndMissingResponses) {
--- a/src/libpollenledge/process/upstream_report_client.cc
+++ b/src/libpollenledge/process/upstream_report_client.cc
@@ -76,7 +76,7 @@
     if (current == nullptr) return false;
     current->report.status = head.status;
     current->report.names_request =
-        codec_.decode_response(head).trace_id.has_value();
+        codec_.decode_response(head).names_request();
     return true;
   };
   handlers.on_body = [this, weak](const std::string& bytes) {
