A refusal without an id counts after an upstream's own report

A stream that was to go on at an upstream ended for its caller although no upstream had run its rest: a refusal without an id (503 with Not-Executed) on a connection that had carried only the node's call for a report counted as the possible copy of an earlier response, so as a possible run, and the route's attempts were used up.

Such a response belongs to the request if its status differs from that of the report. The report's response was read whole and nothing was left unread, so that the only other response that can come on this connection is the report's once more, and a copy has the same status. A response with the report's status and without an id still belongs to no request. What has arrived unread before the request is sent now closes the connection.

--- a/src/include/pollenledge/connection/response_evidence.h
+++ b/src/include/pollenledge/connection/response_evidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "pollenledge/connection/http_reader.h"
 
@@ -29,6 +30,10 @@
   bool names_request = false;  ///< It has the request's id.
   /// Number of requests that its connection had carried before.
   int earlier_requests = 0;
+  int status = 0;  ///< 0 if there was no response.
+  /// Status of the upstream's report about itself, if the call for it is all
+  /// that its connection had carried before; empty otherwise.
+  std::optional<int> report_status;
 
   friend bool operator==(const ResponseEvidence&,
                          const ResponseEvidence&) = default;
@@ -37,6 +42,9 @@
 /// Returns true if the response belongs to the request of its exchange: it
 /// names the request, or nothing else can have been answered on its connection.
 /// Any other may be the late copy of a response to an earlier request.
+///
+/// After a report that was read whole, only its own late copy can come before
+/// the response to the request, and that has the report's status.
 bool BelongsToRequest(const ResponseEvidence& response);
 
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/response_evidence.cc
+++ b/src/libpollenledge/connection/response_evidence.cc
@@ -33,7 +33,10 @@
 }
 
 bool BelongsToRequest(const ResponseEvidence& response) {
-  return response.names_request || response.earlier_requests == 0;
+  if (response.names_request || response.earlier_requests == 0) return true;
+  const bool follows_report =
+      response.earlier_requests == 1 && response.report_status.has_value();
+  return follows_report && response.status != *response.report_status;
 }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/response_evidence_test.cc
+++ b/src/libpollenledge/connection/response_evidence_test.cc
@@ -33,5 +33,23 @@
                                            EvidenceCase{false, 1, false},
                                            EvidenceCase{false, 500, false}));
 
+// Guards against a refusal without an id that counts as a possible run although
+// its connection had carried only the node's own call for a report, and against
+// a late copy of the report that is taken for the response.
+TEST(ReportEvidenceTest, AfterAReportAnyOtherStatusIsTheRequestsOwn) {
+  const auto belongs = [](int earlier_requests, int status,
+                          std::optional<int> report_status) {
+    return BelongsToRequest({.earlier_requests = earlier_requests,
+                             .status = status,
+                             .report_status = report_status});
+  };
+  EXPECT_TRUE(belongs(1, 503, 200));
+  EXPECT_TRUE(belongs(1, 400, 404));
+  EXPECT_FALSE(belongs(1, 200, 200)) << "a copy of the report";
+  EXPECT_FALSE(belongs(1, 404, 404)) << "a copy of the report";
+  EXPECT_FALSE(belongs(1, 503, std::nullopt)) << "a copy of a refusal";
+  EXPECT_FALSE(belongs(2, 503, 200)) << "a copy of a refusal";
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -174,9 +174,10 @@
   const bool is_other =
       incarnation.has_value() && *incarnation != send.upstream.incarnation;
   // If the connection has ended with the report, the next one may lead to
-  // another process.
-  const bool is_closed = !connection->reusable();
-  if (is_other || !IsReport(report) || is_closed ||
+  // another process. What has been received by now can't be the response.
+  const bool is_usable =
+      connection->reusable() && !connection->HasUnhandledInput();
+  if (is_other || !IsReport(report) || !is_usable ||
       BootClockNow() >= send.send_before) {
     Log(LogLevel::kInfo, "upstream_not_verified",
         {{"request", exchange->spec.trace_id},
@@ -191,6 +192,7 @@
     return;
   }
   connection->verified_incarnation = incarnation;
+  exchange->evidence.report_status = report.status;
   StartAttempt(exchange, send);
 }
 
@@ -255,6 +257,7 @@
   exchange->evidence.names_request =
       exchange->response_info.trace_id.has_value();
   exchange->evidence.framing = FramingOf(head);
+  exchange->evidence.status = head.status;
   exchange->forwarding_events = exchange->expects_stream &&
                                 head.status == kStatusOk &&
                                 exchange->response_info.is_signed &&
--- a/testsuite/platform_late_copies/run.py
+++ b/testsuite/platform_late_copies/run.py
@@ -50,13 +50,14 @@
 
 
 def wait_for_runners(platform):
-    """Returns once both runners get requests again."""
+    """Returns once all runners get requests again."""
+    names = {runner.name for runner in platform.runners}
     start = len(EXECUTIONS)
 
-    def has_used_both():
+    def has_used_all():
         platform.send_request(f"next{len(EXECUTIONS)}", "/read/ok")
-        return len({run[1] for run in EXECUTIONS[start:]}) == 2
-    platform.wait_until(has_used_both)
+        return names <= {run[1] for run in EXECUTIONS[start:]}
+    platform.wait_until(has_used_all)
 
 
 def keep_connections(platform):
@@ -131,6 +132,26 @@
                      f"serves: {status}")
 
 
+def replace_runners(platform, count):
+    """Replaces the runners with `count` new ones, whose connections have carried nothing."""
+    for runner in platform.runners:
+        runner.leave()
+    platform.runners = [platform.runner_type(f"n-{number}", platform.store, slots=40) for number in range(count)]
+
+
+# Guards against a stream that ends although no runner has run its rest, because a refusal without an
+# id counts as a possible run where nothing but the runner's report came before.
+def check_unnamed_refusals(platform, transcript):
+    replace_runners(platform, 3)
+    complete = []
+    for number in range(REPEATED_STREAMS):
+        wait_for_runners(platform)
+        earn_retries(platform)
+        complete.append(stream_of(platform, f"unnamed{number}", "/draft/breakunnamed"))
+    arrivals = [sum(1 for run in EXECUTIONS if run[0] == f"unnamed{number}") for number in range(REPEATED_STREAMS)]
+    transcript.write(f"a refusal without an id after a report: complete {complete.count(True)}, arrivals {arrivals}")
+
+
 def run_checks(platform, transcript):
     platform.store.put("op/config", config(2, routes=[
         route("read", "idempotent"), route("draft", "streaming", resumable=True),
@@ -141,6 +162,7 @@
     check_repeats_before_reports(platform, transcript)
     check_second_sends(platform, transcript)
     check_large_refusals(platform, transcript)
+    check_unnamed_refusals(platform, transcript)
 
 
 if __name__ == "__main__":
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -663,6 +663,19 @@
         return self.stream(connection, attempt, int(mine[-1][2] or 0) + 1, 4, True)
 
 
+    def do_breakunnamed(self, connection, attempt):
+        """Breaks the first run off after two events. The next runner refuses the rest without the
+        request's id and closes the connection, as the last one does after the rest."""
+        mine = [run for run in EXECUTIONS if run[0] == attempt]
+        if len(mine) == 1:
+            return self.stream(connection, attempt, 1, 2, False)
+        if len(mine) == 2:
+            connection.sendall(b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+                               b"Connection: close\r\n\r\n")
+            return False
+        self.stream(connection, attempt, int(mine[-1][2] or 0) + 1, 4, True)
+        return False
+
     def break_then_fail(self, connection, attempt, status):
         """Breaks the first run off after two events. Later runs respond with an error."""
         if sum(1 for run in EXECUTIONS if run[0] == attempt) == 1:
