A request without an id gets a connection that has carried nothing

A caller whose request has no Attempt-Id got 502 although its upstream had run the request: the response can name no request, so it could be the late copy of another's, and even on a new connection a 2xx without an id was no success. An upstream that echoed an empty id was believed on any connection.

The protocol says that each caller's attempt has an id, and names no id-less requests except those that are answered 400. They are served now as far as it is sound: on a connection of their own, which is closed afterwards, as only there a response without an id can belong to no other request. An empty id names no request. A stream without an id that has to go on at another upstream, after a call for its report, still ends there.

Streams without an id have no test.

--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -159,7 +159,9 @@
   void ResetResponse(Exchange* exchange, RouteKind kind);
   /// Returns a connection that has not carried this request before. An id names
   /// the caller's attempt, so that a late copy of the response to an earlier
-  /// send can't be told from the response to the current one.
+  /// send can't be told from the response to the current one. The response to a
+  /// request without an id can be told from no other, so that it gets a
+  /// connection that has carried nothing.
   std::shared_ptr<ClientConnection> AcquireConnection(
       const Exchange& exchange, const std::string& address,
       ConnectionReuse reuse);
@@ -205,6 +207,9 @@
   bool CountHeldBytes(Exchange* exchange);
   /// Rejects the response that holds the most bytes.
   void BoundHeldBytes();
+  /// Returns true if the response is the upstream's unchanged response to the
+  /// request, so that it counts as a success by a status of 2xx.
+  static bool IsUpstreamsOwn(const Exchange& exchange);
   ForwardOutcome ClassifyEnd(const Exchange& exchange,
                              ClientExchangeResult end) const;
   void StartResponse(Exchange* exchange);
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -74,6 +74,7 @@
 std::shared_ptr<ClientConnection> ForwardService::AcquireConnection(
     const Exchange& exchange, const std::string& address,
     ConnectionReuse reuse) {
+  if (exchange.spec.trace_id.empty()) return upstream_pool_.Open(address);
   const std::vector<std::int64_t>& kept = exchange.kept_connections;
   while (true) {
     std::shared_ptr<ClientConnection> connection =
@@ -254,15 +255,12 @@
   ReportUnreadableSignals(*exchange, info.signals);
   exchange->response_head = head;
   exchange->response_info = std::move(info);
-  exchange->evidence.names_request =
-      exchange->response_info.trace_id.has_value();
+  exchange->evidence.names_request = exchange->response_info.names_request();
   exchange->evidence.framing = FramingOf(head);
   exchange->evidence.status = head.status;
   exchange->forwarding_events = exchange->expects_stream &&
                                 head.status == kStatusOk &&
-                                exchange->response_info.is_signed &&
-                                exchange->response_info.trace_id.has_value() &&
-                                !exchange->response_info.is_encoded;
+                                IsUpstreamsOwn(*exchange);
   Submit(
       forward_event::ResponseHeadReceived{id, exchange->response_info.signals});
   return FindExchange(id) != nullptr;
@@ -396,8 +394,9 @@
 
 void ForwardService::FinishAttempt(ForwardId id, Exchange* exchange,
                                    ForwardOutcome end) {
-  // The response to this request may still follow a copy of an earlier one.
-  if (!BelongsToRequest(exchange->evidence))
+  // The response to this request may still follow a copy of an earlier one, and
+  // a late copy of one without an id would spoil the next exchange.
+  if (!BelongsToRequest(exchange->evidence) || exchange->spec.trace_id.empty())
     exchange->upstream_connection->Abort();
   if (exchange->upstream_connection->reusable()) {
     exchange->kept_connections.push_back(
@@ -462,6 +461,15 @@
   FinishAttempt(id, exchange, ClassifyEnd(*exchange, end));
 }
 
+bool ForwardService::IsUpstreamsOwn(const Exchange& exchange) {
+  const ResponseEvidence& evidence = exchange.evidence;
+  const bool is_of_unnamed_request =
+      exchange.spec.trace_id.empty() && evidence.earlier_requests == 0;
+  return exchange.response_info.is_signed &&
+         !exchange.response_info.is_encoded &&
+         (evidence.names_request || is_of_unnamed_request);
+}
+
 ForwardOutcome ForwardService::ClassifyEnd(const Exchange& exchange,
                                            ClientExchangeResult end) const {
   if (end == ClientExchangeResult::kNotSent) return ForwardOutcome::kNotSent;
@@ -499,11 +507,8 @@
   if (exchange.response_started && !is_failure)
     return ForwardOutcome::kInvalidResponse;
   if (IsSuccess(status)) {
-    const bool is_verified = exchange.response_info.is_signed &&
-                             exchange.response_info.trace_id.has_value() &&
-                             !exchange.response_info.is_encoded;
-    return is_verified ? ForwardOutcome::kCompleted
-                       : ForwardOutcome::kInvalidResponse;
+    return IsUpstreamsOwn(exchange) ? ForwardOutcome::kCompleted
+                                    : ForwardOutcome::kInvalidResponse;
   }
   if (ImpliesNotRun(status)) return ForwardOutcome::kInvalidResponse;
   return is_failure ? ForwardOutcome::kFailed : ForwardOutcome::kCompleted;
--- a/testsuite/platform_faulty_answers/run.py
+++ b/testsuite/platform_faulty_answers/run.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from platform_standins import EXECUTIONS, Platform  # noqa: E402
+from platform_standins import EXECUTIONS, HOST, KEY, Platform  # noqa: E402
 from story import run_case  # noqa: E402
 
 
@@ -88,6 +88,20 @@
     transcript.write(f"an unnamed 404 on a new connection: {got}")
 
 
+# Guards against failures of requests that have no id, whose responses can name none.
+def check_requests_without_ids(platform, transcript):
+    for action in ("ok", "emptyid", "again404"):
+        for kind in ("order", "read"):
+            for i in range(12):  # The runners' connections are kept.
+                platform.send_request(f"held{kind}{action}{i}", "/order/ok", "POST", b"x")
+            start = len(EXECUTIONS)
+            status, _, body = platform.send_raw(platform.caller, (
+                f"POST /{kind}/{action} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
+                "Content-Length: 1\r\n\r\nx").encode())
+            transcript.write(f"a request without an id ({action}, {kind}): {status} {body}, "
+                             f"runs {len(EXECUTIONS) - start}")
+
+
 def check_cut_heads(platform, transcript):
     for path in ("cutstatus", "cuthead", "cutline"):
         earn_retries(platform)
@@ -104,6 +118,7 @@
     check_repeated_refusals(platform, transcript)
     check_repeated_failures(platform, transcript)
     check_failures_on_new_connections(platform, transcript)
+    check_requests_without_ids(platform, transcript)
     check_cut_heads(platform, transcript)
 
 
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -451,7 +451,8 @@
         return getattr(self, "do_" + action, self.do_ok)(connection, attempt)
 
     def complete_response(self, attempt, text=b"done", status="200 OK"):
-        return (f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nServer-Signature: s.{self.name}\r\n"
+        echo = "" if attempt is None else f"Attempt-Id: {attempt}\r\n"  # The caller sent no id.
+        return (f"HTTP/1.1 {status}\r\n{echo}Server-Signature: s.{self.name}\r\n"
                 f"{self.signal_fields(attempt)}Content-Length: {len(text)}\r\n\r\n").encode() + text
 
     def signal_fields(self, attempt):
@@ -476,6 +477,11 @@
         connection.sendall(self.complete_response(attempt, attempt.encode()))
         return True
 
+    def do_emptyid(self, connection, attempt):
+        """Responds with an empty id."""
+        connection.sendall(self.complete_response(""))
+        return True
+
     def do_large(self, connection, attempt):
         connection.sendall(self.complete_response(attempt, b"x" * LARGE_RESPONSE_BYTES))
         return True
