--- a/testsuite/platform_late_copies/run.py
+++ b/testsuite/platform_late_copies/run.py
@@ -15,10 +15,12 @@
 LARGE_REFUSALS = 16
 MAX_RETURNS = 2  # of a caller that is refused with a time to return
 EARNING_REQUESTS = 200  # The retry budget grows with them.
-REPORTS = (
+TOLD_SECONDS = 2.5  # Well before the deadline of a request, 5 s.
+REPORTS = (  # A runner closes the connection after one with "Connection: close".
     ("of 503", b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"),
     ("with an id", b"HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nContent-Length: 2\r\n\r\n{}"),
     ("that isn't one", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"),
+    ("that never ends", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}"),
     ("that is cut", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\n{}"),
     ("without an incarnation", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
     ("of 404", b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"),
@@ -48,13 +50,14 @@
 
 
 def wait_for_runners(platform):
-    """Returns once both runners get requests again."""
+    """Returns once all runners get requests again."""
+    names = {runner.name for runner in platform.runners}
     start = len(EXECUTIONS)
 
-    def has_used_both():
+    def has_used_all():
         platform.send_request(f"next{len(EXECUTIONS)}", "/read/ok")
-        return len({run[1] for run in EXECUTIONS[start:]}) == 2
-    platform.wait_until(has_used_both)
+        return names <= {run[1] for run in EXECUTIONS[start:]}
+    platform.wait_until(has_used_all)
 
 
 def keep_connections(platform):
@@ -88,16 +91,20 @@
     transcript.write(f"an earlier response before a report: complete {complete}, runs {runs}")
 
 
-# Guards against a stream that goes on at a process of which nothing is known (ORDER).
+# Guards against a stream that goes on at a process of which nothing is known (ORDER), and against a
+# caller that waits for a report until its own deadline.
 def check_unclear_reports(platform, transcript):
     earn_retries(platform)
     for name, report in REPORTS:
         for runner in platform.runners:
             runner.report = report
         attempt = f"unclear {name}".replace(" ", "-")
+        start = time.monotonic()
         complete = stream_of(platform, attempt, "/draft/break")
+        took = time.monotonic() - start
+        print(f"# a report {name}: {took:.2f} s", file=sys.stderr)
         runs = sum(1 for run in EXECUTIONS if run[0] == attempt)
-        transcript.write(f"a report {name}: goes on: {complete}, runs {runs}")
+        transcript.write(f"a report {name}: goes on: {complete}, runs {runs}, ends in time: {took < TOLD_SECONDS}")
         for runner in platform.runners:
             runner.report = None
         wait_for_runners(platform)
@@ -125,6 +132,26 @@
                      f"serves: {status}")
 
 
+def replace_runners(platform, count):
+    """Replaces the runners with `count` new ones, whose connections have carried nothing."""
+    for runner in platform.runners:
+        runner.leave()
+    platform.runners = [platform.runner_type(f"n-{number}", platform.store, slots=40) for number in range(count)]
+
+
+# Guards against a stream that ends although no runner has run its rest, because a refusal without an
+# id counts as a possible run where nothing but the runner's report came before.
+def check_unnamed_refusals(platform, transcript):
+    replace_runners(platform, 3)
+    complete = []
+    for number in range(REPEATED_STREAMS):
+        wait_for_runners(platform)
+        earn_retries(platform)
+        complete.append(stream_of(platform, f"unnamed{number}", "/draft/breakunnamed"))
+    arrivals = [sum(1 for run in EXECUTIONS if run[0] == f"unnamed{number}") for number in range(REPEATED_STREAMS)]
+    transcript.write(f"a refusal without an id after a report: complete {complete.count(True)}, arrivals {arrivals}")
+
+
 def run_checks(platform, transcript):
     platform.store.put("op/config", config(2, routes=[
         route("read", "idempotent"), route("draft", "streaming", resumable=True),
@@ -135,6 +162,7 @@
     check_repeats_before_reports(platform, transcript)
     check_second_sends(platform, transcript)
     check_large_refusals(platform, transcript)
+    check_unnamed_refusals(platform, transcript)
 
 
 if __name__ == "__main__":
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -417,7 +417,7 @@
                 time.sleep(0.05)
             if self.report is not None:
                 connection.sendall(self.report)
-                return True
+                return b"Connection: close" not in self.report
             report = json.dumps({"born": self.start_count, "active": 0}).encode()
             connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                                b"Content-Length: %d\r\n\r\n%s" % (len(report), report))
@@ -451,7 +451,8 @@
         return getattr(self, "do_" + action, self.do_ok)(connection, attempt)
 
     def complete_response(self, attempt, text=b"done", status="200 OK"):
-        return (f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nServer-Signature: s.{self.name}\r\n"
+        echo = "" if attempt is None else f"Attempt-Id: {attempt}\r\n"  # The caller sent no id.
+        return (f"HTTP/1.1 {status}\r\n{echo}Server-Signature: s.{self.name}\r\n"
                 f"{self.signal_fields(attempt)}Content-Length: {len(text)}\r\n\r\n").encode() + text
 
     def signal_fields(self, attempt):
@@ -476,6 +477,11 @@
         connection.sendall(self.complete_response(attempt, attempt.encode()))
         return True
 
+    def do_emptyid(self, connection, attempt):
+        """Responds with an empty id."""
+        connection.sendall(self.complete_response(""))
+        return True
+
     def do_large(self, connection, attempt):
         connection.sendall(self.complete_response(attempt, b"x" * LARGE_RESPONSE_BYTES))
         return True
@@ -663,6 +669,19 @@
         return self.stream(connection, attempt, int(mine[-1][2] or 0) + 1, 4, True)
 
 
+    def do_breakunnamed(self, connection, attempt):
+        """Breaks the first run off after two events. The next runner refuses the rest without the
+        request's id and closes the connection, as the last one does after the rest."""
+        mine = [run for run in EXECUTIONS if run[0] == attempt]
+        if len(mine) == 1:
+            return self.stream(connection, attempt, 1, 2, False)
+        if len(mine) == 2:
+            connection.sendall(b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+                               b"Connection: close\r\n\r\n")
+            return False
+        self.stream(connection, attempt, int(mine[-1][2] or 0) + 1, 4, True)
+        return False
+
     def break_then_fail(self, connection, attempt, status):
         """Breaks the first run off after two events. Later runs respond with an error."""
         if sum(1 for run in EXECUTIONS if run[0] == attempt) == 1:
