Own interface: a response that only its connection's end marks is not passed on

What callers saw (read, and played by the tests): half a body of an upstream that was killed within it, with the upstream's status, as the whole response; for non-idempotent requests it was stored with the claim and replayed.

Cause: the kernel of a killed process ends its connections with FIN if the process had read all that it received. RunServiceAttempt and the plain branch of RunEngineAttempt took that for the end of a response that states neither a length nor chunks. An attempt that this node interrupts shuts its own socket down and passed in the same way; with a length it counted as a lost connection instead of an interruption.

Change: such an attempt ends as kCloseDelimited. Its outcome is unknown: a non-idempotent request ends with 502, an idempotent one is tried again within its retry budget. Neither upstream nor request is blamed for a crash, since a service that merely states no length has not crashed. Services that send none get no response through. Event streams are not concerned, as `data: [DONE]` marks their end.

TruncatedResponsesAreNotComplete had expected kCompleted after an orderly end, which is the fault itself; it now expects that none of these forms completes.

--- a/src/include/pollenledge/process/entry_node.h
+++ b/src/include/pollenledge/process/entry_node.h
@@ -202,6 +202,9 @@
                           const event::AttemptFinished& finished);
   void OnConnectionLost(RequestState* request,
                         const event::AttemptFinished& finished);
+  /// Handles a response that may be cut. Its upstream need not have failed, so
+  /// neither the upstream nor the request is blamed.
+  void OnCloseDelimited(RequestState* request);
   /// Queues the request again, free of charge to the retry budget.
   void FailOver(RequestState* request);
   /// Queues the request again, or finishes it if no retry is left.
--- a/src/include/pollenledge/request/request.h
+++ b/src/include/pollenledge/request/request.h
@@ -80,10 +80,13 @@
   kNotSent,         ///< No byte of the request left this process.
   kRejected,        ///< Rejected before execution, by the upstream's contract.
   kConnectionLost,  ///< The connection was lost after the first byte was sent.
+  kCloseDelimited,  ///< Only an orderly close ended the body: it may be cut.
   kInterrupted,     ///< Cancelled by this node to fail the stream over.
   kCallerDisconnected,  ///< Cancelled because the caller disconnected.
 };
 
+/// Returns true if an attempt with this outcome may have run the request.
+bool MayHaveRun(AttemptOutcome outcome);
 /// Returns the name of `outcome` as used in logs and the timeline.
 const char* ToString(AttemptOutcome outcome);
 
--- a/src/libpollenledge/connection/upstream_call.cc
+++ b/src/libpollenledge/connection/upstream_call.cc
@@ -99,8 +99,11 @@
     return part;
   }
 
-  // Returns true if the whole response was received.
+  // Returns true if the response was received up to its end.
   bool complete() const { return reader_.complete(); }
+  // Returns true if nothing but the end of the connection marks that end. The
+  // kernel ends the connections of a killed process in the same way.
+  bool close_delimited() const { return close_delimited_; }
 
  private:
   // Returns false if the connection ended or the response is malformed.
@@ -116,7 +119,8 @@
       }
       lost_ = true;
       // An orderly end may be the end of the response.
-      return reader_.has_head() && Ok(reader_.OnEndOfStream());
+      close_delimited_ = reader_.has_head() && Ok(reader_.OnEndOfStream());
+      return close_delimited_;
     } catch (const Poco::Exception&) {
       lost_ = true;  // Reset, or nothing was received within the timeout.
       return false;
@@ -127,6 +131,7 @@
   HttpReader reader_;
   std::array<char, kReadBufferBytes> buffer_{};
   bool lost_ = false;  // No more bytes can be received.
+  bool close_delimited_ = false;
 };
 
 void SendRequest(Poco::Net::StreamSocket socket,
@@ -268,18 +273,23 @@
   std::chrono::steady_clock::time_point last_token_at_;
 };
 
-// Reads the rest of the body. Returns nullopt if the response is not complete
-// or its body is longer than `max_bytes`.
-std::optional<std::string> ReadBody(ResponseReader* response,
-                                    std::size_t max_bytes) {
-  std::string body;
-  for (std::string part = response->ReadPart(); !part.empty();
+// Reads the rest of the body. Returns how the attempt ends; a body that is
+// longer than `max_bytes` counts as a lost connection.
+AttemptOutcome ReadBody(ResponseReader* response, std::size_t max_bytes,
+                        const AttemptControl& control, std::string* body) {
+  bool is_too_long = false;
+  for (std::string part = response->ReadPart(); !part.empty() && !is_too_long;
        part = response->ReadPart()) {
-    body += part;
-    if (body.size() > max_bytes) return std::nullopt;
+    *body += part;
+    is_too_long = body->size() > max_bytes;
   }
-  if (!response->complete()) return std::nullopt;
-  return body;
+  const bool is_whole = response->complete() && !is_too_long;
+  if (is_whole && !response->close_delimited())
+    return AttemptOutcome::kCompleted;
+  // An interruption ends the connection in order, too.
+  if (control.interrupted()) return AttemptOutcome::kInterrupted;
+  return is_whole ? AttemptOutcome::kCloseDelimited
+                  : AttemptOutcome::kConnectionLost;
 }
 
 }  // namespace
@@ -352,12 +362,11 @@
     if (!is_stream) {
       const std::string content_type =
           HeaderValue(response.head(), "Content-Type");
-      const std::optional<std::string> body =
-          ReadBody(&response, kMaxPlainResponseBytes);
-      result.result = body.has_value() ? AttemptOutcome::kCompleted
-                                       : AttemptOutcome::kConnectionLost;
-      if (body.has_value()) {
-        sink.on_plain_response({status, content_type, *body});
+      std::string body;
+      result.result =
+          ReadBody(&response, kMaxPlainResponseBytes, *control, &body);
+      if (result.result == AttemptOutcome::kCompleted) {
+        sink.on_plain_response({status, content_type, body});
       }
       return result;
     }
@@ -399,13 +408,11 @@
       result.result = AttemptOutcome::kRejected;
       return result;
     }
-    const std::optional<std::string> body =
-        ReadBody(&reader, attempt.max_response_bytes);
     response->status = head.status;
     response->content_type = HeaderValue(head, "Content-Type");
-    response->body = body.value_or("");
-    result.result = body.has_value() ? AttemptOutcome::kCompleted
-                                     : AttemptOutcome::kConnectionLost;
+    response->body.clear();
+    result.result = ReadBody(&reader, attempt.max_response_bytes, *control,
+                             &response->body);
   } catch (const std::exception&) {
     result.result = control->interrupted() ? AttemptOutcome::kInterrupted
                                            : AttemptOutcome::kConnectionLost;
--- a/src/libpollenledge/connection/upstream_call_test.cc
+++ b/src/libpollenledge/connection/upstream_call_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <cstring>
 #include <thread>
 
 namespace pollenledge {
@@ -134,9 +135,7 @@
   return finished;
 }
 
-// Guards against a truncated response that the entry takes for complete. Of a
-// response with neither a length nor chunks, an orderly end of the connection
-// is the end; a reset is not.
+// Guards against a truncated response that the entry takes for complete.
 TEST(UpstreamCallTest, TruncatedResponsesAreNotComplete) {
   const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc";
   const std::string chunked =
@@ -151,8 +150,11 @@
               AttemptOutcome::kConnectionLost)
         << response;
   }
+  // An orderly end of the connection doesn't tell a whole body from one whose
+  // process was killed within it.
   for (const std::string& response : {until_close, http_1_0, close}) {
-    EXPECT_EQ(CallService(response, false).result, AttemptOutcome::kCompleted)
+    EXPECT_EQ(CallService(response, false).result,
+              AttemptOutcome::kCloseDelimited)
         << response;
   }
   for (const std::string& response :
@@ -163,5 +165,66 @@
   }
 }
 
+// Guards against a rule for cut bodies that also rejects responses whose end is
+// known.
+TEST(UpstreamCallTest, ResponsesWithAMarkedEndAreComplete) {
+  const std::string length = "Content-Length: 3\r\n\r\nabc";
+  const std::string chunked =
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const std::string& response :
+       {"HTTP/1.1 200 OK\r\n" + length, "HTTP/1.0 200 OK\r\n" + length,
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n" + length,
+        "HTTP/1.1 200 OK\r\n" + chunked,
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 204 No Content\r\n\r\n"),
+        std::string("HTTP/1.1 304 Not Modified\r\n\r\n")}) {
+    EXPECT_EQ(CallService(response, false).result, AttemptOutcome::kCompleted)
+        << response;
+  }
+}
+
+// Guards against half an error text of a killed engine that passes as whole.
+TEST(UpstreamCallTest, EngineErrorWithoutALengthIsNotPassedOn) {
+  int plain_responses = 0;
+  EXPECT_EQ(
+      CallEngine("HTTP/1.1 500 Oops\r\n\r\nhalf", 0, &plain_responses).result,
+      AttemptOutcome::kCloseDelimited);
+  EXPECT_EQ(plain_responses, 0);
+  // The end marker of a stream shows its end without a length.
+  EXPECT_EQ(
+      CallEngine("HTTP/1.1 200 OK\r\n\r\ndata: [DONE]\n\n", 0, &plain_responses)
+          .result,
+      AttemptOutcome::kCompleted);
+}
+
+// Guards against an attempt that this node cancels within a body, and whose
+// connection's end then passes as the end of the response.
+TEST(UpstreamCallTest, CancelledAttemptIsNotComplete) {
+  for (const char* head :
+       {"HTTP/1.1 200 OK\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"}) {
+    SCOPED_TRACE(head);
+    AttemptControl control;
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+    std::thread upstream([&] {
+      Poco::Net::StreamSocket connection = server.acceptConnection();
+      std::array<char, 512> buffer{};
+      connection.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      connection.sendBytes(head, static_cast<int>(std::strlen(head)));
+      control.Interrupt(1);
+      // Returns at the end of the connection.
+      connection.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    });
+    ServiceAttempt attempt;
+    attempt.address = server.address().toString();
+    attempt.method = "GET";
+    attempt.path = "/";
+    HttpResponse received;
+    EXPECT_EQ(RunServiceAttempt(attempt, &control, &received).result,
+              AttemptOutcome::kInterrupted);
+    upstream.join();
+  }
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/entry_attempts.cc
+++ b/src/libpollenledge/process/entry_attempts.cc
@@ -88,6 +88,9 @@
     case AttemptOutcome::kConnectionLost:
       OnConnectionLost(request, finished);
       break;
+    case AttemptOutcome::kCloseDelimited:
+      OnCloseDelimited(request);
+      break;
     case AttemptOutcome::kInterrupted:
       if (request->caller_disconnected) {
         RemoveRequest(request);
@@ -166,8 +169,10 @@
   // proportion to their tokens.
   const Duration recomputed_time =
       computed > 0 ? slot_time * recomputed / computed : Duration(0);
-  const bool work_lost =
-      finished.result == AttemptOutcome::kConnectionLost && generated == 0;
+  const bool is_response_lost =
+      finished.result == AttemptOutcome::kConnectionLost ||
+      finished.result == AttemptOutcome::kCloseDelimited;
+  const bool work_lost = is_response_lost && generated == 0;
   key.purpose = work_lost ? CostPurpose::kRetries : CostPurpose::kAnswers;
   cost_ledger_.Add(key,
                    {slot_time - recomputed_time, computed - recomputed,
@@ -312,6 +317,17 @@
   Retry(request, AttemptOutcome::kConnectionLost);
 }
 
+void EntryNode::OnCloseDelimited(RequestState* request) {
+  if (!request->route->idempotent) {
+    Finish(request, UnknownOutcome{"the upstream's response stated no length "
+                                   "and ended with its connection, so it may "
+                                   "be incomplete",
+                                   Duration(0)});
+    return;
+  }
+  Retry(request, AttemptOutcome::kCloseDelimited);
+}
+
 void EntryNode::FailOver(RequestState* request) {
   RecordTimeLineEvent(EventKind::kMoved, request,
                       "at token " + std::to_string(request->delivered_tokens));
@@ -328,10 +344,9 @@
     Enqueue(request, true);
     return;
   }
-  if (result == AttemptOutcome::kConnectionLost) {
-    Finish(request, UnknownOutcome{"connections to upstreams were lost while "
-                                   "they ran the request, and no retry is "
-                                   "left",
+  if (MayHaveRun(result)) {
+    Finish(request, UnknownOutcome{"no upstream that ran the request gave a "
+                                   "complete response, and no retry is left",
                                    kFailureRetryAfter});
     return;
   }
--- a/src/libpollenledge/request/request.cc
+++ b/src/libpollenledge/request/request.cc
@@ -40,6 +40,11 @@
   return id;
 }
 
+bool MayHaveRun(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::kNotSent &&
+         outcome != AttemptOutcome::kRejected;
+}
+
 const char* ToString(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::kCompleted:
@@ -50,6 +55,8 @@
       return "refused";
     case AttemptOutcome::kConnectionLost:
       return "broken";
+    case AttemptOutcome::kCloseDelimited:
+      return "close_delimited";
     case AttemptOutcome::kInterrupted:
       return "interrupted";
     case AttemptOutcome::kCallerDisconnected:
