Own interface: a request that may have run no longer ends as "not run"

What callers saw (read, and played by the tests): 503 with `X-Executed: false` for an idempotent request that an upstream had received, and whose connection it had lost or which the entry had moved away.

Cause: `Retry` looked at the end of the last attempt only, and `ExpireQueued` at delivered tokens only. A request that was handed off began anew in this respect, also if the hand-off failed and the peer may have accepted it.

Change: `RequestState::may_have_run` is set by each end of an attempt but "not sent" and "rejected", and by a hand-off after an attempt or with a lost response. `Finish`, which all refusals of an admitted request pass, turns a "not run" into the unknown outcome then, so no way can leave it out. The wire doesn't say how attempts before a hand-off ended, so each counts as a possible run. Claims are not concerned: a non-idempotent request ends at its first possible run.

The failed hand-off of EntryService was compiled, but not played by processes.

--- a/src/include/pollenledge/process/entry_events.h
+++ b/src/include/pollenledge/process/entry_events.h
@@ -143,6 +143,8 @@
 /// here.
 struct HandOverReceived {
   HandedOverRequest request;
+  /// The peer may have accepted the request although the hand-off failed.
+  bool may_run_at_peer = false;
 };
 /// The periodic timer fired.
 struct TimerTicked {};
--- a/src/include/pollenledge/process/entry_node.h
+++ b/src/include/pollenledge/process/entry_node.h
@@ -209,8 +209,9 @@
   void FailOver(RequestState* request);
   /// Queues the request again, or finishes it if no retry is left.
   void Retry(RequestState* request, AttemptOutcome result);
-  /// Reports the outcome to the caller and removes the request.
-  void Finish(RequestState* request, const Outcome& outcome);
+  /// Reports the outcome to the caller and removes the request. A rejection
+  /// becomes an unknown outcome if an earlier attempt may have run.
+  void Finish(RequestState* request, const Outcome& proposed);
   /// Writes the outcome to the claim record, if this request owns one.
   void RecordOutcome(const RequestState& request, const Outcome& outcome,
                      const std::optional<StoredResponse>& response);
--- a/src/include/pollenledge/request/request_state.h
+++ b/src/include/pollenledge/request/request_state.h
@@ -46,6 +46,8 @@
   /// The current attempt is counted as a crash suspect at its upstream.
   bool dispatched_as_suspect = false;
   bool caller_disconnected = false;
+  /// An earlier attempt may have run, so the request can't end as not run.
+  bool may_have_run = false;
 
   std::int64_t delivered_tokens = 0;  ///< Over all attempts.
   std::vector<UpstreamHandle> excluded_upstreams;
--- a/src/libpollenledge/process/entry_admission.cc
+++ b/src/libpollenledge/process/entry_admission.cc
@@ -514,17 +514,13 @@
       const Duration wait = queue.EstimateWait(
           expired.customer, expired.rank, expired.cost, LocalServiceRate(pool));
       const Duration retry_after = std::max(kOverloadRetryAfter, wait);
-      if (request->attempt > 0 && request->delivered_tokens > 0) {
-        Finish(request, UnknownOutcome{"the stream could not be resumed on "
-                                       "another upstream in time",
-                                       retry_after});
-        continue;
-      }
-      Finish(request, Reject(503, "overloaded",
-                             "no upstream had a free slot within the latency "
-                             "target of rank " +
-                                 std::string(ToString(expired.rank)),
-                             retry_after));
+      const std::string detail =
+          request->attempt > 0
+              ? "no other upstream had a free slot in time"
+              : "no upstream had a free slot within the latency target of "
+                "rank " +
+                    std::string(ToString(expired.rank));
+      Finish(request, Reject(503, "overloaded", detail, retry_after));
     }
   }
 }
--- a/src/libpollenledge/process/entry_attempts.cc
+++ b/src/libpollenledge/process/entry_attempts.cc
@@ -29,6 +29,16 @@
 // Larger responses are not stored for retries with the same idempotency key.
 constexpr std::size_t kMaxStoredBodyBytes = 65'536;
 
+// Returns the outcome of a request that ends as `outcome`. A rejection after an
+// attempt that may have run does not tell that nothing ran.
+Outcome WithoutFalsePromise(const RequestState& request,
+                            const Outcome& outcome) {
+  const auto* rejection = std::get_if<NotRun>(&outcome);
+  if (rejection == nullptr || !request.may_have_run) return outcome;
+  return UnknownOutcome{rejection->detail + "; an earlier attempt may have run",
+                        rejection->retry_after};
+}
+
 void UpdateAverage(double* mean, double value) {
   *mean = *mean <= 0 ? value : *mean + kAverageWeight * (value - *mean);
 }
@@ -75,6 +85,7 @@
   slot_reserves_[request->route->pool].OnEnd(request->route->rank);
   request->delivered_tokens =
       std::max(request->delivered_tokens, finished.delivered_tokens);
+  request->may_have_run = request->may_have_run || MayHaveRun(finished.result);
   UpdateUpstreamAfterAttempt(*request, finished);
   const std::string pool = request->route->pool;
   switch (finished.result) {
@@ -356,7 +367,8 @@
                          kFailureRetryAfter});
 }
 
-void EntryNode::Finish(RequestState* request, const Outcome& outcome) {
+void EntryNode::Finish(RequestState* request, const Outcome& proposed) {
+  const Outcome outcome = WithoutFalsePromise(*request, proposed);
   RankStats& rank = stats_.ForRank(request->route->rank);
   std::visit(Overloaded{[&](const Completed&) { ++rank.completed; },
                         [&](const NotRun&) { ++rank.not_run; },
@@ -448,6 +460,8 @@
   request.arrived_at = now();
   request.attempt = handed_over.attempts;
   request.delivered_tokens = handed_over.delivered_tokens;
+  // How the attempts of another entry ended is not handed over.
+  request.may_have_run = handed_over.attempts > 0 || received.may_run_at_peer;
   request.predicted_cost = PredictCost(handed_over.spec, *route);
   request.preferred_upstream = upstreams_.FindById(
       {handed_over.upstream_name, handed_over.upstream_incarnation});
--- a/src/libpollenledge/process/entry_service_peers.cc
+++ b/src/libpollenledge/process/entry_service_peers.cc
@@ -27,9 +27,9 @@
   }
   Log(LogLevel::kWarn, "hand_over_failed",
       {{"request", ToString(exchange->id())}, {"peer", hand_over.peer.name}});
-  // The peer did not accept the request, so it continues here for as long as
-  // this entry runs.
-  Submit(event::HandOverReceived{message.request});
+  // The request continues here for as long as this entry runs. The peer may run
+  // it as well if only its response was lost.
+  Submit(event::HandOverReceived{message.request, !Ok(accepted)});
   return false;
 }
 
