--- a/src/libpollenledge/process/entry_attempts.cc
+++ b/src/libpollenledge/process/entry_attempts.cc
@@ -29,6 +29,16 @@
 // Larger responses are not stored for retries with the same idempotency key.
 constexpr std::size_t kMaxStoredBodyBytes = 65'536;
 
+// Returns the outcome of a request that ends as `outcome`. A rejection after an
+// attempt that may have run does not tell that nothing ran.
+Outcome WithoutFalsePromise(const RequestState& request,
+                            const Outcome& outcome) {
+  const auto* rejection = std::get_if<NotRun>(&outcome);
+  if (rejection == nullptr || !request.may_have_run) return outcome;
+  return UnknownOutcome{rejection->detail + "; an earlier attempt may have run",
+                        rejection->retry_after};
+}
+
 void UpdateAverage(double* mean, double value) {
   *mean = *mean <= 0 ? value : *mean + kAverageWeight * (value - *mean);
 }
@@ -75,6 +85,7 @@
   slot_reserves_[request->route->pool].OnEnd(request->route->rank);
   request->delivered_tokens =
       std::max(request->delivered_tokens, finished.delivered_tokens);
+  request->may_have_run = request->may_have_run || MayHaveRun(finished.result);
   UpdateUpstreamAfterAttempt(*request, finished);
   const std::string pool = request->route->pool;
   switch (finished.result) {
@@ -88,6 +99,9 @@
     case AttemptOutcome::kConnectionLost:
       OnConnectionLost(request, finished);
       break;
+    case AttemptOutcome::kCloseDelimited:
+      OnCloseDelimited(request);
+      break;
     case AttemptOutcome::kInterrupted:
       if (request->caller_disconnected) {
         RemoveRequest(request);
@@ -166,8 +180,10 @@
   // proportion to their tokens.
   const Duration recomputed_time =
       computed > 0 ? slot_time * recomputed / computed : Duration(0);
-  const bool work_lost =
-      finished.result == AttemptOutcome::kConnectionLost && generated == 0;
+  const bool is_response_lost =
+      finished.result == AttemptOutcome::kConnectionLost ||
+      finished.result == AttemptOutcome::kCloseDelimited;
+  const bool work_lost = is_response_lost && generated == 0;
   key.purpose = work_lost ? CostPurpose::kRetries : CostPurpose::kAnswers;
   cost_ledger_.Add(key,
                    {slot_time - recomputed_time, computed - recomputed,
@@ -312,6 +328,17 @@
   Retry(request, AttemptOutcome::kConnectionLost);
 }
 
+void EntryNode::OnCloseDelimited(RequestState* request) {
+  if (!request->route->idempotent) {
+    Finish(request, UnknownOutcome{"the upstream's response stated no length "
+                                   "and ended with its connection, so it may "
+                                   "be incomplete",
+                                   Duration(0)});
+    return;
+  }
+  Retry(request, AttemptOutcome::kCloseDelimited);
+}
+
 void EntryNode::FailOver(RequestState* request) {
   RecordTimeLineEvent(EventKind::kMoved, request,
                       "at token " + std::to_string(request->delivered_tokens));
@@ -328,10 +355,9 @@
     Enqueue(request, true);
     return;
   }
-  if (result == AttemptOutcome::kConnectionLost) {
-    Finish(request, UnknownOutcome{"connections to upstreams were lost while "
-                                   "they ran the request, and no retry is "
-                                   "left",
+  if (MayHaveRun(result)) {
+    Finish(request, UnknownOutcome{"no upstream that ran the request gave a "
+                                   "complete response, and no retry is left",
                                    kFailureRetryAfter});
     return;
   }
@@ -341,7 +367,8 @@
                          kFailureRetryAfter});
 }
 
-void EntryNode::Finish(RequestState* request, const Outcome& outcome) {
+void EntryNode::Finish(RequestState* request, const Outcome& proposed) {
+  const Outcome outcome = WithoutFalsePromise(*request, proposed);
   RankStats& rank = stats_.ForRank(request->route->rank);
   std::visit(Overloaded{[&](const Completed&) { ++rank.completed; },
                         [&](const NotRun&) { ++rank.not_run; },
@@ -433,6 +460,8 @@
   request.arrived_at = now();
   request.attempt = handed_over.attempts;
   request.delivered_tokens = handed_over.delivered_tokens;
+  // How the attempts of another entry ended is not handed over.
+  request.may_have_run = handed_over.attempts > 0 || received.may_run_at_peer;
   request.predicted_cost = PredictCost(handed_over.spec, *route);
   request.preferred_upstream = upstreams_.FindById(
       {handed_over.upstream_name, handed_over.upstream_incarnation});
