Prediction: prefer an upstream only for a prompt that it is known to retain

Change: the preference needs an entry of the directory (own sends, the upstream's events, other nodes' reports). Where none is known, the upstream of the hash is predicted as if it retained the shared part, and chosen if it is better by that, as before. The nodes still agree on it.

--- a/src/include/pollenledge/process/predictive_choice.h
+++ b/src/include/pollenledge/process/predictive_choice.h
@@ -22,7 +22,7 @@
 struct PredictedRequest {
   const UpstreamSpeeds* speeds = nullptr;  ///< Never null.
   std::int64_t prompt_tokens = 0;
-  /// Empty: the upstream that all nodes prefer for the shared part has it.
+  /// Empty: nothing is known of any upstream.
   CachedTokensSource cached_tokens;
   std::vector<PromptSegment> prompt_segments;
   /// Requests with the same value share `shared_prompt_tokens` tokens.
--- a/src/libpollenledge/process/predictive_choice.cc
+++ b/src/libpollenledge/process/predictive_choice.cc
@@ -25,8 +25,8 @@
 /// Weight of the time to read the prompt, for which other requests there wait.
 constexpr double kReadCost = 1;
 /// From this share of the prompt on that need not be read again, the upstream
-/// that retains it is chosen if no further target is missed there: reading it
-/// elsewhere delays the requests that run there.
+/// that is known to retain it is chosen if no further target is missed there:
+/// reading it elsewhere delays the requests that run there.
 constexpr double kMinSavedShare = 0.2;
 /// Least probability of an upstream without free capacity, relative to one
 /// without load.
@@ -88,6 +88,34 @@
   return preferred;
 }
 
+/// The upstream that retains most of a request's prompt.
+struct Retention {
+  ForwardUpstream* upstream = nullptr;  ///< Null: none.
+  std::int64_t tokens = 0;
+  /// False if it is only assumed. Others may then retain as much.
+  bool is_known = false;
+};
+
+/// Returns the candidate that is known to retain most of the prompt. Where none
+/// is known to retain the shared part, all nodes assume it at the same
+/// upstream, so that it is read there once.
+Retention FindRetention(const PredictedRequest& request,
+                        const std::vector<ForwardUpstream*>& candidates,
+                        TimePoint now) {
+  Retention retention;
+  if (request.cached_tokens) {
+    for (ForwardUpstream* candidate : candidates) {
+      const std::int64_t tokens = request.cached_tokens(
+          candidate->info.id, request.prompt_segments, now);
+      if (tokens > retention.tokens) retention = {candidate, tokens, true};
+    }
+  }
+  if (retention.tokens >= request.shared_prompt_tokens) return retention;
+  ForwardUpstream* assumed = PreferredBy(request, candidates);
+  if (assumed == nullptr) return retention;
+  return {assumed, request.shared_prompt_tokens, false};
+}
+
 double RelativeTo(Duration time, Duration target) {
   return target > Duration::zero() ? ToSeconds(time) / ToSeconds(target) : 0;
 }
@@ -137,27 +165,9 @@
              std::max(1.0, candidate->SlowdownFactor(now));
     cumulated.push_back(total);
   }
-  ForwardUpstream* retaining = nullptr;
-  std::int64_t retained = 0;
-  if (request.cached_tokens) {
-    for (ForwardUpstream* candidate : candidates) {
-      const std::int64_t tokens = request.cached_tokens(
-          candidate->info.id, request.prompt_segments, now);
-      if (tokens <= retained) continue;
-      retaining = candidate;
-      retained = tokens;
-    }
-  }
-  // Where nobody is known to retain the shared part, all nodes assume it at the
-  // same upstream, so that it is read there once.
-  if (retained < request.shared_prompt_tokens) {
-    if (ForwardUpstream* preferred = PreferredBy(request, candidates)) {
-      retaining = preferred;
-      retained = request.shared_prompt_tokens;
-    }
-  }
+  const Retention retention = FindRetention(request, candidates, now);
   const auto cached = [&](const ForwardUpstream* upstream) -> std::int64_t {
-    if (upstream == retaining) return retained;
+    if (upstream == retention.upstream) return retention.tokens;
     return request.cached_tokens
                ? request.cached_tokens(upstream->info.id,
                                        request.prompt_segments, now)
@@ -182,14 +192,16 @@
     best = candidate;
     best_prediction = prediction;
   }
-  if (retaining == nullptr) return best;
-  const Prediction prediction = predict(*retaining);
+  if (retention.upstream == nullptr) return best;
+  const Prediction prediction = predict(*retention.upstream);
   const bool saves_much =
-      static_cast<double>(retained - cached(best)) >=
-      kMinSavedShare * static_cast<double>(request.prompt_tokens);
+      retention.is_known &&
+      static_cast<double>(retention.tokens - cached(best)) >=
+          kMinSavedShare * static_cast<double>(request.prompt_tokens);
   const bool is_as_timely =
       saves_much && prediction.missed <= best_prediction.missed;
-  return is_as_timely || prediction < best_prediction ? retaining : best;
+  return is_as_timely || prediction < best_prediction ? retention.upstream
+                                                      : best;
 }
 
 }  // namespace pollenledge
