Suspects: nodes that don't know each other exchange them through the store

The nodes that start again find each other by the seeds alone, so each stays by itself. Cause: the store's document of suspects was read only at the start and after a failed write, and a suspect was written only from its second crash at one node on. Change: a node for which no seed but itself is alive may lack members. It writes suspects from the first crash on, and each second writes what the document lacks and reads it. In a large fleet nodes that follow a collector don't read; their collectors tell them. Each group of nodes that know each other so has a reader and writes all it knows, so what one saw is known to all within the two intervals. While a seed is alive no further store call is made. Crashes from the document are delivered once, as the suspect may have been cleared since. Nodes that don't know each other retry a rejected suspect in different slots, as each takes itself for the one that does it. With the store away they serve on, and write what they saw when it is back. IsRejectedByPartitionedAndNewNodesAfterwards failed with the change, as the cut node hears of the crashes through the store at once. It now runs with the store cut, which is stricter: the new node learns by its peers alone as well.

--- a/src/include/pollenledge/process/crash_suspects.h
+++ b/src/include/pollenledge/process/crash_suspects.h
@@ -81,6 +81,13 @@
   friend bool operator==(const SuspectRun&, const SuspectRun&) = default;
 };
 
+/// The number of crashes from which on a suspect is written to the store.
+enum class PersistFrom : std::uint8_t {
+  kFirstCrash,
+  /// Of a suspect without a recent sound response.
+  kSecondCrash,
+};
+
 /// A suspect to which the crash of an upstream is attributed.
 struct BlamedSuspect {
   Fingerprint fingerprint;
@@ -221,9 +228,10 @@
   /// their crashes, then already sent reports of several crashes, round robin.
   std::vector<SuspectReport> NextReports(std::size_t max_reports,
                                          TimePoint now);
-  /// Returns the crashes of all suspects that are rejected or were in two
-  /// crashes, to be written to the store.
-  std::vector<CrashReport> CrashesToPersist(TimePoint now) const;
+  /// Returns the crashes of all suspects that are rejected or were in as many
+  /// crashes as `from` says, to be written to the store.
+  std::vector<CrashReport> CrashesToPersist(PersistFrom from,
+                                            TimePoint now) const;
   /// Returns the number of suspected and rejected suspects.
   std::size_t size() const { return records_.size(); }
   /// Returns the number of rejected suspects.
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -222,8 +222,12 @@
 };
 /// Read the tables from the store now, because a newer version exists.
 struct ReadTables {};
-/// Write the crash reports of all rejected requests to the store, so that they
-/// survive this process.
+/// Read the crash reports from the store now, because nodes that this one does
+/// not know may have written some. `SuspectsRead` follows if there are new
+/// ones.
+struct ReadSuspects {};
+/// Write the crash reports of suspects to the store, so that they survive this
+/// process and reach nodes that do not know it.
 struct PersistSuspects {
   std::vector<CrashReport> crash_reports;
 };
@@ -265,7 +269,7 @@
                  forward_action::Reject, forward_action::Fail,
                  forward_action::DeliverResponse, forward_action::CancelAttempt,
                  forward_action::SendHeartbeat, forward_action::ReadTables,
-                 forward_action::PersistSuspects,
+                 forward_action::ReadSuspects, forward_action::PersistSuspects,
                  forward_action::UpdateVersionRecords,
                  forward_action::RecordStreams, forward_action::LookUpStream,
                  forward_action::Count, forward_action::WriteLogLine>;
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -538,8 +538,11 @@
   /// wait in a queue, or whose attempt may still crash its upstream and has not
   /// begun its response.
   void EndRejectedRequests();
-  /// Writes the suspects with several crashes to the store.
+  /// Writes suspects to the store: those with several crashes, and all of them
+  /// while there may be nodes that only the store reaches.
   void PersistSuspects();
+  /// Exchanges suspects through the store with nodes that may be unknown here.
+  void SyncSuspects();
   void ApplySuspectReports(const std::vector<SuspectReport>& reports);
   /// Sends new reports to some peers, which pass them on. In a large fleet what
   /// is new waits until `NextSuspectReportTime`.
@@ -800,6 +803,7 @@
   std::map<std::string, ConnectionLoss> connection_losses_;  ///< By upstream.
   TimePoint suspects_expired_at_;
   TimePoint suspects_sent_at_;  ///< By `SendSuspectReports`.
+  TimePoint suspects_synced_at_;
   bool suspects_loaded_ = false;
   bool has_new_rejections_ = false;  ///< Since `EndRejectedRequests`.
   std::map<QueueKey, FairQueue> queues_;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -31,8 +31,10 @@
   std::string admin_address;  ///< Serves metrics.
   std::string metrics_address;  ///< Also serves metrics unless it is empty.
   std::string peer_address;     ///< Receives heartbeats from other nodes.
-  /// Writes the crash reports of rejected requests to the store; may be empty.
+  /// Writes the crash reports of suspects to the store; may be empty.
   std::function<void(const std::vector<CrashReport>&)> persist_suspects;
+  /// Starts a read of the crash reports from the store; may be empty.
+  std::function<void()> read_suspects;
   /// Starts a read of the tables from the store; may be empty.
   std::function<void()> read_tables;
   /// Update the records of versions and streams in the store; may be empty.
@@ -154,6 +156,7 @@
   void Execute(const forward_action::CancelAttempt& cancel);
   void Execute(const forward_action::SendHeartbeat& send);
   void Execute(const forward_action::ReadTables& read);
+  void Execute(const forward_action::ReadSuspects& read);
   void Execute(const forward_action::PersistSuspects& persist);
   void Execute(const forward_action::UpdateVersionRecords& update);
   void Execute(const forward_action::RecordStreams& record);
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -264,6 +264,10 @@
 
   /// Returns every other known node, by name.
   std::vector<Member> Others(TimePoint now) const;
+  /// Returns false if no seed but this node itself is alive, so that there may
+  /// be nodes that this one and its peers cannot discover. Returns true if it
+  /// has no other seeds.
+  bool HasLiveSeed(TimePoint now) const;
   /// Returns true if one period's messages do not reach every node.
   bool IsLargeFleet() const { return others_.size() > options_.fanout; }
   /// Returns at most `count` live nodes, which may include this one, in an
--- a/src/include/pollenledge/process/suspect_sync.h
+++ b/src/include/pollenledge/process/suspect_sync.h
@@ -12,12 +12,12 @@
 
 namespace pollenledge {
 
-/// Synchronizes the requests that are rejected because they crash upstreams
-/// with one document in the store. If all nodes restart, they load the rejected
-/// requests before they accept their first request.
+/// Synchronizes what crashes upstreams with one document in the store. If all
+/// nodes restart, they load the document before they accept their first
+/// request. Nodes that do not know each other read it again and again.
 ///
-/// A node writes only when a request becomes rejected of which it observed a
-/// crash, and writes successfully at most once per `kWriteInterval`.
+/// A node writes only what the document lacks, and writes successfully at most
+/// once per `kWriteInterval`.
 /// Not thread-safe.
 class SuspectSync {
  public:
@@ -37,16 +37,20 @@
 
   /// Calls `on_reports` on the loop's thread with the content of the document
   /// after the first successful read, or with an empty list after
-  /// `kStartupReadTimeout`, and again after each later read that finds crashes.
-  /// `store` must outlive this object; `key` is the document's key.
+  /// `kStartupReadTimeout`, and again with the new crashes after each later
+  /// read that finds some. A crash that was delivered once is not delivered
+  /// again, as the suspect may have been cleared of it since. `store` must
+  /// outlive this object; `key` is the document's key.
   SuspectSync(boost::asio::io_context& loop, AsyncStore* store, std::string key,
               WallClock now, ReportsCallback on_reports);
 
   /// Starts to read the document. Call once.
   void Start();
-  /// Merges the crashes of rejected requests into the document, now or as soon
-  /// as no store call is pending.
+  /// Merges the crashes into the document, now or as soon as no store call is
+  /// pending.
   void AddCrashes(const std::vector<CrashReport>& crashes);
+  /// Reads the document again, now or as soon as no store call is pending.
+  void ReadNow();
 
  private:
   /// Writes again what the store has lost.
@@ -54,6 +58,10 @@
   void Read();
   void OnRead(const Result<StoreItem>& item);
   void OnReadFailed(const Error& error);
+  /// Returns the crashes that are neither known from earlier reads nor this
+  /// node's own.
+  std::vector<StoredCrash> NewCrashes(
+      const std::vector<StoredCrash>& stored) const;
   void Write();
   void OnWritten(const Result<KvTxnReply>& reply);
 
@@ -68,8 +76,9 @@
   std::vector<StoredCrash> local_crashes_;  ///< Crashes this node adds to it.
   int failed_reads_ = 0;
   bool initial_reports_delivered_ = false;
-  bool busy_ = false;   ///< A store call or the timer is pending.
-  bool dirty_ = false;  ///< `local_crashes_` holds unwritten crashes.
+  bool busy_ = false;            ///< A store call or the timer is pending.
+  bool dirty_ = false;           ///< `local_crashes_` holds unwritten crashes.
+  bool read_requested_ = false;  ///< While busy.
 };
 
 }  // namespace pollenledge
--- a/src/libpollenledge/process/crash_suspects.cc
+++ b/src/libpollenledge/process/crash_suspects.cc
@@ -457,10 +457,15 @@
   return reports;
 }
 
-std::vector<CrashReport> CrashSuspects::CrashesToPersist(TimePoint now) const {
+std::vector<CrashReport> CrashSuspects::CrashesToPersist(PersistFrom from,
+                                                         TimePoint now) const {
   std::vector<CrashReport> reports;
   for (const auto& [fingerprint, record] : records_) {
-    if (SuspicionOfOne(fingerprint, now) < Suspicion::kIsolated) continue;
+    const bool is_included =
+        from == PersistFrom::kFirstCrash
+            ? UnexplainedCount(fingerprint, now) > 0
+            : SuspicionOfOne(fingerprint, now) >= Suspicion::kIsolated;
+    if (!is_included) continue;
     for (const auto& [id, crash] : record.crashes.crashes()) {
       reports.push_back({fingerprint, id, crash.shared, now - crash.at,
                          crash.at - crash.sent_at});
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -301,6 +301,10 @@
   if (options_.read_tables) options_.read_tables();
 }
 
+void ForwardService::Execute(const forward_action::ReadSuspects&) {
+  if (options_.read_suspects) options_.read_suspects();
+}
+
 void ForwardService::Execute(const forward_action::PersistSuspects& persist) {
   if (options_.persist_suspects)
     options_.persist_suspects(persist.crash_reports);
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -27,6 +27,14 @@
 constexpr Duration kLargeFleetSuspectInterval = std::chrono::milliseconds(125);
 /// Interval at which expired suspects are removed.
 constexpr Duration kExpiryInterval = std::chrono::seconds(10);
+/// Interval at which suspects are exchanged through the store while there may
+/// be unknown nodes. With the time of a write, crashes are known everywhere
+/// within the 3 s that a report may take.
+constexpr Duration kSyncInterval = std::chrono::seconds(1);
+/// Nodes that do not know each other retry a suspect in different slots, each
+/// of which is long enough for a crash to become known everywhere.
+constexpr Duration kRetrialSlot = std::chrono::seconds(3);
+constexpr std::uint64_t kRetrialSlots = 32;
 /// Maximum number of prompt segments in one log line.
 constexpr std::size_t kMaxLoggedSegments = 8;
 
@@ -139,13 +147,17 @@
 }
 
 bool ForwardNode::MayRetrySuspect(const Fingerprint& suspect) {
-  if (!suspects_.IsRetrialDue(suspect, now())) return false;
-  // Rendezvous hashing: the nodes agree on one of them.
   const auto weight = [&suspect](const MemberRecord& member) {
     const std::string& name = member.id.name;
     return XXH64(name.data(), name.size(), suspect.low);
   };
   const std::uint64_t own_weight = weight(membership_.self());
+  Duration delay{0};
+  if (!membership_.HasLiveSeed(now())) {
+    delay = kRetrialSlot * static_cast<int>(own_weight % kRetrialSlots);
+  }
+  if (!suspects_.IsRetrialDue(suspect, now() - delay)) return false;
+  // Rendezvous hashing: the nodes agree on one of them.
   const std::vector<Member> others = membership_.Others(now());
   return std::all_of(others.begin(), others.end(), [&](const Member& member) {
     return member.status != MemberStatus::kAlive ||
@@ -260,10 +272,23 @@
 }
 
 void ForwardNode::PersistSuspects() {
-  const std::vector<CrashReport> reports = suspects_.CrashesToPersist(now());
+  const std::vector<CrashReport> reports = suspects_.CrashesToPersist(
+      membership_.HasLiveSeed(now()) ? PersistFrom::kSecondCrash
+                                     : PersistFrom::kFirstCrash,
+      now());
   if (!reports.empty()) Emit(forward_action::PersistSuspects{reports});
 }
 
+void ForwardNode::SyncSuspects() {
+  // Until then the first read is under way.
+  if (!suspects_loaded_) return;
+  if (membership_.HasLiveSeed(now()) || FollowsCollectors(now())) return;
+  if (now() - suspects_synced_at_ < kSyncInterval) return;
+  suspects_synced_at_ = now();
+  PersistSuspects();
+  Emit(forward_action::ReadSuspects{});
+}
+
 void ForwardNode::EndRejectedRequests() {
   if (!has_new_rejections_) return;
   has_new_rejections_ = false;
--- a/src/libpollenledge/process/forward_suspects_test.cc
+++ b/src/libpollenledge/process/forward_suspects_test.cc
@@ -19,6 +19,23 @@
 /// Maximum number of crashes later than the propagation time after the third.
 constexpr std::size_t kMaxLateCrashes = 3;
 
+/// The nodes that all nodes of a `ForwardFleet` have as seeds.
+constexpr std::size_t kSeedCount = 3;
+
+/// Loses the seeds of `fleet` for good and restarts all other nodes, so that
+/// these do not find each other.
+void LoseSeedsAndRestart(ForwardFleet* fleet) {
+  fleet->is_partitioned = [](std::size_t, std::size_t) { return true; };
+  fleet->RunFor(kSecond);  // No message of an earlier run arrives later.
+  for (std::size_t node = kSeedCount; node < fleet->size(); ++node) {
+    fleet->StartNode(node);
+  }
+  fleet->is_partitioned = [](std::size_t from, std::size_t to) {
+    return from < kSeedCount || to < kSeedCount;
+  };
+  fleet->RunFor(4 * kSecond);
+}
+
 struct FleetParams {
   std::size_t nodes;
   /// Time allowed for reports to reach all nodes after the third crash.
@@ -87,6 +104,7 @@
 // partitioned while the others sent them, and one that started later.
 TEST_P(CrashingRequest, IsRejectedByPartitionedAndNewNodesAfterwards) {
   ForwardFleet fleet(GetParam().nodes, GetParam().seed);
+  fleet.is_store_cut = true;  // Nodes can learn only from each other.
   const std::size_t partitioned = fleet.size() - 1;
   fleet.is_partitioned = [partitioned](std::size_t from, std::size_t to) {
     return from == partitioned || to == partitioned;
@@ -111,6 +129,81 @@
   }
 }
 
+// Guards against nodes that learn of each other's crashes only by gossip: those
+// that start while all seeds are lost never hear of each other, and each of
+// them tried the request anew.
+TEST_P(CrashingRequest, IsRejectedByNodesThatDoNotKnowEachOther) {
+  ForwardFleet fleet(GetParam().nodes, GetParam().seed);
+  LoseSeedsAndRestart(&fleet);
+  const std::size_t running = fleet.size() - kSeedCount;
+  std::mt19937_64 random(GetParam().seed);
+  int innocent = 0;
+  for (int i = 0; i < 48; ++i) {
+    fleet.SubmitRequest(kSeedCount + random() % running, GetParam().route,
+                        kCrashingContent);
+    for (int step = 0; step < 25; ++step) {
+      fleet.SubmitRequest(kSeedCount + random() % running, GetParam().route,
+                          "innocent" + std::to_string(++innocent));
+      fleet.RunFor(60 * kMillisecond);
+    }
+  }
+  EXPECT_LE(fleet.CrashesAfterThird(GetParam().propagation_time),
+            kMaxLateCrashes);
+  EXPECT_EQ(fleet.rejected_suspect_contents,
+            std::set<std::string>{kCrashingContent});
+}
+
+// Guards against crashes that are lost if the store is away when they occur,
+// and against nodes that need the store to serve.
+TEST(CrashingRequestWithoutStore, IsKnownToUnknownNodesOnceTheStoreIsBack) {
+  ForwardFleet fleet(7, 8);
+  LoseSeedsAndRestart(&fleet);
+  const std::size_t observer = kSeedCount;
+  const std::size_t other = kSeedCount + 1;
+  const Fingerprint crashing = fleet.CrashingFingerprint("order");
+  fleet.is_store_cut = true;
+  for (int i = 0; i < 2; ++i) {
+    fleet.SubmitRequest(observer, "order", kCrashingContent);
+    fleet.RunFor(3 * kSecond);
+  }
+  const ForwardId innocent = fleet.SubmitRequest(other, "order", "innocent");
+  fleet.RunFor(kSecond);
+  EXPECT_EQ(fleet.responses[innocent], "delivered");
+  EXPECT_EQ(fleet.node(observer).suspects().CrashCount(crashing), 2U);
+  EXPECT_EQ(fleet.node(other).suspects().CrashCount(crashing), 0U);
+
+  fleet.is_store_cut = false;
+  fleet.RunFor(3 * kSecond);
+  EXPECT_EQ(fleet.node(other).suspects().CrashCount(crashing), 2U);
+}
+
+// Guards against store calls of a whole large fleet in each second: only nodes
+// that may be unknown to others have a reason to read the suspects again.
+TEST(ReadsOfSuspects, AreMadeOnlyWhileAllSeedsAreLostAndByFewNodes) {
+  for (const std::size_t nodes : {std::size_t{7}, std::size_t{91}}) {
+    SCOPED_TRACE(nodes);
+    ForwardFleet fleet(nodes, 9);
+    fleet.RunFor(10 * kSecond);
+    const int reads_before = fleet.suspects_reads;
+    fleet.RunFor(10 * kSecond);
+    EXPECT_EQ(fleet.suspects_reads, reads_before);
+
+    {
+      SCOPED_TRACE("the seeds are lost, and the others know each other");
+      fleet.is_partitioned = [](std::size_t from, std::size_t to) {
+        return from < kSeedCount || to < kSeedCount;
+      };
+      fleet.RunFor(30 * kSecond);
+      const int reads_after_loss = fleet.suspects_reads;
+      fleet.RunFor(10 * kSecond);
+      const int reads = fleet.suspects_reads - reads_after_loss;
+      // The seeds run on in this fleet, and read as well.
+      EXPECT_GT(reads, 0);
+      EXPECT_LE(reads, 10 * 7);
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Seeds, CrashingRequest,
     ::testing::Values(FleetParams{4, 3 * kSecond, "read", 1},
--- a/src/libpollenledge/process/forward_timeouts.cc
+++ b/src/libpollenledge/process/forward_timeouts.cc
@@ -45,6 +45,7 @@
     ProbePaths();
   if (now() - limits_updated_at_ >= kHeartbeatPeriod) UpdateLimits();
   ExpireSuspects();
+  SyncSuspects();
   UpdatePromptCaches();
 }
 
--- a/src/libpollenledge/process/membership.cc
+++ b/src/libpollenledge/process/membership.cc
@@ -138,6 +138,16 @@
   return names;
 }
 
+bool Membership::HasLiveSeed(TimePoint now) const {
+  if (seeds_.empty()) return true;
+  return std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
+    const KnownMember& known = entry.second;
+    return StatusOf(known, now) == MemberStatus::kAlive &&
+           std::find(seeds_.begin(), seeds_.end(), known.record.peer_address) !=
+               seeds_.end();
+  });
+}
+
 std::vector<const MemberRecord*> Membership::LiveOthers(TimePoint now) const {
   std::vector<const MemberRecord*> live;
   for (const auto& [name, known] : others_) {
--- a/src/libpollenledge/process/suspect_document_test.cc
+++ b/src/libpollenledge/process/suspect_document_test.cc
@@ -142,6 +142,57 @@
   }
 }
 
+// Guards against nodes that never learn of crashes which others write after
+// their start, and against crashes that come back after the suspect was
+// cleared.
+TEST_F(SuspectSyncTest, LaterReadDeliversOnlyWhatIsNew) {
+  SuspectSync reader = MakeSynchronizer();
+  reader.Start();
+  SuspectSync writer = MakeSynchronizer();
+  writer.Start();
+  submitted_.clear();
+  const CrashReport first{{0, 1}, 7, false, kMinute};
+  writer.AddCrashes({first});
+  reader.ReadNow();
+  ASSERT_EQ(submitted_.size(), 1U);
+  EXPECT_EQ(submitted_[0], std::vector<SuspectReport>{first});
+
+  {
+    SCOPED_TRACE("a crash that was delivered is not delivered again");
+    reader.ReadNow();
+    EXPECT_EQ(submitted_.size(), 1U);
+  }
+
+  {
+    SCOPED_TRACE("a read that is requested during a write follows it");
+    const CrashReport second{{0, 1}, 8, false, kMinute};
+    writer.AddCrashes({second});
+    loop_.run();
+    reader.AddCrashes({{{0, 2}, 9, false, kMinute}});
+    reader.ReadNow();
+    loop_.restart();
+    loop_.run();
+    ASSERT_EQ(submitted_.size(), 2U);
+    EXPECT_EQ(submitted_[1], std::vector<SuspectReport>{second});
+    EXPECT_EQ(Value(DecodeSuspects(store_.text)).size(), 3U);
+  }
+
+  {
+    SCOPED_TRACE("a read that fails is repeated");
+    store_.unavailable = true;
+    reader.ReadNow();
+    EXPECT_EQ(submitted_.size(), 2U);
+    store_.unavailable = false;
+    const CrashReport third{{0, 1}, 10, false, kMinute};
+    writer.AddCrashes({third});
+    loop_.restart();
+    loop_.run();
+    // The writer has read the other crash before.
+    ASSERT_EQ(submitted_.size(), 4U);
+    EXPECT_EQ(submitted_[3], std::vector<SuspectReport>{third});
+  }
+}
+
 // Guards against a rejected request that reaches upstreams again after all
 // nodes were restarted, because a restored store has lost it (incident CONFIG).
 TEST_F(SuspectSyncTest, CrashesThatARestoredStoreLostAreWrittenAgain) {
--- a/src/libpollenledge/process/suspect_sync.cc
+++ b/src/libpollenledge/process/suspect_sync.cc
@@ -1,5 +1,8 @@
 #include "pollenledge/process/suspect_sync.h"
 
+#include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "pollenledge/process/log.h"
@@ -26,8 +29,14 @@
   if (!busy_) Read();
 }
 
+void SuspectSync::ReadNow() {
+  read_requested_ = busy_;
+  if (!busy_) Read();
+}
+
 void SuspectSync::Read() {
   busy_ = true;
+  read_requested_ = false;
   store_->Read(key_, [this](const Result<StoreItem>& item) { OnRead(item); });
 }
 
@@ -46,17 +55,37 @@
         {{"error", ErrorOf(stored).message}});
     stored = std::vector<StoredCrash>();
   }
-  stored_crashes_ = MergeSuspects(Value(stored), {}, now_());
+  const std::vector<StoredCrash> found =
+      MergeSuspects(Value(stored), {}, now_());
+  const std::vector<StoredCrash> fresh = NewCrashes(found);
+  stored_crashes_ = found;
   busy_ = false;
   failed_reads_ = 0;
-  if (!initial_reports_delivered_ || !stored_crashes_.empty()) {
+  if (!initial_reports_delivered_ || !fresh.empty()) {
     initial_reports_delivered_ = true;
     Log(LogLevel::kInfo, "suspects_read",
         {{"crashes", std::to_string(stored_crashes_.size())},
+         {"new", std::to_string(fresh.size())},
          {"revision", std::to_string(revision_)}});
-    on_reports_(ToReports(stored_crashes_, now_()));
+    on_reports_(ToReports(fresh, now_()));
+  }
+  if (dirty_ && !busy_) Write();
+}
+
+std::vector<StoredCrash> SuspectSync::NewCrashes(
+    const std::vector<StoredCrash>& stored) const {
+  std::set<std::pair<Fingerprint, CrashId>> known;
+  for (const auto* list : {&stored_crashes_, &local_crashes_}) {
+    for (const StoredCrash& crash : *list) {
+      known.emplace(crash.fingerprint, crash.crash);
+    }
   }
-  if (dirty_) Write();
+  std::vector<StoredCrash> fresh;
+  std::copy_if(stored.begin(), stored.end(), std::back_inserter(fresh),
+               [&known](const StoredCrash& crash) {
+                 return known.count({crash.fingerprint, crash.crash}) == 0;
+               });
+  return fresh;
 }
 
 void SuspectSync::OnReadFailed(const Error& error) {
@@ -109,7 +138,7 @@
   timer_.async_wait([this](const boost::system::error_code& failed) {
     if (failed) return;
     busy_ = false;
-    if (dirty_) Read();
+    if (dirty_ || read_requested_) Read();
   });
   if (written) {
     stored_crashes_ = MergeSuspects(stored_crashes_, local_crashes_, now_());
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -77,7 +77,8 @@
     nodes_[node] = std::make_unique<ForwardNode>(options);
     ReadTables(node, 1);
     Submit(node, ListUpstreams());
-    Submit(node, forward_event::SuspectsRead{PersistedReports()});
+    delivered_crashes_.erase(node);
+    Submit(node, forward_event::SuspectsRead{NewPersistedReports(node)});
   }
 
   /// Passes the tables of `version` to a node as read from the store now. From
@@ -283,6 +284,10 @@
   std::map<std::size_t, int> heartbeats_sent;
   // Reads of the tables that the nodes asked for.
   int tables_reads = 0;
+  // Reads of the persisted crashes that the nodes asked for.
+  int suspects_reads = 0;
+  // Whether crashes can be neither persisted nor read.
+  bool is_store_cut = false;
   // Returns whether a network partition separates the sender from the receiver.
   // Unset: no partition.
   std::function<bool(std::size_t, std::size_t)> is_partitioned;
@@ -309,10 +314,12 @@
     TimePoint persisted_at;
   };
 
-  // The persisted crashes, as a node that starts now reads them.
-  std::vector<SuspectReport> PersistedReports() const {
+  // The persisted crashes that a node has not read since its start.
+  std::vector<SuspectReport> NewPersistedReports(std::size_t node) {
     std::vector<SuspectReport> reports;
+    if (is_store_cut) return reports;
     for (const auto& [key, crash] : persisted_crashes_) {
+      if (!delivered_crashes_[node].insert(key).second) continue;
       CrashReport report = crash.report;
       report.age += now_ - crash.persisted_at;
       reports.emplace_back(report);
@@ -534,7 +541,15 @@
   void Execute(std::size_t, const forward_action::ReadTables&) {
     ++tables_reads;
   }
+  void Execute(std::size_t node, const forward_action::ReadSuspects&) {
+    ++suspects_reads;
+    Schedule(kMillisecond, [this, node] {
+      const auto reports = NewPersistedReports(node);
+      if (!reports.empty()) Submit(node, forward_event::SuspectsRead{reports});
+    });
+  }
   void Execute(std::size_t, const forward_action::PersistSuspects& persist) {
+    if (is_store_cut) return;
     for (const CrashReport& report : persist.crash_reports) {
       persisted_crashes_.try_emplace({report.fingerprint, report.crash},
                                      PersistedCrash{report, now_});
@@ -664,6 +679,9 @@
   std::map<ForwardId, bool> crashes_on_start_;
   // By request or prompt segment and crash.
   std::map<std::pair<Fingerprint, CrashId>, PersistedCrash> persisted_crashes_;
+  // What each node has read of them since its start.
+  std::map<std::size_t, std::set<std::pair<Fingerprint, CrashId>>>
+      delivered_crashes_;
   ForwardId next_id_ = 1;
   int attempt_number_ = 0;
 };
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -244,10 +244,10 @@
   /// Adds the callbacks that use the store.
   ForwardServiceOptions WithStoreCallbacks(ForwardServiceOptions options) {
     options.read_tables = [this] { config_sync_.ReadNow(); };
-    options.persist_suspects =
-        [this](const std::vector<CrashReport>& rejected) {
-          suspect_sync_.AddCrashes(rejected);
-        };
+    options.persist_suspects = [this](const std::vector<CrashReport>& crashes) {
+      suspect_sync_.AddCrashes(crashes);
+    };
+    options.read_suspects = [this] { suspect_sync_.ReadNow(); };
     options.update_version_records =
         [this](const forward_action::UpdateVersionRecords& update) {
           stream_record_sync_.UpdateVersions(update.added, update.removed);
