Caller connections: one name for a held request, no description that nobody reads

Closing a connection asked its socket for unread bytes also where no `on_closed` reads the answer (administration, metrics, readiness), and "holds a request" was written out in two places. `OnRead` read the clock a second time for the budget, where `read_at_` is the same moment. The tests of many connections set them up twice and wrote the same request in four places.

No behaviour of a caller's connection changes.

--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -140,6 +140,10 @@
   void FinishResponse();
   /// Continues with the request after the one that was responded to.
   void StartNextRequest();
+  /// True if a whole request was read and the reader still holds it.
+  bool HoldsRequest() const {
+    return state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
+  }
   /// Checks the head of an incomplete request and the memory for its body.
   /// Returns false if the request was refused.
   bool AdmitHead();
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -150,14 +150,12 @@
   }
   if (reader_.idle()) UpdateLimits();
   const Status status = reader_.Append(bytes);
-  const bool holds_request =
-      state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
   bool has_room = true;
-  if (holds_request) {
+  if (HoldsRequest()) {
     has_room = HoldReader();
   } else {
     if (client_.has_value())
-      handlers_->budget->OnProgress(*client_, bytes.size(), BootClockNow());
+      handlers_->budget->OnProgress(*client_, bytes.size(), read_at_);
     if (!Ok(status)) {
       RejectMalformed();
     } else {
@@ -550,8 +548,6 @@
 
 CallerClose CallerConnection::DescribeClose(CallerCloseCause cause) const {
   const TimePoint now = BootClockNow();
-  const bool holds_request =
-      state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
   CallerClose close;
   close.cause = cause;
   close.response_pending =
@@ -559,7 +555,7 @@
       !output_.empty();
   SystemError ignored;  // Nothing can be read from a connection that was reset.
   close.unread_bytes = socket_.available(ignored);
-  if (holds_request) close.buffered_bytes = reader_.unread_bytes();
+  if (HoldsRequest()) close.buffered_bytes = reader_.unread_bytes();
   close.since_read = now - read_at_;
   if (const std::optional<TimePoint> deadline = NextDeadline())
     close.overdue = std::max<Duration>(now - *deadline, Duration::zero());
@@ -569,14 +565,15 @@
 
 void CallerConnection::Close(CallerCloseCause cause) {
   if (!open_) return;
-  const CallerClose close = DescribeClose(cause);
+  std::optional<CallerClose> close;
+  if (handlers_->on_closed) close = DescribeClose(cause);
   open_ = false;
   timer_.cancel();
   SystemError ignored;  // The socket is unusable in either case.
   socket_.close(ignored);
   if (client_.has_value()) handlers_->budget->Close(*client_);
   client_.reset();
-  if (handlers_->on_closed) handlers_->on_closed(*this, close);
+  if (close.has_value()) handlers_->on_closed(*this, *close);
 }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/caller_connection_test.cc
+++ b/src/libpollenledge/connection/caller_connection_test.cc
@@ -32,6 +32,30 @@
   tcp::socket far_end;
 };
 
+/// The caller writes a whole request without a body.
+void WriteGet(tcp::socket& caller) {
+  boost::asio::write(
+      caller,
+      boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+}
+
+/// Callers with a connection each, all of which were admitted.
+struct ConnectedCallers {
+  ConnectedCallers(boost::asio::io_context& loop,
+                   const CallerHandlers& handlers, std::size_t count) {
+    const auto shared = std::make_shared<const CallerHandlers>(handlers);
+    for (std::size_t i = 0; i < count; ++i) {
+      callers.push_back(std::make_unique<SocketPair>(loop));
+      connections.push_back(std::make_shared<CallerConnection>(
+          std::move(callers.back()->near_end), shared));
+      EXPECT_TRUE(connections.back()->Start());
+    }
+  }
+
+  std::vector<std::unique_ptr<SocketPair>> callers;
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+};
+
 class CallerConnectionTest : public ::testing::Test {
  protected:
   CallerConnectionTest() {
@@ -153,26 +177,14 @@
   handlers.on_request = [&](const std::shared_ptr<CallerConnection>&,
                             const HttpHead&,
                             const std::string&) { ++requests; };
-  const auto shared = std::make_shared<const CallerHandlers>(handlers);
-  std::vector<std::unique_ptr<SocketPair>> callers;
-  std::vector<std::shared_ptr<CallerConnection>> connections;
-  callers.reserve(kConnections);
-  connections.reserve(kConnections);
-  for (std::size_t i = 0; i < kConnections; ++i) {
-    callers.push_back(std::make_unique<SocketPair>(loop_));
-    connections.push_back(std::make_shared<CallerConnection>(
-        std::move(callers.back()->near_end), shared));
-    ASSERT_TRUE(connections.back()->Start());
-  }
+  const ConnectedCallers crowd(loop_, handlers, kConnections);
   // A timer that is due before the requests arrive makes the loop look at its
   // timers in its next turn.
   boost::asio::steady_timer tick(loop_, std::chrono::milliseconds(1));
   tick.async_wait([](const SystemError&) {});
   std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  for (const auto& caller : callers) {
-    boost::asio::write(
-        caller->far_end,
-        boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  for (const auto& caller : crowd.callers) {
+    WriteGet(caller->far_end);
   }
   std::this_thread::sleep_for(2 * kIdleTimeout);
   loop_.run_for(kIdleTimeout);
@@ -220,9 +232,7 @@
 
   /// Starts a response and sends it until the caller should take some of it.
   void SendUntilFull() {
-    boost::asio::write(caller_.far_end,
-                       boost::asio::buffer(std::string(
-                           "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")));
+    WriteGet(caller_.far_end);
     RunUntil([this] { return requests_ > 0; });
     HttpHead head;
     head.status = 200;
@@ -520,21 +530,11 @@
   handlers.on_request = [&](const std::shared_ptr<CallerConnection>&,
                             const HttpHead&,
                             const std::string&) { ++requests; };
-  const auto shared = std::make_shared<const CallerHandlers>(handlers);
-  std::vector<std::unique_ptr<SocketPair>> callers;
-  std::vector<std::shared_ptr<CallerConnection>> connections;
-  for (std::size_t i = 0; i < kConnections; ++i) {
-    callers.push_back(std::make_unique<SocketPair>(loop_));
-    connections.push_back(std::make_shared<CallerConnection>(
-        std::move(callers.back()->near_end), shared));
-    ASSERT_TRUE(connections.back()->Start());
-  }
+  const ConnectedCallers crowd(loop_, handlers, kConnections);
   // Those that have been idle for longest send a request.
   constexpr int kRequests = kConnections / 2;
   for (int i = 0; i < kRequests; ++i) {
-    boost::asio::write(
-        callers[static_cast<std::size_t>(i)]->far_end,
-        boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    WriteGet(crowd.callers[static_cast<std::size_t>(i)]->far_end);
   }
   int admitted = 0;
   for (int i = 0; i < kRequests; ++i) {
@@ -554,9 +554,7 @@
   SendUntilFull();
   ASSERT_TRUE(connection_->output_is_full());
   loop_.poll();
-  boost::asio::write(
-      caller_.far_end,
-      boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  WriteGet(caller_.far_end);
   const TimePoint later = BootClockNow() + std::chrono::seconds(2);
   const auto other =
       budget_->Open(ClientGroup::kCallers, {[](ByteBudget::Need) {}}, later);
