HTTP reader: ignore an empty line before a request

Callers saw 400 for a request after a body that ended with a line break which its Content-Length does not count, as some senders do; RFC 9112, section 2.2, asks servers to ignore at least one such line. The reader took it for the start of a request line.

It now drops one empty line before each request, also behind a body that came in the same read, and in parts of any size. A part of the line begins no request, so that the connection stays idle instead of running into the time for a head. Nothing is dropped before responses: bytes there belong to no response and must be noticed.

Before: HttpReaderTest.IgnoresAnEmptyLineBeforeARequest, HttpReaderTest.AnEmptyLineBeginsNoRequest and CallerConnectionTest.AnEmptyLineBehindABodyBeginsNoRequest fail; after: pass.

--- a/src/libpollenledge/connection/caller_connection_test.cc
+++ b/src/libpollenledge/connection/caller_connection_test.cc
@@ -191,6 +191,18 @@
   EXPECT_EQ(requests, kConnections);
 }
 
+// Guards against a kept connection that is closed for an incomplete head after
+// an empty line behind a body.
+TEST_F(CallerConnectionTest, AnEmptyLineBehindABodyBeginsNoRequest) {
+  Write("/1", "one");
+  boost::asio::write(caller_.far_end, boost::asio::buffer("\r", 1));
+  RunUntilRequests(1);
+  Respond();
+  loop_.poll();
+  connection_->CloseWhenIdle();
+  EXPECT_FALSE(connection_->open());
+}
+
 /// A connection whose handlers, limits and budget a test sets before it starts.
 class AbusiveCallerTest : public ::testing::Test {
  protected:
--- a/src/libpollenledge/connection/http_reader.cc
+++ b/src/libpollenledge/connection/http_reader.cc
@@ -15,6 +15,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+constexpr std::string_view kEmptyLine = "\r\n";
 constexpr std::string_view kHeadTerminator = "\r\n\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 /// Maximum bytes of chunk framing per byte of body. Chunks of one byte stay
@@ -207,6 +208,7 @@
   std::optional<CollectingParser<true>> request;
   std::optional<CollectingParser<false>> response;
   bool head_checked = false;
+  bool skipped_empty_line = false;  ///< Before the current message.
   bool skip_body = false;
   bool head_too_large = false;
   bool body_too_large = false;
@@ -226,6 +228,7 @@
 
   void ResetParser() {
     head_checked = false;
+    skipped_empty_line = false;
     parsed_bytes = 0;
     head_searched = 0;
     head_bytes = 0;
@@ -243,6 +246,23 @@
     });
   }
 
+  /// Returns how many bytes of an empty line lead the buffer: some senders end
+  /// a body with one that its length does not count (RFC 9112, section 2.2).
+  std::size_t EmptyLineBytes() const {
+    if (role != Role::kRequests) return 0;
+    const std::size_t size = std::min(buffer.size(), kEmptyLine.size());
+    return kEmptyLine.compare(0, size, buffer, 0, size) == 0 ? size : 0;
+  }
+
+  /// Drops one empty line before a request.
+  void SkipEmptyLine() {
+    if (head_checked || skipped_empty_line ||
+        EmptyLineBytes() < kEmptyLine.size())
+      return;
+    buffer.erase(0, kEmptyLine.size());
+    skipped_empty_line = true;
+  }
+
   Status CheckHead() {
     if (head_checked) return {};
     const std::size_t end = buffer.find(kHeadTerminator, head_searched);
@@ -266,6 +286,7 @@
   }
 
   Status Parse() {
+    SkipEmptyLine();
     if (Status status = CheckHead(); !Ok(status)) return status;
     if (!head_checked) return {};
     return VisitParser([this](auto& parser) -> Status {
@@ -402,7 +423,7 @@
 }
 
 std::size_t HttpReader::unread_bytes() const {
-  return complete() ? impl_->buffer.size() : 0;
+  return complete() ? impl_->buffer.size() - impl_->EmptyLineBytes() : 0;
 }
 
 std::size_t HttpReader::head_memory_bytes() const {
@@ -417,6 +438,10 @@
   impl_->ResetParser();
 }
 
-bool HttpReader::idle() const { return !has_head() && impl_->buffer.empty(); }
+bool HttpReader::idle() const {
+  const std::size_t ignored_bytes =
+      impl_->skipped_empty_line ? 0 : impl_->EmptyLineBytes();
+  return !has_head() && impl_->buffer.size() == ignored_bytes;
+}
 
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/http_reader_test.cc
+++ b/src/libpollenledge/connection/http_reader_test.cc
@@ -45,6 +45,55 @@
   }
 }
 
+// Guards against requests that are refused as malformed because their sender
+// ended the body before them with an empty line that its length does not count
+// (RFC 9112, section 2.2).
+TEST(HttpReaderTest, IgnoresAnEmptyLineBeforeARequest) {
+  const std::string bytes =
+      "\r\nPOST /first HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+      "\r\nGET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (std::size_t portion = 1; portion <= bytes.size(); ++portion) {
+    SCOPED_TRACE(portion);
+    HttpReader reader(Requests(), kMaxHeadBytes, kMaxBodyBytes);
+    std::string body;
+    std::size_t at = 0;
+    while (at < bytes.size() && !reader.complete()) {
+      ASSERT_TRUE(Ok(reader.Append(bytes.substr(at, portion))));
+      at += portion;
+      body += reader.TakeBody();
+    }
+    EXPECT_EQ(reader.head().target, "/first");
+    EXPECT_EQ(body, "abc");
+    ASSERT_TRUE(Ok(reader.StartNextMessage()));
+    if (at < bytes.size()) {
+      ASSERT_TRUE(Ok(reader.Append(bytes.substr(at))));
+    }
+    ASSERT_TRUE(reader.complete());
+    EXPECT_EQ(reader.head().target, "/next");
+  }
+}
+
+// Guards against a kept connection that counts as one with a begun request, and
+// is closed for it, after an empty line behind a body.
+TEST(HttpReaderTest, AnEmptyLineBeginsNoRequest) {
+  HttpReader reader(Requests(), kMaxHeadBytes, kMaxBodyBytes);
+  for (const char* part : {"\r", "\n"}) {
+    ASSERT_TRUE(Ok(reader.Append(part)));
+    EXPECT_TRUE(reader.idle());
+  }
+  {
+    SCOPED_TRACE("only one line is ignored");
+    EXPECT_FALSE(Ok(reader.Append("\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  }
+  {
+    SCOPED_TRACE("none is ignored before a response");
+    HttpReader responses(HttpReader::Role::kResponses, kMaxHeadBytes,
+                         kMaxBodyBytes);
+    EXPECT_FALSE(Ok(
+        responses.Append("\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+  }
+}
+
 TEST(HttpReaderTest, RejectsAmbiguousMessages) {
   const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
   // A content length together with chunked encoding, in either order.
