Planned stop: count the grace period from when the signal may have come

A process whose event loop stands still while its stop signal arrives handles the signal late, and counted the grace period from then. Its supervisor counts from the signal, so requests that the node still took were cut off when it was killed. Callers saw connections that ended without an answer.

The unit test ForwardNodeTest.AStopSignalThatWaitedLeavesLessOfTheGracePeriod fails before.

What a late loop finds may have arrived at any time since it last ran. This is the rule by which silence is judged elsewhere; LoopDelayMonitor now holds it for the loop, with what `IsLoopBehind` knew. The grace period counts from the earliest arrival; the times that the load balancer needs still count from the handling, since readiness changes then. Delays one after the other don't add up, so a loop that is always a little late keeps its grace period.

Not covered: a loop that stood still for less than its timer's interval (0.25 s, 1 s in large fleets) isn't noticed.

--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -126,7 +126,10 @@
   std::vector<RolloutShare> shares;
 };
 /// The process was told to stop; the node starts to drain.
-struct DrainStarted {};
+struct DrainStarted {
+  /// Longest time for which the stop signal may have waited to be handled.
+  Duration signal_age{0};
+};
 /// The tick timer expired.
 struct Ticked {};
 
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -17,6 +17,7 @@
 #include "pollenledge/process/forward_metrics.h"
 #include "pollenledge/process/forward_node.h"
 #include "pollenledge/process/log_line_limit.h"
+#include "pollenledge/process/loop_delay_monitor.h"
 #include "pollenledge/process/prompt_cache_client.h"
 #include "pollenledge/process/response_end_verifier.h"
 #include "pollenledge/request/event_splitter.h"
@@ -227,9 +228,6 @@
   void OnTimer();
   /// Counts and logs by how much the event loop is behind its timers.
   void RecordLoopDelay(TimePoint now, Duration delay);
-  /// Returns true if the event loop is behind or just was, so that what it
-  /// handles now may have been received long ago, but after `sent_at`.
-  bool IsLoopBehind(TimePoint sent_at, TimePoint now) const;
   void ContinueDrain();
   void LogDrainEnd(Duration elapsed, bool timed_out);
 
@@ -245,7 +243,6 @@
   /// A flood of refusals must not become a flood of log lines.
   LogLineLimit refusal_log_limit_{20, std::chrono::seconds(1)};
   TimePoint loop_delay_logged_at_;
-  std::optional<TimePoint> loop_delayed_at_;  ///< By `kLoggedLoopDelay`.
   ClientConnectionPool upstream_pool_;
   PromptCacheClient prompt_cache_client_;
   ResponseEndVerifier response_end_verifier_;
@@ -255,9 +252,10 @@
   std::deque<ForwardEvent> pending_events_;
   bool handling_events_ = false;  ///< `Submit` is processing `pending_events_`.
   boost::asio::steady_timer timer_;
-  std::optional<TimePoint> timer_at_;
+  LoopDelayMonitor loop_delay_;  ///< Of the loop, by `timer_`.
   TimePoint idle_connections_closed_at_;
-  std::optional<TimePoint> drain_started_;
+  std::optional<TimePoint> drain_started_;  ///< Handling of the stop signal.
+  TimePoint grace_started_;  ///< Earliest arrival of the stop signal.
   std::function<void()> on_drained_;
   HeartbeatLink heartbeat_link_;
   CallerServer readiness_server_;
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -397,13 +397,14 @@
   UpdateLimits();
 }
 
-void ForwardNode::On(const forward_event::DrainStarted&) {
+void ForwardNode::On(const forward_event::DrainStarted& drain) {
   if (draining()) return;
-  drain_started_at_ = now();
+  drain_started_at_ = now() - drain.signal_age;
   Emit(forward_action::WriteLogLine{
       LogLevel::kInfo,
       "draining",
-      {{"requests", std::to_string(requests_.size())}}});
+      {{"requests", std::to_string(requests_.size())},
+       {"signal_age_ms", FormatMilliseconds(drain.signal_age)}}});
 }
 
 // Readiness, ages and log lines.
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -627,5 +627,25 @@
   }
 }
 
+// Guards against requests that are cut off at the end of a grace period that
+// the node counts from the late handling of its stop signal (LOST).
+TEST_F(ForwardNodeTest, AStopSignalThatWaitedLeavesLessOfTheGracePeriod) {
+  using std::chrono::seconds;
+  Submit(event::DrainStarted{std::chrono::milliseconds(1500)});
+  {
+    SCOPED_TRACE("a request that ends before the process does is admitted");
+    AdvanceTime(seconds(2));
+    Arrive(1, "read", "key", seconds(2));
+    EXPECT_NE(FindAction<action::SendAttempt>(), nullptr);
+  }
+  {
+    SCOPED_TRACE("one that may end after it is refused");
+    Arrive(2, "read", "key", std::chrono::milliseconds(4600));
+    EXPECT_EQ(FindAction<action::SendAttempt>(), nullptr);
+    ASSERT_NE(FindAction<action::Reject>(), nullptr);
+    EXPECT_EQ(FindAction<action::Reject>()->not_run.problem_type, "stopping");
+  }
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -15,13 +15,8 @@
 constexpr Duration kGracePeriodMargin = std::chrono::milliseconds(400);
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kIdleCloseInterval = std::chrono::seconds(2);
-/// A loop that is further behind its timers is logged, at most once per
-/// interval.
-constexpr Duration kLoggedLoopDelay = std::chrono::milliseconds(100);
+/// A late loop is logged at most once per interval.
 constexpr Duration kLoopDelayLogInterval = std::chrono::seconds(1);
-/// Time after a late timer for which the loop counts as behind: what arrived
-/// meanwhile is handled after it.
-constexpr Duration kLoopBehindTime = std::chrono::seconds(1);
 /// Path on the admin address, followed by the fingerprint of a suspect.
 constexpr std::string_view kSuspectsPath = "/suspects/";
 constexpr int kStatusOk = 200;
@@ -111,6 +106,7 @@
   pending_events_.push_back(std::move(event));
   if (handling_events_) return;
   handling_events_ = true;
+  loop_delay_.OnEvent(BootClockNow());
   while (!pending_events_.empty()) {
     const ForwardEvent next = std::move(pending_events_.front());
     pending_events_.pop_front();
@@ -349,8 +345,9 @@
 void ForwardService::ArmTimer() {
   const TimePoint now = BootClockNow();
   const TimePoint due = node_.NextTickTime(now);
-  if (timer_at_.has_value() && *timer_at_ <= due) return;
-  timer_at_ = std::max(due, now);
+  const std::optional<TimePoint>& armed = loop_delay_.timer_due();
+  if (armed.has_value() && *armed <= due) return;
+  loop_delay_.OnTimerArmed(std::max(due, now));
   timer_.expires_after(
       std::max<Duration>(due - now, std::chrono::milliseconds(1)));
   timer_.async_wait([this](const boost::system::error_code& error) {
@@ -362,29 +359,18 @@
 void ForwardService::RecordLoopDelay(TimePoint now, Duration delay) {
   metrics_.Observe("loop_delay_seconds", "",
                    std::max<Duration>(delay, Duration::zero()));
-  if (delay < kLoggedLoopDelay) return;
-  loop_delayed_at_ = now;
-  if (now - loop_delay_logged_at_ < kLoopDelayLogInterval) return;
+  if (delay < LoopDelayMonitor::kMinDelay ||
+      now - loop_delay_logged_at_ < kLoopDelayLogInterval)
+    return;
   loop_delay_logged_at_ = now;
   Log(LogLevel::kWarn, "loop_delayed",
       {{"delay_ms", FormatMilliseconds(delay)},
        {"requests", std::to_string(exchanges_.size())}});
 }
 
-bool ForwardService::IsLoopBehind(TimePoint sent_at, TimePoint now) const {
-  const bool is_timer_late =
-      timer_at_.has_value() &&
-      now - std::max(*timer_at_, sent_at) >= kLoggedLoopDelay;
-  const bool was_timer_late = loop_delayed_at_.has_value() &&
-                              now - *loop_delayed_at_ < kLoopBehindTime &&
-                              *loop_delayed_at_ - sent_at >= kLoggedLoopDelay;
-  return is_timer_late || was_timer_late;
-}
-
 void ForwardService::OnTimer() {
   const TimePoint now = BootClockNow();
-  RecordLoopDelay(now, now - timer_at_.value_or(now));
-  timer_at_.reset();
+  RecordLoopDelay(now, loop_delay_.OnTimer(now));
   if (now - idle_connections_closed_at_ > kIdleCloseInterval) {
     idle_connections_closed_at_ = now;
     upstream_pool_.CloseIdle(now);
@@ -395,9 +381,12 @@
 
 void ForwardService::Drain(std::function<void()> on_drained) {
   if (drain_started_.has_value()) return;
-  drain_started_ = BootClockNow();
+  const TimePoint now = BootClockNow();
+  drain_started_ = now;
+  loop_delay_.OnEvent(now);
+  grace_started_ = loop_delay_.EarliestArrival(now);
   on_drained_ = std::move(on_drained);
-  Submit(forward_event::DrainStarted{});
+  Submit(forward_event::DrainStarted{now - grace_started_});
   prompt_cache_client_.Stop();
   caller_server_.CloseAfterResponses();
   if (relay_server_.has_value()) relay_server_->CloseAfterResponses();
@@ -413,7 +402,10 @@
 }
 
 void ForwardService::ContinueDrain() {
-  const Duration elapsed = BootClockNow() - *drain_started_;
+  const TimePoint now = BootClockNow();
+  const Duration elapsed = now - *drain_started_;
+  const bool timed_out =
+      now - grace_started_ >= options_.node_options.drain_timeout;
   const bool balancer_noticed = elapsed >= kBalancerRemovalTime;
   if (balancer_noticed) {
     caller_server_.StopAccepting();
@@ -425,7 +417,6 @@
   }
   const std::size_t relay_connections =
       relay_server_.has_value() ? relay_server_->CountOpenConnections() : 0;
-  const bool timed_out = elapsed >= options_.node_options.drain_timeout;
   if (timed_out ||
       (balancer_noticed && exchanges_.empty() &&
        caller_server_.CountOpenConnections() == 0 && relay_connections == 0)) {
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -443,7 +443,7 @@
   const TimePoint now = BootClockNow();
   const std::optional<TimePoint> resumed_at = connection->reading_resumed_at();
   const bool may_be_old =
-      IsLoopBehind(exchange->attempt_started_at, now) ||
+      loop_delay_.IsBehind(exchange->attempt_started_at, now) ||
       (resumed_at.has_value() && now - *resumed_at < kOldInputTime);
   response_end_verifier_.Verify(
       connection->address(), exchange->upstream.incarnation,
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -521,6 +521,9 @@
     def do_sleep3000(self, connection, attempt):
         return self.sleep(connection, attempt, 3.0)
 
+    def do_sleep4800(self, connection, attempt):
+        return self.sleep(connection, attempt, 4.8)
+
     # Closes the connection without a response.
     def do_cut(self, connection, attempt):
         return False
