Planned stop: answer what has no response at the end of the grace period

A request that still waited for an upstream when the grace period ended, and one that was at work without a begun response, got no answer: the process ended and closed their connections. The rest of the drain only admitted what its deadline ends in time; what came in its first two seconds, or before the signal, may last longer.

When the grace period is over the service now submits `DrainTimedOut`. Begun responses go on until the process ends, and so does a response that only waits to be read, as the process is late then and not the upstream. Connections are no longer accepted then, and idle ones are closed, also if the signal was handled so late that the load balancer's time isn't over.

ForwardNodeTest.AtTheEndOfTheGracePeriodEachRequestIsAnswered fails before (no end for either request) and passes; AtTheEndOfTheGracePeriodUnreadResponsesAreLeft passes. No case with real processes ends with a queued request.

--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -130,6 +130,8 @@
   /// Longest time for which the stop signal may have waited to be handled.
   Duration signal_age{0};
 };
+/// The grace period is over; the process ends once what is submitted was sent.
+struct DrainTimedOut {};
 /// The tick timer expired.
 struct Ticked {};
 
@@ -145,7 +147,8 @@
     forward_event::FleetSizeRead, forward_event::VersionRecordsRead,
     forward_event::StreamLookedUp, forward_event::UpstreamProbed,
     forward_event::RolloutSharesConfirmed, forward_event::PromptCachePolled,
-    forward_event::DrainStarted, forward_event::Ticked>;
+    forward_event::DrainStarted, forward_event::DrainTimedOut,
+    forward_event::Ticked>;
 
 /// Actions that a forwarding node requests in response to an event.
 namespace forward_action {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -303,6 +303,7 @@
   void On(const forward_event::RolloutSharesConfirmed& confirmed);
   void On(const forward_event::PromptCachePolled& polled);
   void On(const forward_event::DrainStarted& drain);
+  void On(const forward_event::DrainTimedOut& timed_out);
   void On(const forward_event::Ticked& tick);
 
   /// The last connection loss of an upstream that this node observed. The node
@@ -630,6 +631,10 @@
 
   // Timeouts.
   void OnCheckDue(Request* request);
+  /// Ends a request that has no whole response: with `not_run` if that is true,
+  /// or else as failed by `reason`. Its current attempt ends as `attempt_end`.
+  void EndUnanswered(Request* request, ForwardOutcome attempt_end,
+                     const std::string& reason, NotRun not_run);
   /// The upstream has sent something, which this process has not handled yet.
   void OnUnreadResponse(Request* request);
   /// The upstream sent nothing until `InactivityDeadline`.
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -407,6 +407,24 @@
        {"signal_age_ms", FormatMilliseconds(drain.signal_age)}}});
 }
 
+void ForwardNode::On(const forward_event::DrainTimedOut&) {
+  std::vector<ForwardId> unanswered;
+  for (const auto& [id, request] : requests_) {
+    // Begun responses go on until the process ends, and so do those that only
+    // wait to be read.
+    const bool is_answered =
+        request.response_started ||
+        (has_unread_response_ != nullptr && has_unread_response_(id));
+    if (!is_answered) unanswered.push_back(id);
+  }
+  for (const ForwardId id : unanswered) {
+    EndUnanswered(FindRequest(id), ForwardOutcome::kCancelled, "stopped",
+                  NotRun{503, "stopped",
+                         "this node stopped before an upstream had capacity",
+                         kDrainRetryAfter});
+  }
+}
+
 // Readiness, ages and log lines.
 
 bool ForwardNode::IsReady(TimePoint now) const {
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -647,5 +647,43 @@
   }
 }
 
+// Guards against requests whose connections are closed without a response at
+// the end of the grace period (LOST).
+TEST_F(ForwardNodeTest, AtTheEndOfTheGracePeriodEachRequestIsAnswered) {
+  ForwardId last = 0;
+  while (node_.queued_requests() == 0) {
+    ASSERT_LT(last, 100U);
+    Arrive(++last, "order");
+  }
+  Submit(event::DrainStarted{});
+  Submit(event::DrainTimedOut{});
+  {
+    SCOPED_TRACE("what is at work may have run");
+    ASSERT_NE(FindAction<action::Fail>(), nullptr);
+    EXPECT_LT(FindAction<action::Fail>()->id, last);
+    EXPECT_EQ(FindAction<action::Fail>()->status, 504);
+    EXPECT_NE(FindAction<action::CancelAttempt>(), nullptr);
+  }
+  {
+    SCOPED_TRACE("what is queued has not");
+    ASSERT_NE(FindAction<action::Reject>(), nullptr);
+    EXPECT_EQ(FindAction<action::Reject>()->id, last);
+    EXPECT_EQ(FindAction<action::Reject>()->not_run.http_status, 503);
+  }
+  EXPECT_EQ(node_.active_requests(), 0U);
+}
+
+// Guards against a response that waits unread while the grace period ends and
+// is replaced by a failure.
+TEST_F(ForwardNodeTest, AtTheEndOfTheGracePeriodUnreadResponsesAreLeft) {
+  node_.SetUnreadResponseSource([](ForwardId id) { return id == 1; });
+  Arrive(1, "order");
+  Submit(event::DrainStarted{});
+  Submit(event::DrainTimedOut{});
+  EXPECT_EQ(FindAction<action::Fail>(), nullptr);
+  EndAttempt(1, ForwardOutcome::kCompleted, 200);
+  EXPECT_NE(FindAction<action::DeliverResponse>(), nullptr);
+}
+
 }  // namespace
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -407,7 +407,7 @@
   const bool timed_out =
       now - grace_started_ >= options_.node_options.drain_timeout;
   const bool balancer_noticed = elapsed >= kBalancerRemovalTime;
-  if (balancer_noticed) {
+  if (balancer_noticed || timed_out) {
     caller_server_.StopAccepting();
     caller_server_.CloseIdleConnections();
     if (relay_server_.has_value()) {
@@ -421,6 +421,7 @@
       (balancer_noticed && exchanges_.empty() &&
        caller_server_.CountOpenConnections() == 0 && relay_connections == 0)) {
     LogDrainEnd(elapsed, timed_out);
+    if (timed_out) Submit(forward_event::DrainTimedOut{});
     on_drained_();
     return;
   }
--- a/src/libpollenledge/process/forward_timeouts.cc
+++ b/src/libpollenledge/process/forward_timeouts.cc
@@ -50,20 +50,11 @@
 
 void ForwardNode::OnCheckDue(Request* request) {
   if (now() >= request->deadline) {
-    const bool was_sent =
-        !request->current_upstream.empty() || !request->relay.empty();
-    if (was_sent) {
-      Emit(forward_action::CancelAttempt{request->id});
-      FinalizeAttempt(request, ForwardOutcome::kConnectionLost);
-    }
-    if (!was_sent && !request->may_have_run && !request->response_started) {
-      Reject(request, NotRun{503,
-                             "out-of-time",
-                             "no upstream had capacity before the deadline",
-                             {}});
-    } else {
-      Fail(request, 504, "timeout");
-    }
+    EndUnanswered(request, ForwardOutcome::kConnectionLost, "timeout",
+                  NotRun{503,
+                         "out-of-time",
+                         "no upstream had capacity before the deadline",
+                         {}});
     return;
   }
   if (request->next_lookup_at.has_value()) {
@@ -91,6 +82,21 @@
   ScheduleCheck(request);
 }
 
+void ForwardNode::EndUnanswered(Request* request, ForwardOutcome attempt_end,
+                                const std::string& reason, NotRun not_run) {
+  const bool was_sent =
+      !request->current_upstream.empty() || !request->relay.empty();
+  if (was_sent) {
+    Emit(forward_action::CancelAttempt{request->id});
+    FinalizeAttempt(request, attempt_end);
+  }
+  if (!was_sent && !request->may_have_run && !request->response_started) {
+    Reject(request, std::move(not_run));
+  } else {
+    Fail(request, 504, reason);
+  }
+}
+
 void ForwardNode::OnUnreadResponse(Request* request) {
   request->last_event_at = now();
   if (request->progress_due_at.has_value())
