Caller connections: a request that there is no room for gets 503

A new connection beyond those that the process may have, none of which could be evicted, was closed at once. With its request on the way the caller saw a reset, which promises nothing, so that it could not send an order again.

Such a connection is now counted in a group of its own, and answered 503 with Retry-After when the head of its first request has arrived, by the way of all early refusals: the connection is closed for sending, and a bounded rest of the request is discarded, so that no reset destroys the response. It is bounded in number by the group (a thirty-second of the descriptors and 64 at most; the oldest gives way) and in time (0.5 s for the head, 5 s for the rest).

ByteBudgetLimitsTest compares all groups' bounds, so it names the new one as well.

--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -70,6 +70,9 @@
 /// arrive in time with 408, and to one that there is no memory for with 503.
 /// Then it closes the connection for sending and discards a bounded part of
 /// what the caller still sends, so that the response is not lost in a reset.
+/// A connection for which the process has no room is answered 503 when the head
+/// of its first request has arrived; so many of these are open at a time as
+/// `ClientGroup::kRefused` allows.
 /// A caller that takes no output for `CallerLimits::idle_timeout` is aborted.
 /// Not thread-safe; use it only on the event loop's thread.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
@@ -80,9 +83,8 @@
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
 
-  /// Starts to read requests.
-  /// Returns false, and closes the connection, if the process has as many as it
-  /// may.
+  /// Starts to read requests. Returns false, and refuses the first request, if
+  /// the process has as many connections as it may.
   bool Start();
 
   /// Sends a complete response to the current request.
@@ -118,6 +120,9 @@
   bool open() const { return open_; }
 
  private:
+  /// A caller that connects sends its first request within this time.
+  static constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
+
   enum class State : std::uint8_t {
     kIdle,
     kReadingRequest,
@@ -130,6 +135,8 @@
     kDiscarding,
   };
 
+  /// Counts the connection in the budget. Returns false if `group` is full.
+  bool OpenClient(ClientGroup group);
   /// Waits until bytes arrive, and leaves them to the kernel until they are
   /// handled, so that a look at the socket shows what was not handled yet.
   void Read();
@@ -213,6 +220,7 @@
   std::size_t discarded_bytes_ = 0;
   bool head_admitted_ = false;
   bool had_request_ = false;  ///< Bytes of a request were received.
+  bool has_no_room_ = false;  ///< The first request is refused.
   bool reading_ = false;
   bool open_ = true;
   bool writing_ = false;
--- a/src/include/pollenledge/process/byte_budget.h
+++ b/src/include/pollenledge/process/byte_budget.h
@@ -19,8 +19,9 @@
   kCallers,
   kPeers,      ///< Other nodes, which relay requests.
   kOperators,  ///< Administration, metrics and readiness.
+  kRefused,    ///< Of any group that was full; they get a response only.
 };
-constexpr std::size_t kClientGroupCount = 3;
+constexpr std::size_t kClientGroupCount = 4;
 
 /// Limits on what a process holds for the requests and answers of all clients.
 struct ByteBudgetLimits {
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -35,8 +35,6 @@
 /// the time for it. A caller on 10 Mbit/s sends 4 MB in 3.4 s.
 constexpr std::size_t kDiscardMarginBytes = std::size_t{64} * 1024;
 constexpr Duration kDiscardTimeout = std::chrono::seconds(5);
-/// A caller that connects sends its first request within this time.
-constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
 
 const char* ReasonPhrase(int status) {
   switch (status) {
@@ -82,24 +80,25 @@
   if (client_.has_value()) handlers_->budget->Close(*client_);
 }
 
+bool CallerConnection::OpenClient(ClientGroup group) {
+  if (handlers_->budget == nullptr) return true;
+  ByteBudget::Callbacks callbacks;
+  callbacks.evict = [this](ByteBudget::Need need) {
+    // The callback must not outlive the connection that it belongs to.
+    auto self = shared_from_this();
+    Evict(need);
+  };
+  callbacks.has_unhandled_progress = [this] { return HasUncountedProgress(); };
+  client_ = handlers_->budget->Open(group, std::move(callbacks), read_at_);
+  return client_.has_value();
+}
+
 bool CallerConnection::Start() {
   read_at_ = BootClockNow();
-  if (handlers_->budget != nullptr) {
-    ByteBudget::Callbacks callbacks;
-    callbacks.evict = [this](ByteBudget::Need need) {
-      // The callback must not outlive the connection that it belongs to.
-      auto self = shared_from_this();
-      Evict(need);
-    };
-    callbacks.has_unhandled_progress = [this] {
-      return HasUncountedProgress();
-    };
-    client_ = handlers_->budget->Open(handlers_->group, std::move(callbacks),
-                                      BootClockNow());
-    if (!client_.has_value()) {
-      Close(CallerCloseCause::kNoRoom);
-      return false;
-    }
+  has_no_room_ = !OpenClient(handlers_->group);
+  if (has_no_room_ && !OpenClient(ClientGroup::kRefused)) {
+    Close(CallerCloseCause::kNoRoom);
+    return false;
   }
   SystemError ignored;  // A failure only increases latency.
   socket_.set_option(tcp::no_delay(true), ignored);
@@ -107,7 +106,7 @@
   idle_since_ = read_at_;
   ArmTimer();
   Read();
-  return true;
+  return !has_no_room_;
 }
 
 void CallerConnection::Read() {
@@ -168,6 +167,10 @@
 }
 
 void CallerConnection::ProcessInput() {
+  if (has_no_room_) {
+    if (reader_.has_head()) Refuse(503);
+    return;
+  }
   if (!HoldReceived()) return;
   if (reader_.complete()) {
     if (HasCallerLeft()) {
--- a/src/libpollenledge/connection/caller_connection_test.cc
+++ b/src/libpollenledge/connection/caller_connection_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
@@ -559,6 +560,77 @@
   EXPECT_EQ(requests, kRequests);
 }
 
+/// The process has as many connections as it may, and none can be evicted.
+class FullProcessTest : public AbusiveCallerTest {
+ protected:
+  static constexpr int kRefusedConnections = 2;
+
+  FullProcessTest() {
+    ByteBudgetLimits limits = MakeByteBudgetLimits(120, 3075);
+    limits.connections[static_cast<std::size_t>(ClientGroup::kCallers)] = 1;
+    limits.connections[static_cast<std::size_t>(ClientGroup::kRefused)] =
+        kRefusedConnections;
+    budget_ = std::make_shared<ByteBudget>(limits);
+    const auto served = budget_->Open(
+        ClientGroup::kCallers, {[](ByteBudget::Need) {}}, BootClockNow());
+    budget_->SetActivity(*served, ByteBudget::Activity::kServing,
+                         BootClockNow());
+  }
+};
+
+// Guards against a new connection that is closed without a response because the
+// process has no room for it (LOST).
+TEST_F(FullProcessTest, ARequestOnANewConnectionIsRefused) {
+  std::string refused;
+  handlers_.on_refused = [&](const HttpHead& request, int) {
+    refused = request.target;
+    return std::vector<HttpField>{{"Retry-After", "1"}};
+  };
+  Start();
+  const std::string body(std::size_t{100} * 1024, 'x');
+  boost::asio::async_write(
+      caller_.far_end,
+      boost::asio::buffer("POST /late HTTP/1.1\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body),
+      [this](const SystemError&, std::size_t) { ReadAll(); });
+  RunUntil([this] { return static_cast<bool>(end_); });
+  EXPECT_EQ(received_.substr(0, 12), "HTTP/1.1 503");
+  EXPECT_NE(received_.find("Retry-After: 1\r\n"), std::string::npos);
+  EXPECT_EQ(refused, "/late");
+  EXPECT_EQ(end_, boost::asio::error::eof);
+  EXPECT_EQ(requests_, 0);
+}
+
+// Guards against callers that exhaust the descriptors with connections that
+// the process only refuses.
+TEST_F(FullProcessTest, RefusedConnectionsAreBounded) {
+  handlers_.limits = [] { return CallerLimits(); };
+  handlers_.budget = budget_;
+  const auto shared = std::make_shared<const CallerHandlers>(handlers_);
+  std::vector<std::unique_ptr<SocketPair>> callers;
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+  for (int i = 0; i < 2 * kRefusedConnections; ++i) {
+    callers.push_back(std::make_unique<SocketPair>(loop_));
+    connections.push_back(std::make_shared<CallerConnection>(
+        std::move(callers.back()->near_end), shared));
+    EXPECT_FALSE(connections.back()->Start());
+  }
+  const auto count_open = [&] {
+    return std::count_if(connections.begin(), connections.end(),
+                         [](const auto& c) { return c->open(); });
+  };
+  {
+    SCOPED_TRACE("in number: the oldest give way");
+    EXPECT_EQ(count_open(), kRefusedConnections);
+    EXPECT_TRUE(connections.back()->open());
+  }
+  {
+    SCOPED_TRACE("and in time");
+    RunUntil([&] { return count_open() == 0; });
+    EXPECT_EQ(count_open(), 0);
+  }
+}
+
 // Guards against a caller that keeps an answer that it does not take by sending
 // more requests.
 TEST_F(AbusiveCallerTest, RequestsAreNoProgressOfACallerThatTakesNothing) {
--- a/src/libpollenledge/connection/caller_timeouts.cc
+++ b/src/libpollenledge/connection/caller_timeouts.cc
@@ -21,6 +21,7 @@
 }
 
 Duration CallerConnection::IdleTimeout() const {
+  if (has_no_room_) return kFirstRequestTime;
   return std::max(limits_.idle_timeout, handlers_->limits().idle_timeout) +
          handlers_->limits_delay;
 }
@@ -105,6 +106,7 @@
 
 CallerCloseCause CallerConnection::TimeoutCause() const {
   if (state_ == State::kDiscarding) return CallerCloseCause::kRefused;
+  if (has_no_room_) return CallerCloseCause::kNoRoom;
   if (writing_) return CallerCloseCause::kOutputTimeout;
   return state_ == State::kIdle ? CallerCloseCause::kIdleTimeout
                                 : CallerCloseCause::kHeadTimeout;
--- a/src/libpollenledge/process/byte_budget.cc
+++ b/src/libpollenledge/process/byte_budget.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kConnectionBytes = std::size_t{12} * 1024;
 constexpr std::size_t kConnectionMemoryShare = 8;
 constexpr std::size_t kMaxOperatorConnections = 64;
+constexpr std::size_t kMaxRefusedConnections = 64;
 /// Progress is recorded in steps, so that a client that sends a byte at a time
 /// counts as one without progress when others need its memory.
 constexpr std::size_t kProgressStepBytes = std::size_t{4} * 1024;
@@ -43,7 +44,8 @@
   // and operators.
   limits.connections = {std::min(descriptors / 2, in_memory),
                         std::min(descriptors / 8, in_memory / 4),
-                        std::min(descriptors / 8, kMaxOperatorConnections)};
+                        std::min(descriptors / 8, kMaxOperatorConnections),
+                        std::min(descriptors / 32, kMaxRefusedConnections)};
   for (std::size_t& bound : limits.connections)
     bound = std::max<std::size_t>(bound, 1);
   return limits;
--- a/src/libpollenledge/process/byte_budget_test.cc
+++ b/src/libpollenledge/process/byte_budget_test.cc
@@ -270,7 +270,7 @@
   EXPECT_EQ(unknown, MakeByteBudgetLimits(512, 4096));
   EXPECT_EQ(unknown.connections[0], 2048U);
   const ByteBudgetLimits few = MakeByteBudgetLimits(120, 300);
-  EXPECT_EQ(few.connections, (std::array<std::size_t, 3>{150, 37, 37}));
+  EXPECT_EQ(few.connections, (std::array<std::size_t, 4>{150, 37, 37, 9}));
 }
 
 }  // namespace
