--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -70,6 +70,9 @@
 /// arrive in time with 408, and to one that there is no memory for with 503.
 /// Then it closes the connection for sending and discards a bounded part of
 /// what the caller still sends, so that the response is not lost in a reset.
+/// A connection for which the process has no room is answered 503 when the head
+/// of its first request has arrived; so many of these are open at a time as
+/// `ClientGroup::kRefused` allows.
 /// A caller that takes no output for `CallerLimits::idle_timeout` is aborted.
 /// Not thread-safe; use it only on the event loop's thread.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
@@ -80,9 +83,8 @@
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
 
-  /// Starts to read requests.
-  /// Returns false, and closes the connection, if the process has as many as it
-  /// may.
+  /// Starts to read requests. Returns false, and refuses the first request, if
+  /// the process has as many connections as it may.
   bool Start();
 
   /// Sends a complete response to the current request.
@@ -116,8 +118,14 @@
   /// Set by the owner to identify the request in progress; 0 if there is none.
   std::uint64_t request_id = 0;
   bool open() const { return open_; }
+  /// When the first bytes of the current request had arrived at the latest,
+  /// though a late event loop may have read them after that.
+  TimePoint request_arrived_at() const { return request_arrived_at_; }
 
  private:
+  /// A caller that connects sends its first request within this time.
+  static constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
+
   enum class State : std::uint8_t {
     kIdle,
     kReadingRequest,
@@ -130,16 +138,24 @@
     kDiscarding,
   };
 
+  /// Counts the connection in the budget. Returns false if `group` is full.
+  bool OpenClient(ClientGroup group);
   /// Waits until bytes arrive, and leaves them to the kernel until they are
   /// handled, so that a look at the socket shows what was not handled yet.
   void Read();
   void OnReadable();
   void OnRead(const boost::system::error_code& error, std::string_view bytes);
+  /// Records when a request's first bytes had arrived, before they are parsed.
+  void NoteArrival();
   void ProcessInput();
   void RejectMalformed();
   void FinishResponse();
   /// Continues with the request after the one that was responded to.
   void StartNextRequest();
+  /// True if a whole request was read and the reader still holds it.
+  bool HoldsRequest() const {
+    return state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
+  }
   /// Checks the head of an incomplete request and the memory for its body.
   /// Returns false if the request was refused.
   bool AdmitHead();
@@ -204,11 +220,14 @@
   std::optional<TimePoint> body_deadline_;      ///< Of the request being read.
   TimePoint output_progress_at_;  ///< When the caller last took output.
   TimePoint read_at_;             ///< When bytes were last read.
+  TimePoint request_arrived_at_;
+  TimePoint next_arrived_at_;  ///< Of the request behind the current one.
   std::optional<TimePoint> armed_deadline_;
   std::size_t held_body_bytes_ = 0;  ///< Of the request, as in the budget.
   std::size_t discarded_bytes_ = 0;
   bool head_admitted_ = false;
   bool had_request_ = false;  ///< Bytes of a request were received.
+  bool has_no_room_ = false;  ///< The first request is refused.
   bool reading_ = false;
   bool open_ = true;
   bool writing_ = false;
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "pollenledge/connection/loop_clock.h"
+#include "pollenledge/connection/socket_readiness.h"
 
 namespace pollenledge {
 namespace {
@@ -35,8 +36,6 @@
 /// the time for it. A caller on 10 Mbit/s sends 4 MB in 3.4 s.
 constexpr std::size_t kDiscardMarginBytes = std::size_t{64} * 1024;
 constexpr Duration kDiscardTimeout = std::chrono::seconds(5);
-/// A caller that connects sends its first request within this time.
-constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
 
 const char* ReasonPhrase(int status) {
   switch (status) {
@@ -82,24 +81,25 @@
   if (client_.has_value()) handlers_->budget->Close(*client_);
 }
 
+bool CallerConnection::OpenClient(ClientGroup group) {
+  if (handlers_->budget == nullptr) return true;
+  ByteBudget::Callbacks callbacks;
+  callbacks.evict = [this](ByteBudget::Need need) {
+    // The callback must not outlive the connection that it belongs to.
+    auto self = shared_from_this();
+    Evict(need);
+  };
+  callbacks.has_unhandled_progress = [this] { return HasUncountedProgress(); };
+  client_ = handlers_->budget->Open(group, std::move(callbacks), read_at_);
+  return client_.has_value();
+}
+
 bool CallerConnection::Start() {
   read_at_ = BootClockNow();
-  if (handlers_->budget != nullptr) {
-    ByteBudget::Callbacks callbacks;
-    callbacks.evict = [this](ByteBudget::Need need) {
-      // The callback must not outlive the connection that it belongs to.
-      auto self = shared_from_this();
-      Evict(need);
-    };
-    callbacks.has_unhandled_progress = [this] {
-      return HasUncountedProgress();
-    };
-    client_ = handlers_->budget->Open(handlers_->group, std::move(callbacks),
-                                      BootClockNow());
-    if (!client_.has_value()) {
-      Close(CallerCloseCause::kNoRoom);
-      return false;
-    }
+  has_no_room_ = !OpenClient(handlers_->group);
+  if (has_no_room_ && !OpenClient(ClientGroup::kRefused)) {
+    Close(CallerCloseCause::kNoRoom);
+    return false;
   }
   SystemError ignored;  // A failure only increases latency.
   socket_.set_option(tcp::no_delay(true), ignored);
@@ -107,7 +107,7 @@
   idle_since_ = read_at_;
   ArmTimer();
   Read();
-  return true;
+  return !has_no_room_;
 }
 
 void CallerConnection::Read() {
@@ -149,15 +149,14 @@
     return;
   }
   if (reader_.idle()) UpdateLimits();
+  NoteArrival();
   const Status status = reader_.Append(bytes);
-  const bool holds_request =
-      state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
   bool has_room = true;
-  if (holds_request) {
+  if (HoldsRequest()) {
     has_room = HoldReader();
   } else {
     if (client_.has_value())
-      handlers_->budget->OnProgress(*client_, bytes.size(), BootClockNow());
+      handlers_->budget->OnProgress(*client_, bytes.size(), read_at_);
     if (!Ok(status)) {
       RejectMalformed();
     } else {
@@ -169,7 +168,22 @@
   ArmTimer();
 }
 
+void CallerConnection::NoteArrival() {
+  const bool begins_next = reader_.complete() && reader_.unread_bytes() == 0;
+  if (reader_.idle()) {
+    request_arrived_at_ = read_at_ - TimeSinceReceived(socket_.native_handle());
+  } else if (begins_next) {
+    next_arrived_at_ = read_at_ - TimeSinceReceived(socket_.native_handle());
+  }
+  // The next request may begin in these bytes too.
+  if (!reader_.complete()) next_arrived_at_ = read_at_;
+}
+
 void CallerConnection::ProcessInput() {
+  if (has_no_room_) {
+    if (reader_.has_head()) Refuse(503);
+    return;
+  }
   if (!HoldReceived()) return;
   if (reader_.complete()) {
     if (HasCallerLeft()) {
@@ -211,7 +225,7 @@
     const BodyTerms terms = handlers_->on_head(head);
     SetCustomer(terms.customer);
     if (terms.time_left.has_value())
-      body_deadline_ = BootClockNow() + *terms.time_left;
+      body_deadline_ = request_arrived_at_ + *terms.time_left;
   }
   if (!HoldReceived()) return false;
   if (const std::optional<std::size_t> size = reader_.announced_body_bytes())
@@ -421,6 +435,7 @@
   idle_since_ = BootClockNow();
   ArmTimer();
   UpdateLimits();
+  request_arrived_at_ = next_arrived_at_;
   if (!Ok(reader_.StartNextMessage())) {
     RejectMalformed();
     return;
@@ -550,8 +565,6 @@
 
 CallerClose CallerConnection::DescribeClose(CallerCloseCause cause) const {
   const TimePoint now = BootClockNow();
-  const bool holds_request =
-      state_ == State::kAwaitingResponse || state_ == State::kResponseSent;
   CallerClose close;
   close.cause = cause;
   close.response_pending =
@@ -559,7 +572,7 @@
       !output_.empty();
   SystemError ignored;  // Nothing can be read from a connection that was reset.
   close.unread_bytes = socket_.available(ignored);
-  if (holds_request) close.buffered_bytes = reader_.unread_bytes();
+  if (HoldsRequest()) close.buffered_bytes = reader_.unread_bytes();
   close.since_read = now - read_at_;
   if (const std::optional<TimePoint> deadline = NextDeadline())
     close.overdue = std::max<Duration>(now - *deadline, Duration::zero());
@@ -569,14 +582,15 @@
 
 void CallerConnection::Close(CallerCloseCause cause) {
   if (!open_) return;
-  const CallerClose close = DescribeClose(cause);
+  std::optional<CallerClose> close;
+  if (handlers_->on_closed) close = DescribeClose(cause);
   open_ = false;
   timer_.cancel();
   SystemError ignored;  // The socket is unusable in either case.
   socket_.close(ignored);
   if (client_.has_value()) handlers_->budget->Close(*client_);
   client_.reset();
-  if (handlers_->on_closed) handlers_->on_closed(*this, close);
+  if (close.has_value()) handlers_->on_closed(*this, *close);
 }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/caller_connection_test.cc
+++ b/src/libpollenledge/connection/caller_connection_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
@@ -32,6 +33,30 @@
   tcp::socket far_end;
 };
 
+/// The caller writes a whole request without a body.
+void WriteGet(tcp::socket& caller) {
+  boost::asio::write(
+      caller,
+      boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+}
+
+/// Callers with a connection each, all of which were admitted.
+struct ConnectedCallers {
+  ConnectedCallers(boost::asio::io_context& loop,
+                   const CallerHandlers& handlers, std::size_t count) {
+    const auto shared = std::make_shared<const CallerHandlers>(handlers);
+    for (std::size_t i = 0; i < count; ++i) {
+      callers.push_back(std::make_unique<SocketPair>(loop));
+      connections.push_back(std::make_shared<CallerConnection>(
+          std::move(callers.back()->near_end), shared));
+      EXPECT_TRUE(connections.back()->Start());
+    }
+  }
+
+  std::vector<std::unique_ptr<SocketPair>> callers;
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+};
+
 class CallerConnectionTest : public ::testing::Test {
  protected:
   CallerConnectionTest() {
@@ -153,32 +178,58 @@
   handlers.on_request = [&](const std::shared_ptr<CallerConnection>&,
                             const HttpHead&,
                             const std::string&) { ++requests; };
-  const auto shared = std::make_shared<const CallerHandlers>(handlers);
-  std::vector<std::unique_ptr<SocketPair>> callers;
-  std::vector<std::shared_ptr<CallerConnection>> connections;
-  callers.reserve(kConnections);
-  connections.reserve(kConnections);
-  for (std::size_t i = 0; i < kConnections; ++i) {
-    callers.push_back(std::make_unique<SocketPair>(loop_));
-    connections.push_back(std::make_shared<CallerConnection>(
-        std::move(callers.back()->near_end), shared));
-    ASSERT_TRUE(connections.back()->Start());
-  }
+  const ConnectedCallers crowd(loop_, handlers, kConnections);
   // A timer that is due before the requests arrive makes the loop look at its
   // timers in its next turn.
   boost::asio::steady_timer tick(loop_, std::chrono::milliseconds(1));
   tick.async_wait([](const SystemError&) {});
   std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  for (const auto& caller : callers) {
-    boost::asio::write(
-        caller->far_end,
-        boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  for (const auto& caller : crowd.callers) {
+    WriteGet(caller->far_end);
   }
   std::this_thread::sleep_for(2 * kIdleTimeout);
   loop_.run_for(kIdleTimeout);
   EXPECT_EQ(requests, kConnections);
 }
 
+// Guards against an upstream that works on for a caller whose time was over
+// while its request waited to be read by a late loop.
+TEST_F(CallerConnectionTest, ARequestHasArrivedBeforeALateLoopReadsIt) {
+  constexpr auto kDelay = std::chrono::milliseconds(200);
+  loop_.run_for(kDelay);
+  const TimePoint sent_at = BootClockNow();
+  Write("/1", "one");
+  std::this_thread::sleep_for(kDelay);
+  RunUntilRequests(1);
+  {
+    SCOPED_TRACE("not before it was sent, as far as the kernel's clock tells");
+    constexpr auto kClockTick = std::chrono::milliseconds(10);
+    EXPECT_GE(connection_->request_arrived_at(), sent_at - kClockTick);
+    EXPECT_LE(connection_->request_arrived_at(), sent_at + kDelay / 2);
+  }
+  {
+    SCOPED_TRACE("and a pipelined one before the response to the first");
+    Write("/2", "two");
+    loop_.run_for(kDelay);
+    const TimePoint responded_at = BootClockNow();
+    Respond();
+    RunUntilRequests(2);
+    EXPECT_LE(connection_->request_arrived_at(), responded_at - kDelay / 2);
+  }
+}
+
+// Guards against a kept connection that is closed for an incomplete head after
+// an empty line behind a body.
+TEST_F(CallerConnectionTest, AnEmptyLineBehindABodyBeginsNoRequest) {
+  Write("/1", "one");
+  boost::asio::write(caller_.far_end, boost::asio::buffer("\r", 1));
+  RunUntilRequests(1);
+  Respond();
+  loop_.poll();
+  connection_->CloseWhenIdle();
+  EXPECT_FALSE(connection_->open());
+}
+
 /// A connection whose handlers, limits and budget a test sets before it starts.
 class AbusiveCallerTest : public ::testing::Test {
  protected:
@@ -220,9 +271,7 @@
 
   /// Starts a response and sends it until the caller should take some of it.
   void SendUntilFull() {
-    boost::asio::write(caller_.far_end,
-                       boost::asio::buffer(std::string(
-                           "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")));
+    WriteGet(caller_.far_end);
     RunUntil([this] { return requests_ > 0; });
     HttpHead head;
     head.status = 200;
@@ -520,21 +569,11 @@
   handlers.on_request = [&](const std::shared_ptr<CallerConnection>&,
                             const HttpHead&,
                             const std::string&) { ++requests; };
-  const auto shared = std::make_shared<const CallerHandlers>(handlers);
-  std::vector<std::unique_ptr<SocketPair>> callers;
-  std::vector<std::shared_ptr<CallerConnection>> connections;
-  for (std::size_t i = 0; i < kConnections; ++i) {
-    callers.push_back(std::make_unique<SocketPair>(loop_));
-    connections.push_back(std::make_shared<CallerConnection>(
-        std::move(callers.back()->near_end), shared));
-    ASSERT_TRUE(connections.back()->Start());
-  }
+  const ConnectedCallers crowd(loop_, handlers, kConnections);
   // Those that have been idle for longest send a request.
   constexpr int kRequests = kConnections / 2;
   for (int i = 0; i < kRequests; ++i) {
-    boost::asio::write(
-        callers[static_cast<std::size_t>(i)]->far_end,
-        boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    WriteGet(crowd.callers[static_cast<std::size_t>(i)]->far_end);
   }
   int admitted = 0;
   for (int i = 0; i < kRequests; ++i) {
@@ -547,6 +586,77 @@
   EXPECT_EQ(requests, kRequests);
 }
 
+/// The process has as many connections as it may, and none can be evicted.
+class FullProcessTest : public AbusiveCallerTest {
+ protected:
+  static constexpr int kRefusedConnections = 2;
+
+  FullProcessTest() {
+    ByteBudgetLimits limits = MakeByteBudgetLimits(120, 3075);
+    limits.connections[static_cast<std::size_t>(ClientGroup::kCallers)] = 1;
+    limits.connections[static_cast<std::size_t>(ClientGroup::kRefused)] =
+        kRefusedConnections;
+    budget_ = std::make_shared<ByteBudget>(limits);
+    const auto served = budget_->Open(
+        ClientGroup::kCallers, {[](ByteBudget::Need) {}}, BootClockNow());
+    budget_->SetActivity(*served, ByteBudget::Activity::kServing,
+                         BootClockNow());
+  }
+};
+
+// Guards against a new connection that is closed without a response because the
+// process has no room for it (LOST).
+TEST_F(FullProcessTest, ARequestOnANewConnectionIsRefused) {
+  std::string refused;
+  handlers_.on_refused = [&](const HttpHead& request, int) {
+    refused = request.target;
+    return std::vector<HttpField>{{"Retry-After", "1"}};
+  };
+  Start();
+  const std::string body(std::size_t{100} * 1024, 'x');
+  boost::asio::async_write(
+      caller_.far_end,
+      boost::asio::buffer("POST /late HTTP/1.1\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body),
+      [this](const SystemError&, std::size_t) { ReadAll(); });
+  RunUntil([this] { return static_cast<bool>(end_); });
+  EXPECT_EQ(received_.substr(0, 12), "HTTP/1.1 503");
+  EXPECT_NE(received_.find("Retry-After: 1\r\n"), std::string::npos);
+  EXPECT_EQ(refused, "/late");
+  EXPECT_EQ(end_, boost::asio::error::eof);
+  EXPECT_EQ(requests_, 0);
+}
+
+// Guards against callers that exhaust the descriptors with connections that
+// the process only refuses.
+TEST_F(FullProcessTest, RefusedConnectionsAreBounded) {
+  handlers_.limits = [] { return CallerLimits(); };
+  handlers_.budget = budget_;
+  const auto shared = std::make_shared<const CallerHandlers>(handlers_);
+  std::vector<std::unique_ptr<SocketPair>> callers;
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+  for (int i = 0; i < 2 * kRefusedConnections; ++i) {
+    callers.push_back(std::make_unique<SocketPair>(loop_));
+    connections.push_back(std::make_shared<CallerConnection>(
+        std::move(callers.back()->near_end), shared));
+    EXPECT_FALSE(connections.back()->Start());
+  }
+  const auto count_open = [&] {
+    return std::count_if(connections.begin(), connections.end(),
+                         [](const auto& c) { return c->open(); });
+  };
+  {
+    SCOPED_TRACE("in number: the oldest give way");
+    EXPECT_EQ(count_open(), kRefusedConnections);
+    EXPECT_TRUE(connections.back()->open());
+  }
+  {
+    SCOPED_TRACE("and in time");
+    RunUntil([&] { return count_open() == 0; });
+    EXPECT_EQ(count_open(), 0);
+  }
+}
+
 // Guards against a caller that keeps an answer that it does not take by sending
 // more requests.
 TEST_F(AbusiveCallerTest, RequestsAreNoProgressOfACallerThatTakesNothing) {
@@ -554,9 +664,7 @@
   SendUntilFull();
   ASSERT_TRUE(connection_->output_is_full());
   loop_.poll();
-  boost::asio::write(
-      caller_.far_end,
-      boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  WriteGet(caller_.far_end);
   const TimePoint later = BootClockNow() + std::chrono::seconds(2);
   const auto other =
       budget_->Open(ClientGroup::kCallers, {[](ByteBudget::Need) {}}, later);
