ORDER: a stream goes on only once a list confirms which process began it

Cause: an upstream has started again under its name and address as another version, and the node's list still shows the earlier process. A stream that begins there is bound to the listed version. When its connection is lost before the next list, it goes on at that version, in the same response or at another node that was told the binding. Only streams that still ran or whose caller had left were looked at when the list changed, and a lost connection counted as the end of the listed process, although its path may have broken.

Change: StreamOrigins keeps what an attempt has sent until a list that was read after its connection led to the process still names the same incarnation. A connection leads to one process, so that process sent it. Until then a stream that breaks, or is resumed at this node, asks for the list and waits for it, at most 1.5 s and 0.7 s; its caller isn't told of the break before. If the list shows another version, the stream can't be resumed, and peers and the store are told. Nothing waits where the connection was used before the list was read, or the process has stated its incarnation on it. While the store is away, a service with one known version goes on by it, as before; with several the stream ends.

ForwardStreamsTest states on which connection a first event comes: a used one, and a new one in the two tests about replaced upstreams; what they expect is unchanged. ForwardRequestChecker knows the new wait, which the node announces by waits_for_origin, and bounds it to 1.5 s.

--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -39,6 +39,12 @@
 /// The current attempt received its first stream event.
 struct FirstEventReceived {
   ForwardId id = 0;
+  /// When an earlier exchange on the attempt's connection had ended; empty if
+  /// the connection was new. It led to the same process then.
+  std::optional<TimePoint> connected_at;
+  /// The process has said on this connection that it is the incarnation which
+  /// the attempt was sent to.
+  bool process_verified = false;
 };
 /// More events of the stream were forwarded to the caller.
 struct EventsForwarded {
@@ -222,6 +228,8 @@
 };
 /// Read the tables from the store now, because a newer version exists.
 struct ReadTables {};
+/// Read the list of upstreams from the store soon, because it may have changed.
+struct ReadUpstreams {};
 /// Write the crash reports of all rejected requests to the store, so that they
 /// survive this process.
 struct PersistSuspects {
@@ -265,7 +273,7 @@
                  forward_action::Reject, forward_action::Fail,
                  forward_action::DeliverResponse, forward_action::CancelAttempt,
                  forward_action::SendHeartbeat, forward_action::ReadTables,
-                 forward_action::PersistSuspects,
+                 forward_action::ReadUpstreams, forward_action::PersistSuspects,
                  forward_action::UpdateVersionRecords,
                  forward_action::RecordStreams, forward_action::LookUpStream,
                  forward_action::Count, forward_action::WriteLogLine>;
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -25,6 +25,7 @@
 #include "pollenledge/process/rate_limit_permits.h"
 #include "pollenledge/process/retry_budget.h"
 #include "pollenledge/process/rollout_shares.h"
+#include "pollenledge/process/stream_origins.h"
 #include "pollenledge/process/stream_outbox.h"
 #include "pollenledge/process/stream_versions.h"
 #include "pollenledge/process/upstream_balancer.h"
@@ -209,6 +210,14 @@
     friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
   };
 
+  /// A begun stream whose attempt has ended waits until it is known which
+  /// process sent its events.
+  struct OriginWait {
+    ForwardOutcome end = ForwardOutcome::kConnectionLost;  ///< Of the attempt.
+    TimePoint until;
+    TimePoint next_check_at;
+  };
+
   /// One request in progress, queued or sent.
   struct Request {
     ForwardId id = 0;
@@ -266,6 +275,7 @@
     /// When an upstream is searched that goes on with the begun response; empty
     /// unless the request waits for one.
     std::optional<TimePoint> next_retry_at;
+    std::optional<OriginWait> origin_wait;
     /// Prompt tokens that the upstream had to read before the first event of
     /// the current attempt, as far as this node knew.
     double expected_prompt_tokens = 0;
@@ -474,21 +484,37 @@
   /// begin at a version that has no record yet unless there is no other.
   void RestrictVersions(const Request& request, UpstreamCriteria* query) const;
   /// Binds the stream to the upstream that sends its first event.
-  void BindStream(Request* request);
-  /// A stream whose caller left. It may be resumed.
-  struct LeftStream {
-    Fingerprint stream;
-    StreamBinding binding;
-    UpstreamId upstream;  ///< Of its last attempt.
-    TimePoint sent_at;
-    TimePoint left_at;
-  };
-  void RememberLeftStream(const Request& request);
-  /// Makes streams unresumable whose upstreams the list now shows with another
-  /// version, if the process of either version may have sent their events.
-  void UnbindReplacedStreams(const std::vector<ForwardUpstreamInfo>& list);
-  void Unbind(const Fingerprint& stream, StreamBinding binding,
-              const ForwardUpstreamInfo& replaced);
+  void BindStream(Request* request,
+                  const forward_event::FirstEventReceived& first);
+
+  // Which process sent the events of a stream, see `StreamOrigins`.
+  /// Tracks the current attempt's part of the stream unless it is known which
+  /// process sends it.
+  void TrackOrigin(const Request& request,
+                   const forward_event::FirstEventReceived& first);
+  bool IsOriginConfirmed(const Request& request) const;
+  /// Goes on with a request whose attempt has ended, once the origin of what it
+  /// sent is known.
+  void ContinueAfter(Request* request, ForwardOutcome end);
+  void RetryOrGiveUp(Request* request, ForwardOutcome end);
+  void CheckOriginWait(Request* request);
+  /// The list can't be read in time. In a service with one version the stream
+  /// goes on at that one, else it can't be resumed.
+  void OnOriginUnknown(Request* request);
+  /// Waits with a request that resumes a stream of this node until the stream's
+  /// origin is known.
+  void AwaitOriginOfResumed(Request* request);
+  /// Applies the list to the tracked parts: makes streams unresumable that
+  /// another version may have sent, and goes on with the requests that waited.
+  void CheckOrigins();
+  void ContinueConfirmed();
+  /// Attempts that have not begun to respond at upstreams which the list now
+  /// shows with another version may be those of either version.
+  void MarkReplacedAttempts(const std::vector<ForwardUpstreamInfo>& list);
+  /// Binds the stream to either of two versions, so that it can't be resumed.
+  /// Returns the new binding.
+  StreamBinding Unbind(const Fingerprint& stream, StreamBinding binding,
+                       const std::string& other_version);
   void LogMixedServices(const std::set<std::string>& services);
   /// Returns the services with routes whose streams can be resumed.
   std::set<std::string> ResumableServices() const;
@@ -812,7 +838,8 @@
   StreamVersions stream_versions_;
   TimePoint streams_told_at_;
   StreamOutbox stream_outbox_;
-  std::deque<LeftStream> left_streams_;  ///< Within the last seconds.
+  StreamOrigins stream_origins_;
+  std::set<ForwardId> origin_waits_;  ///< Requests with an `origin_wait`.
   RolloutShares rollouts_;
   /// Attempts at observed services that lost their connection.
   struct LostAttempt {
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -35,6 +35,8 @@
   std::function<void(const std::vector<CrashReport>&)> persist_suspects;
   /// Starts a read of the tables from the store; may be empty.
   std::function<void()> read_tables;
+  /// Reads the list of upstreams from the store soon.
+  std::function<void()> read_upstreams;
   /// Update the records of versions and streams in the store; may be empty.
   std::function<void(const forward_action::UpdateVersionRecords&)>
       update_version_records;
@@ -154,6 +156,7 @@
   void Execute(const forward_action::CancelAttempt& cancel);
   void Execute(const forward_action::SendHeartbeat& send);
   void Execute(const forward_action::ReadTables& read);
+  void Execute(const forward_action::ReadUpstreams& read);
   void Execute(const forward_action::PersistSuspects& persist);
   void Execute(const forward_action::UpdateVersionRecords& update);
   void Execute(const forward_action::RecordStreams& record);
@@ -203,6 +206,9 @@
                      const std::shared_ptr<ClientConnection>& connection,
                      bool may_be_old, TimePoint started,
                      ResponseEndProof proof);
+  /// Returns when an earlier exchange on the attempt's connection had ended;
+  /// empty if the connection was new.
+  static std::optional<TimePoint> ConnectedAt(const Exchange& exchange);
   /// Aborts an attempt whose response exceeds a size limit.
   void RejectResponse(ForwardId id, const char* reason);
   void DiscardBufferedResponse(Exchange* exchange);
--- a/src/include/pollenledge/process/upstream_sync.h
+++ b/src/include/pollenledge/process/upstream_sync.h
@@ -137,6 +137,9 @@
 
   /// Starts with a listing, which then starts the watch.
   void Start();
+  /// Lists now, or once `times_.retry_delay` has passed since the last listing
+  /// began. Does nothing while a listing is in progress.
+  void ListSoon();
 
  private:
   /// Lists the entries if a listing is due, else checks again later.
@@ -146,9 +149,6 @@
   /// publishes what it reads, else the whole one.
   Duration ListPeriod() const;
   void List();
-  /// Lists now, or once `times_.retry_delay` has passed since the last listing
-  /// began.
-  void ListSoon();
   void OnListed(TimePoint started, const Result<StoreListing>& listing);
   void OnChanges(const StoreChanges& changes);
   void OnRestored();
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -293,7 +293,7 @@
   request->may_have_run = true;
   request->last_event_at = now();
   LearnFirstEvent(request);
-  if (request->relay.empty()) BindStream(request);
+  if (request->relay.empty()) BindStream(request, first);
   ObserveStart(*request);
   RecordPromptRead(*request);
   RecordAdmittedFirstEvent(*request);
@@ -375,18 +375,23 @@
   if (ended.end == ForwardOutcome::kCompleted) {
     LearnResponse(*request);
     Finish(request);
-  } else if (!Retry(request, ended.end) && !RelayAfter(request, ended.end)) {
-    // The upstream's own error response is forwarded to the caller.
-    if (ended.end == ForwardOutcome::kFailed && !request->response_started) {
-      Finish(request);
-    } else {
-      WaitOrGiveUp(request, ended.end, ToString(ended.end));
-    }
+  } else {
+    ContinueAfter(request, ended.end);
   }
   EndRejectedRequests();
   DispatchQueued(service);
 }
 
+void ForwardNode::RetryOrGiveUp(Request* request, ForwardOutcome end) {
+  if (Retry(request, end) || RelayAfter(request, end)) return;
+  // The upstream's own error response is forwarded to the caller.
+  if (end == ForwardOutcome::kFailed && !request->response_started) {
+    Finish(request);
+  } else {
+    WaitOrGiveUp(request, end, ToString(end));
+  }
+}
+
 void ForwardNode::LogAttemptEnd(const char* event, LogField target,
                                 const Request& request,
                                 const forward_event::AttemptEnded& ended) {
@@ -566,6 +571,7 @@
   if (request->queue.has_value())
     queues_.at(*request->queue).Remove(ToQueueId(request->id));
   lookups_.erase(request->id);
+  origin_waits_.erase(request->id);
   requests_.erase(request->id);
 }
 
@@ -575,12 +581,14 @@
   const std::string service = request->service;
   if (!request->relay.empty()) Emit(forward_action::CancelAttempt{request->id});
   if (!request->current_upstream.empty()) {
-    RememberLeftStream(*request);
     Emit(forward_action::CancelAttempt{request->id});
     FinalizeAttempt(request, ForwardOutcome::kCancelled);
   }
   LogRequest(LogLevel::kInfo, "caller_left", *request,
              {{"took_ms", FormatMilliseconds(now() - request->arrived_at)}});
+  // It may be resumed at another node, which goes by what this one tells.
+  if (!IsOriginConfirmed(*request) && stream_versions_.IsMixed(service, now()))
+    Emit(forward_action::ReadUpstreams{});
   RemoveRequest(request);
   DispatchQueued(service);
 }
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -375,7 +375,7 @@
 }
 
 void ForwardNode::ApplyUpstreamList() {
-  UnbindReplacedStreams(upstream_list_.upstreams());
+  MarkReplacedAttempts(upstream_list_.upstreams());
   for (const std::string& name :
        upstreams_.SetList(upstream_list_.upstreams())) {
     Emit(forward_action::WriteLogLine{
@@ -387,6 +387,7 @@
       stream_versions_.OnListed(upstream_list_.upstreams(), now()));
   rollouts_.OnListed(upstream_list_.upstreams());
   UpdateVersionRecords();
+  CheckOrigins();
   DispatchAllQueued();
 }
 
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -274,6 +274,8 @@
   if (response.upstream_changes.has_value() &&
       upstream_list_.Apply(*response.upstream_changes, response.queried_at)) {
     ApplyUpstreamList();
+  } else {
+    CheckOrigins();  // The list may have been confirmed.
   }
 }
 
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -301,6 +301,10 @@
   if (options_.read_tables) options_.read_tables();
 }
 
+void ForwardService::Execute(const forward_action::ReadUpstreams&) {
+  if (options_.read_upstreams) options_.read_upstreams();
+}
+
 void ForwardService::Execute(const forward_action::PersistSuspects& persist) {
   if (options_.persist_suspects)
     options_.persist_suspects(persist.crash_reports);
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -340,10 +340,19 @@
   }
   const std::optional<std::int64_t> last_id =
       exchange->event_splitter->last_event_id();
-  Submit(forward_event::FirstEventReceived{id});
+  Submit(forward_event::FirstEventReceived{
+      id, ConnectedAt(*exchange),
+      exchange->upstream_connection != nullptr &&
+          exchange->upstream_connection->verified_incarnation ==
+              exchange->upstream.incarnation});
   Submit(forward_event::EventsForwarded{id, last_id});
 }
 
+std::optional<TimePoint> ForwardService::ConnectedAt(const Exchange& exchange) {
+  if (!exchange.connection_idle.has_value()) return std::nullopt;
+  return exchange.attempt_started_at - *exchange.connection_idle;
+}
+
 void ForwardService::RejectResponse(ForwardId id, const char* reason) {
   Exchange* exchange = FindExchange(id);
   Log(LogLevel::kWarn, "answer_rejected",
--- a/src/libpollenledge/process/forward_streams.cc
+++ b/src/libpollenledge/process/forward_streams.cc
@@ -18,16 +18,6 @@
 /// Maximum number of records in one message.
 constexpr std::size_t kMaxStreamsPerMessage = 64;
 
-/// Time after the loss of a connection in which the upstream's process may have
-/// been replaced without this node's list showing it.
-constexpr Duration kRestartTime = std::chrono::seconds(5);
-
-/// Returns the version that a stream is bound to if its events may be those of
-/// either version. No upstream runs it.
-std::string EitherVersion(const std::string& first, const std::string& second) {
-  return first + " or " + second;
-}
-
 NotRun UnknownStream(const char* reason, Duration retry_after) {
   return {503, reason, "the stream cannot be resumed; it can begin anew",
           retry_after};
@@ -65,7 +55,13 @@
 
 std::optional<NotRun> ForwardNode::BindResumedStream(Request* request) {
   if (!ResumesStream(*request)) return std::nullopt;
-  if (request->binding.has_value()) return CheckBinding(request);
+  if (request->binding.has_value()) {
+    if (IsOriginConfirmed(*request)) return CheckBinding(request);
+    LogRequest(LogLevel::kInfo, "waits_for_origin", *request,
+               {{"after", "resumed"}});
+    AwaitOriginOfResumed(request);
+    return std::nullopt;
+  }
   const bool has_one_version =
       !stream_versions_.IsMixed(request->service, now());
   if (!request->stream.has_value() && !has_one_version)
@@ -116,6 +112,19 @@
 }
 
 void ForwardNode::ContinueLookup(Request* request) {
+  if (!IsOriginConfirmed(*request) &&
+      now() < request->arrived_at + kMaxLookupTime) {
+    AwaitOriginOfResumed(request);
+    return;
+  }
+  if (!IsOriginConfirmed(*request)) {
+    if (stream_versions_.IsMixed(request->service, now())) {
+      RejectUnboundStream(request, "stream-unconfirmed", kDefaultRetryAfter);
+    } else {
+      OnBindingKnown(request, "versions");
+    }
+    return;
+  }
   if (request->stream.has_value())
     request->binding = stream_versions_.Find(*request->stream);
   if (request->binding.has_value()) {
@@ -222,72 +231,13 @@
                                  unrecorded.begin(), unrecorded.end());
 }
 
-void ForwardNode::BindStream(Request* request) {
+void ForwardNode::BindStream(Request* request,
+                             const forward_event::FirstEventReceived& first) {
   if (!request->stream.has_value()) return;
   if (!request->binding.has_value())
     request->binding = {request->service, request->current_version};
   stream_versions_.Bind({*request->stream, *request->binding}, now());
-}
-
-void ForwardNode::RememberLeftStream(const Request& request) {
-  while (!left_streams_.empty() &&
-         now() - left_streams_.front().left_at > kRestartTime) {
-    left_streams_.pop_front();
-  }
-  if (!request.stream.has_value() || !request.binding.has_value()) return;
-  left_streams_.push_back(
-      {*request.stream,
-       *request.binding,
-       {request.current_upstream, request.current_incarnation},
-       request.sent_at,
-       now()});
-}
-
-void ForwardNode::UnbindReplacedStreams(
-    const std::vector<ForwardUpstreamInfo>& list) {
-  std::map<std::string, ForwardUpstreamInfo> replaced;
-  for (const ForwardUpstreamInfo& info : list) {
-    const auto known = upstreams_.all().find(info.id.name);
-    if (known == upstreams_.all().end()) continue;
-    const ForwardUpstreamInfo& previous = known->second.info;
-    if (previous.id != info.id &&
-        previous.software_version != info.software_version)
-      replaced[info.id.name] = info;
-  }
-  if (replaced.empty()) return;
-  for (auto& [id, request] : requests_) {
-    const auto found = replaced.find(request.current_upstream);
-    if (!request.stream.has_value() || found == replaced.end()) continue;
-    request.current_version =
-        EitherVersion(request.current_version, found->second.software_version);
-    if (!request.binding.has_value()) continue;
-    Unbind(*request.stream, *request.binding, found->second);
-    request.binding = stream_versions_.Find(*request.stream);
-  }
-  for (const LeftStream& left : left_streams_) {
-    const auto found = replaced.find(left.upstream.name);
-    if (found == replaced.end() || now() - left.left_at > kRestartTime)
-      continue;
-    // A connection that was lost later shows that the earlier process ran the
-    // stream.
-    const ForwardUpstream& upstream = upstreams_.all().at(left.upstream.name);
-    if (upstream.connection_lost_at >= left.sent_at) continue;
-    Unbind(left.stream, left.binding, found->second);
-  }
-  TellStreams();
-}
-
-void ForwardNode::Unbind(const Fingerprint& stream, StreamBinding binding,
-                         const ForwardUpstreamInfo& replaced) {
-  binding.software_version =
-      EitherVersion(binding.software_version, replaced.software_version);
-  Emit(forward_action::WriteLogLine{
-      LogLevel::kWarn,
-      "stream_unbound",
-      {{"stream", ToHex(stream)},
-       {"upstream", replaced.id.name},
-       {"software_version", binding.software_version}}});
-  stream_versions_.Bind({stream, std::move(binding)}, now());
+  TrackOrigin(*request, first);
 }
 
 // Versions.
@@ -384,7 +334,9 @@
     Emit(forward_action::RecordStreams{heartbeat.stream_records});
   for (const ForwardId id : std::set<ForwardId>(lookups_)) {
     Request* request = FindRequest(id);
-    if (request == nullptr || !request->stream.has_value()) continue;
+    if (request == nullptr || !request->stream.has_value() ||
+        !IsOriginConfirmed(*request))
+      continue;
     request->binding = stream_versions_.Find(*request->stream);
     if (request->binding.has_value()) OnBindingKnown(request, "peer");
   }
--- a/src/libpollenledge/process/forward_streams_test.cc
+++ b/src/libpollenledge/process/forward_streams_test.cc
@@ -115,9 +115,14 @@
     Submit(event::RequestArrived{id, spec});
   }
 
+  /// The first event comes on a connection that was used before the list was
+  /// read, so that the list shows which process sends it.
   void ReceiveFirstEvent(ForwardId id) {
+    ReceiveFirstEvent(id, started_at_ - kSecond);
+  }
+  void ReceiveFirstEvent(ForwardId id, std::optional<TimePoint> connected_at) {
     Submit(event::ResponseHeadReceived{id, {}});
-    Submit(event::FirstEventReceived{id});
+    Submit(event::FirstEventReceived{id, connected_at});
     Submit(event::EventsForwarded{id, 1});
   }
 
@@ -188,7 +193,8 @@
     Submit(event::AttemptEnded{id, ForwardOutcome::kRejected, 503, {}, {}});
   }
 
-  TimePoint now_{std::chrono::seconds(1000)};
+  const TimePoint started_at_{std::chrono::seconds(1000)};
+  TimePoint now_ = started_at_;
   std::int64_t revision_ = 0;
   ForwardNode node_;
   std::vector<ForwardAction> actions_;
@@ -496,7 +502,7 @@
 TEST_F(ForwardStreamsTest, AStreamAtAReplacedUpstreamCannotBeResumed) {
   Arrive(1, "a");
   const std::string upstream = SentTo();
-  ReceiveFirstEvent(1);
+  ReceiveFirstEvent(1, std::nullopt);
   List({{"old1", "v3"}, {"old2", "v3"}, {"new1", "v3"}, {"new2", "v3"}}, 2);
   EXPECT_NE(Find<action::RecordStreams>(), nullptr) << "Others are told";
   Submit(event::CallerDisconnected{1});
@@ -505,7 +511,8 @@
 }
 
 TEST_F(ForwardStreamsTest, SoIsAStreamWhoseCallerLeftBeforeThat) {
-  BeginStream(1, "a");
+  Arrive(1, "a");
+  ReceiveFirstEvent(1, std::nullopt);
   Submit(event::CallerDisconnected{1});
   now_ += kSecond;
   List({{"old1", "v3"}, {"old2", "v3"}, {"new1", "v3"}, {"new2", "v3"}}, 2);
--- a/src/libpollenledge/process/forward_timeouts.cc
+++ b/src/libpollenledge/process/forward_timeouts.cc
@@ -70,6 +70,10 @@
     ContinueLookup(request);
     return;
   }
+  if (request->origin_wait.has_value()) {
+    CheckOriginWait(request);
+    return;
+  }
   if (request->next_retry_at.has_value()) {
     ContinueWaiting(request);
     return;
@@ -108,7 +112,9 @@
   const bool may_retry = MayRetry(*request) && request->possible_runs + 1 <
                                                    request->route->max_attempts;
   ForwardUpstream* other = may_retry ? ChooseUpstream(*request) : nullptr;
-  if (other == nullptr || !AreKeysFresh(now()) ||
+  const bool may_go_on = IsOriginConfirmed(*request);
+  if (!may_go_on) Emit(forward_action::ReadUpstreams{});
+  if (other == nullptr || !may_go_on || !AreKeysFresh(now()) ||
       !retry_budget_.TryAcquire(request->service)) {
     // No retry is possible: keep waiting until the request times out.
     request->last_event_at = now();
@@ -142,6 +148,8 @@
   }
   at = std::min(at, request->next_lookup_at.value_or(at));
   at = std::min(at, request->next_retry_at.value_or(at));
+  if (request->origin_wait.has_value())
+    at = std::min(at, request->origin_wait->next_check_at);
   at = std::min(at, request->progress_due_at.value_or(at));
   if (request->next_check_at == at) return;
   request->next_check_at = at;
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -531,6 +531,13 @@
     });
   }
   void Execute(std::size_t, const forward_action::PollPromptCache&) {}
+  void Execute(std::size_t node, const forward_action::ReadUpstreams&) {
+    forward_event::UpstreamsListed listed = ListUpstreams();
+    listed.read_at = now_;
+    Schedule(kMillisecond, [this, node, listed = std::move(listed)] {
+      Submit(node, listed);
+    });
+  }
   void Execute(std::size_t, const forward_action::ReadTables&) {
     ++tables_reads;
   }
--- a/src/libpollenledge/test_support/forward_request_checker.h
+++ b/src/libpollenledge/test_support/forward_request_checker.h
@@ -20,6 +20,8 @@
   std::string upstream;        ///< Of the attempt; empty if it is relayed.
   bool attempt_begun = false;  ///< An event of the attempt was received.
   bool was_looked_up = false;
+  /// Until when it may wait for a list that shows who sent its events.
+  std::optional<TimePoint> origin_wait_end;
   bool response_begun = false;  ///< The caller received an event.
   bool broken_by_upstream = false;
   std::int64_t last_event_id = 0;
@@ -31,6 +33,8 @@
  public:
   /// Number of violations that are collected; later ones are left out.
   static constexpr std::size_t kMaxViolations = 10;
+  /// Longest time for which a request waits for a list of upstreams.
+  static constexpr Duration kMaxOriginWait = std::chrono::milliseconds(1500);
 
   /// A request arrives by the next event.
   void Add(ForwardId id, OpenRequest request) {
@@ -86,6 +90,11 @@
     return nullptr;
   }
 
+  OpenRequest* FindByTraceId(const std::string& trace_id) {
+    const auto found = open_.find(std::stoull(trace_id));
+    return found == open_.end() ? nullptr : &found->second;
+  }
+
   void BeginAttempt(ForwardId id, const std::string& upstream,
                     const char* action) {
     OpenRequest* request = Find(id, action);
@@ -94,6 +103,7 @@
       Report(id, std::string(action) + " during another attempt");
     request->has_attempt = true;
     request->attempt_begun = false;
+    request->origin_wait_end.reset();
     request->upstream = upstream;
   }
 
@@ -134,6 +144,14 @@
     OpenRequest* request = Find(lookup.id, "looked up");
     if (request != nullptr) request->was_looked_up = true;
   }
+  void On(const forward_action::WriteLogLine& line) {
+    if (line.event != std::string("waits_for_origin")) return;
+    for (const LogField& field : line.fields) {
+      if (field.name != std::string("request")) continue;
+      if (OpenRequest* request = FindByTraceId(field.value))
+        request->origin_wait_end = now_ + kMaxOriginWait;
+    }
+  }
   void On(const forward_action::Reject& reject) {
     const OpenRequest* request = Find(reject.id, "rejected");
     if (request != nullptr && request->response_begun)
@@ -161,8 +179,8 @@
   }
 
   /// Each open request is known to the node, and runs or waits there: in a
-  /// queue, for the binding of its stream, or for an upstream that goes on with
-  /// its response.
+  /// queue, for the binding of its stream, for an upstream that goes on with
+  /// its response, or, for a limited time, for a list of upstreams.
   void CheckKept(const ForwardNode& node) {
     if (node.active_requests() != open_.size())
       Report(0, "the node has " + std::to_string(node.active_requests()) +
@@ -177,7 +195,11 @@
       ++waiting;
       const bool has_sound_response =
           request.response_begun && !request.broken_by_upstream;
-      if (request.was_looked_up || has_sound_response) ++may_wait_elsewhere;
+      // The node looks at it again by then.
+      const bool may_wait_for_list = request.origin_wait_end.has_value() &&
+                                     next_tick <= *request.origin_wait_end;
+      if (request.was_looked_up || has_sound_response || may_wait_for_list)
+        ++may_wait_elsewhere;
     }
     const std::size_t queued = node.queued_requests();
     if (queued > waiting || queued + may_wait_elsewhere < waiting)
