--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -322,6 +322,10 @@
   if (options_.read_suspects) options_.read_suspects();
 }
 
+void ForwardService::Execute(const forward_action::ReadUpstreams&) {
+  if (options_.read_upstreams) options_.read_upstreams();
+}
+
 void ForwardService::Execute(const forward_action::PersistSuspects& persist) {
   if (options_.persist_suspects)
     options_.persist_suspects(persist.crash_reports);
