--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -118,9 +118,6 @@
   /// Set by the owner to identify the request in progress; 0 if there is none.
   std::uint64_t request_id = 0;
   bool open() const { return open_; }
-  /// When the first bytes of the current request had arrived at the latest,
-  /// though a late event loop may have read them after that.
-  TimePoint request_arrived_at() const { return request_arrived_at_; }
 
  private:
   /// A caller that connects sends its first request within this time.
@@ -145,8 +142,6 @@
   void Read();
   void OnReadable();
   void OnRead(const boost::system::error_code& error, std::string_view bytes);
-  /// Records when a request's first bytes had arrived, before they are parsed.
-  void NoteArrival();
   void ProcessInput();
   void RejectMalformed();
   void FinishResponse();
@@ -220,8 +215,6 @@
   std::optional<TimePoint> body_deadline_;      ///< Of the request being read.
   TimePoint output_progress_at_;  ///< When the caller last took output.
   TimePoint read_at_;             ///< When bytes were last read.
-  TimePoint request_arrived_at_;
-  TimePoint next_arrived_at_;  ///< Of the request behind the current one.
   std::optional<TimePoint> armed_deadline_;
   std::size_t held_body_bytes_ = 0;  ///< Of the request, as in the budget.
   std::size_t discarded_bytes_ = 0;
--- a/src/include/pollenledge/connection/socket_readiness.h
+++ b/src/include/pollenledge/connection/socket_readiness.h
@@ -2,8 +2,6 @@
 
 #include <cstdint>
 
-#include "pollenledge/time.h"
-
 namespace pollenledge {
 
 /// Returns true if any of `events` (of `poll(2)`) is pending on a socket, or if
@@ -18,8 +16,4 @@
 /// As `IsReady`, but false for a connection that was lost.
 bool IsReadyAndConnected(int socket, std::int16_t events);
 
-/// Returns how long ago a TCP connection received the last of its bytes,
-/// whether or not they were read since; zero if that is not known.
-Duration TimeSinceReceived(int socket);
-
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "pollenledge/connection/loop_clock.h"
-#include "pollenledge/connection/socket_readiness.h"
 
 namespace pollenledge {
 namespace {
@@ -149,7 +148,6 @@
     return;
   }
   if (reader_.idle()) UpdateLimits();
-  NoteArrival();
   const Status status = reader_.Append(bytes);
   bool has_room = true;
   if (HoldsRequest()) {
@@ -168,17 +166,6 @@
   ArmTimer();
 }
 
-void CallerConnection::NoteArrival() {
-  const bool begins_next = reader_.complete() && reader_.unread_bytes() == 0;
-  if (reader_.idle()) {
-    request_arrived_at_ = read_at_ - TimeSinceReceived(socket_.native_handle());
-  } else if (begins_next) {
-    next_arrived_at_ = read_at_ - TimeSinceReceived(socket_.native_handle());
-  }
-  // The next request may begin in these bytes too.
-  if (!reader_.complete()) next_arrived_at_ = read_at_;
-}
-
 void CallerConnection::ProcessInput() {
   if (has_no_room_) {
     if (reader_.has_head()) Refuse(503);
@@ -225,7 +212,7 @@
     const BodyTerms terms = handlers_->on_head(head);
     SetCustomer(terms.customer);
     if (terms.time_left.has_value())
-      body_deadline_ = request_arrived_at_ + *terms.time_left;
+      body_deadline_ = BootClockNow() + *terms.time_left;
   }
   if (!HoldReceived()) return false;
   if (const std::optional<std::size_t> size = reader_.announced_body_bytes())
@@ -435,7 +422,6 @@
   idle_since_ = BootClockNow();
   ArmTimer();
   UpdateLimits();
-  request_arrived_at_ = next_arrived_at_;
   if (!Ok(reader_.StartNextMessage())) {
     RejectMalformed();
     return;
--- a/src/libpollenledge/connection/socket_readiness.cc
+++ b/src/libpollenledge/connection/socket_readiness.cc
@@ -1,9 +1,6 @@
 #include "pollenledge/connection/socket_readiness.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/socket.h>
 
 namespace pollenledge {
 namespace {
@@ -26,12 +23,4 @@
   return (pending & events) != 0 && (pending & (POLLERR | POLLHUP)) == 0;
 }
 
-Duration TimeSinceReceived(int socket) {
-  tcp_info info{};
-  socklen_t size = sizeof(info);
-  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
-    return Duration::zero();
-  return std::chrono::milliseconds(info.tcpi_last_data_recv);
-}
-
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -42,13 +42,6 @@
   return options;
 }
 
-/// Takes the time for which a request waited to be read from its caller's time.
-void CountWaitingTime(Duration waited, ForwardSpec* spec) {
-  if (!spec->time_left.has_value()) return;
-  spec->time_left =
-      std::max<Duration>(*spec->time_left - waited, Duration::zero());
-}
-
 std::string StatusLabel(int status) {
   return "status=\"" + std::to_string(status) + "\"";
 }
@@ -147,8 +140,6 @@
   }
   Value(spec).is_relayed = is_relayed;
   if (!is_relayed) Value(spec).min_tables_version = 0;
-  CountWaitingTime(exchange.arrived_at - caller->request_arrived_at(),
-                   &Value(spec));
   Value(spec).content_fingerprint =
       ComputeFingerprint({head.target, *exchange.request_body});
   if (const ForwardingIndex* index = node_.tables_index().get()) {
