Own interface: a handed-over request that may have run is not fetched as "not run"

What callers saw (read): a request that was handed over to another entry and whose outcome is unknown is fetched as 503, which says that nothing ran.

Cause: RunHandedOverRequest set 503 for each outcome but a completed one. The status follows from the outcome now (StatusWithoutResponse), also in the responses of the entry itself.

--- a/src/include/pollenledge/request/request.h
+++ b/src/include/pollenledge/request/request.h
@@ -74,6 +74,11 @@
 /// Outcome of a request. The three cases are never substituted for one another.
 using Outcome = std::variant<Completed, NotRun, UnknownOutcome>;
 
+/// Returns the HTTP status for a request that ended as `outcome` without a
+/// response of an upstream: the status of the rejection, or 502 if it may have
+/// run.
+int StatusWithoutResponse(const Outcome& outcome);
+
 /// Outcome of one attempt, as observed on its connection.
 enum class AttemptOutcome : std::uint8_t {
   kCompleted,       ///< The complete response was read.
--- a/src/libpollenledge/process/caller_api.cc
+++ b/src/libpollenledge/process/caller_api.cc
@@ -84,8 +84,8 @@
     SendProblem(response, not_run->http_status, not_run->problem_type,
                 not_run->detail, not_run->retry_after);
   } else if (const auto* unknown = std::get_if<UnknownOutcome>(&outcome)) {
-    SendProblem(response, 502, "outcome-unknown", unknown->detail,
-                unknown->retry_after);
+    SendProblem(response, StatusWithoutResponse(outcome), "outcome-unknown",
+                unknown->detail, unknown->retry_after);
   }
 }
 
--- a/src/libpollenledge/process/entry_service_peers.cc
+++ b/src/libpollenledge/process/entry_service_peers.cc
@@ -47,7 +47,8 @@
   const ExchangeResult result = RunCommands(exchange, Value(request), sink);
   if (const auto* outcome = std::get_if<Outcome>(&result)) {
     if (!std::holds_alternative<Completed>(*outcome)) {
-      exchange->response().Start(503, "application/json");
+      exchange->response().Start(StatusWithoutResponse(*outcome),
+                                 "application/json");
     }
   }
   FinishExchange(exchange, result);
--- a/src/libpollenledge/request/request.cc
+++ b/src/libpollenledge/request/request.cc
@@ -40,6 +40,12 @@
   return id;
 }
 
+int StatusWithoutResponse(const Outcome& outcome) {
+  constexpr int kStatusBadGateway = 502;
+  const auto* not_run = std::get_if<NotRun>(&outcome);
+  return not_run == nullptr ? kStatusBadGateway : not_run->http_status;
+}
+
 bool MayHaveRun(AttemptOutcome outcome) {
   return outcome != AttemptOutcome::kNotSent &&
          outcome != AttemptOutcome::kRejected;
