ForwardNode: the tables' state in a file of its own

forward_node.cc and forward_peers.cc each held a part of what decides by which version of the tables a request is handled, and how old its confirmation may be.

Functions are moved only; no behaviour changes.

--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -38,11 +38,6 @@
 /// Maximum Retry-After as a share of the caller's remaining time, so that the
 /// response to the retry can still arrive in time.
 constexpr double kMaxRetryAfterShare = 1.0 / 3.0;
-/// A watch delivers a version that a peer names within this time. A node that
-/// still lacks it then reads the store, again after each interval.
-constexpr Duration kTablesWatchTime = std::chrono::milliseconds(250);
-constexpr Duration kTablesRequestInterval = std::chrono::milliseconds(500);
-
 /// Maps a stream's key to [0, 1), so that all nodes choose the same service for
 /// it.
 double ToUnitInterval(const Fingerprint& stream) {
@@ -51,15 +46,6 @@
                     -kMantissaBits);
 }
 
-std::vector<CustomerLimit> CustomerLimits(const ForwardingTables& tables) {
-  std::vector<CustomerLimit> limits;
-  limits.reserve(tables.customers.size());
-  for (const ForwardingCustomer& customer : tables.customers) {
-    limits.push_back({customer.name, customer.limit_per_s, customer.burst});
-  }
-  return limits;
-}
-
 ForwardNodeOptions WithCapabilities(ForwardNodeOptions options) {
   options.self.checks_tables_version = true;
   return options;
@@ -180,20 +166,6 @@
   return std::nullopt;
 }
 
-NotRun ForwardNode::Deny(NotRun denial) const {
-  if (AreTablesCurrent(now())) return denial;
-  return {503, "unconfirmed-tables",
-          "the tables may have changed since they were confirmed current",
-          kDefaultRetryAfter};
-}
-
-bool ForwardNode::AreTablesCurrent(TimePoint now) const {
-  if (TablesVersion() < peer_tables_version_) return false;
-  if (options_.tables_bound == Duration::zero()) return true;
-  const std::optional<Duration> age = TablesAge(now);
-  return age.has_value() && *age < options_.tables_bound;
-}
-
 std::optional<NotRun> ForwardNode::CheckDrain(const Request& request) const {
   if (!draining()) return std::nullopt;
   const bool balancer_noticed =
@@ -256,116 +228,7 @@
   return route.services.empty() ? "" : route.services.back().service;
 }
 
-// Tables, upstreams, fleet size and drain.
-
-void ForwardNode::On(const forward_event::TablesRead& read) {
-  const std::uint64_t version = read.tables->tables().version;
-  const bool is_newer = version > TablesVersion();
-  ActivateTables(read.tables, "read");
-  if (read.may_be_outdated) {
-    // A key in them may have been revoked since the copy was made.
-    if (is_newer) LogUnconfirmedTables(version);
-    return;
-  }
-  if (IsStoreBehind(version, read.read_started)) {
-    OnStoreBehind(version);
-    return;
-  }
-  behind_version_ = 0;
-  RecordTablesConfirmation(read.read_started);
-}
-
-bool ForwardNode::IsStoreBehind(std::uint64_t version,
-                                TimePoint read_started) const {
-  const bool peers_are_ahead = version < peer_tables_version_ &&
-                               read_started > peer_tables_version_heard_at_;
-  const bool node_is_ahead =
-      version < TablesVersion() && read_started > tables_activated_at_;
-  return node_is_ahead || peers_are_ahead;
-}
-
-void ForwardNode::OnStoreBehind(std::uint64_t version) {
-  // Keys in tables that peers have replaced may have been revoked since.
-  if (version == TablesVersion()) tables_confirmed_at_.reset();
-  if (version == behind_version_) return;
-  behind_version_ = version;
-  Emit(forward_action::WriteLogLine{
-      LogLevel::kWarn,
-      "store_is_behind",
-      {{"stored_version", std::to_string(version)},
-       {"version", std::to_string(TablesVersion())},
-       {"peer_version", std::to_string(peer_tables_version_)}}});
-}
-
-void ForwardNode::LogUnconfirmedTables(std::uint64_t version) {
-  Emit(forward_action::WriteLogLine{
-      LogLevel::kWarn,
-      "tables_unconfirmed",
-      {{"version", std::to_string(version)},
-       {"reason", "the store was restored from an older copy just now"}}});
-}
-
-void ForwardNode::RecordPeerTablesVersion(std::uint64_t version) {
-  if (version <= peer_tables_version_) return;
-  peer_tables_version_ = version;
-  peer_tables_version_heard_at_ = now();
-}
-
-void ForwardNode::ReadNewerTables() {
-  const Duration known_for = now() - peer_tables_version_heard_at_;
-  const bool is_behind = TablesVersion() < peer_tables_version_;
-  if (!is_behind || known_for < kTablesWatchTime ||
-      now() - tables_requested_at_ < kTablesRequestInterval)
-    return;
-  tables_requested_at_ = now();
-  Emit(forward_action::WriteLogLine{
-      LogLevel::kWarn,
-      "tables_behind",
-      {{"version", std::to_string(TablesVersion())},
-       {"peer_version", std::to_string(peer_tables_version_)},
-       {"known_for_ms", FormatMilliseconds(known_for)},
-       {"tables_age_ms", FormatTablesAge()}}});
-  Emit(forward_action::ReadTables{});
-}
-
-void ForwardNode::RecordTablesConfirmation(TimePoint confirmed_at) {
-  // Responses may arrive out of order; an older confirmation does not replace a
-  // newer one.
-  if (!tables_confirmed_at_.has_value() ||
-      confirmed_at > *tables_confirmed_at_) {
-    tables_confirmed_at_ = confirmed_at;
-  }
-}
-
-void ForwardNode::On(const forward_event::TablesWatchUpdate& update) {
-  ActivateTables(update.tables, "watch");
-}
-
-std::uint64_t ForwardNode::TablesVersion() const {
-  return tables_index_ == nullptr ? 0 : tables_index_->tables().version;
-}
-
-void ForwardNode::ActivateTables(
-    const std::shared_ptr<const ForwardingIndex>& tables, const char* source) {
-  // Versions only increase: ignore late responses and stale reads.
-  if (tables_index_ != nullptr &&
-      tables->tables().version <= tables_index_->tables().version) {
-    return;
-  }
-  Emit(forward_action::WriteLogLine{
-      LogLevel::kInfo,
-      "tables_in_force",
-      {{"version", std::to_string(tables->tables().version)},
-       {"source", source},
-       {"idle_timeout_ms",
-        FormatMilliseconds(tables->tables().limits.idle_timeout)}}});
-  stream_versions_.OnRouteMoved(MovedServices(tables->tables()), now());
-  tables_index_ = tables;
-  tables_activated_at_ = now();
-  UpdateVersionRecords();
-  limits_.Configure(CustomerLimits(tables_index_->tables()), now());
-  UpdateLimits();
-}
+// Upstreams, fleet size and drain.
 
 void ForwardNode::On(const forward_event::UpstreamsListed& listed) {
   if (upstream_list_.Replace(listed.upstreams, listed.revision,
@@ -451,16 +314,6 @@
   if (late) ++count->late;
 }
 
-std::optional<Duration> ForwardNode::TablesAge(TimePoint now) const {
-  if (!tables_confirmed_at_.has_value()) return std::nullopt;
-  return now - *tables_confirmed_at_;
-}
-
-std::string ForwardNode::FormatTablesAge() const {
-  const std::optional<Duration> age = TablesAge(now());
-  return age.has_value() ? FormatMilliseconds(*age) : "never";
-}
-
 std::size_t ForwardNode::queued_requests() const {
   std::size_t queued = 0;
   for (const auto& [key, queue] : queues_) queued += queue.size();
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -14,10 +14,6 @@
 constexpr std::size_t kMaxLoadReports = 32;
 /// Minimum interval at which received heartbeats update the limits.
 constexpr Duration kMinLimitsUpdateInterval = std::chrono::milliseconds(50);
-/// Maximum age of a peer's freshness confirmation that saves a read of the
-/// tables, as a share of the read period. The age is checked every half period,
-/// so at most 1.2 periods pass without a read or a newer confirmation.
-constexpr double kMaxConfirmationAgeShare = 0.7;
 /// Maximum rate, in queries per second, at which all nodes together query one
 /// collector. In a larger fleet each node queries less often, at intervals of
 /// up to `kMaxQueryInterval`; beyond that the rate is exceeded.
@@ -279,29 +275,6 @@
   }
 }
 
-void ForwardNode::ApplyTablesConfirmation(const Heartbeat& response) {
-  if (!response.tables_confirmation_age.has_value() || tables_index_ == nullptr)
-    return;
-  const MemberRecord& sender = response.records.front();
-  if (sender.tables_version > tables_index_->tables().version) {
-    Emit(forward_action::ReadTables{});
-  }
-  // A confirmation of another version does not apply to the active tables.
-  if (sender.tables_version != tables_index_->tables().version) return;
-  // The peer responded after this node sent the query. Counting the age of the
-  // confirmation from the time of the query gives a lower bound of when the
-  // store was read, however long the two datagrams were in transit.
-  RecordTablesConfirmation(response.queried_at -
-                           *response.tables_confirmation_age);
-}
-
-bool ForwardNode::NeedsTablesRead(Duration period, TimePoint now) const {
-  if (is_collector_) return true;
-  const std::optional<Duration> age = TablesAge(now);
-  return !age.has_value() ||
-         ToSeconds(*age) > kMaxConfirmationAgeShare * ToSeconds(period);
-}
-
 bool ForwardNode::NeedsUpstreamsRead(Duration period, TimePoint now) const {
   const std::optional<TimePoint> confirmed_at = upstream_list_.confirmed_at();
   return !FollowsCollectors(now) || !confirmed_at.has_value() ||
