CONFIG: a request is decided only by tables that are confirmed, if the store can be read

Cause: only refusals (404, 401) asked how old the tables' confirmation was. A request that the tables allow was run by tables of any age, until its key lapsed.

Change: a request that arrives when the tables were confirmed longer ago than the bound waits for a read of the store, 500 ms or a third of its time at most. A read that fails releases it, and the next requests don't wait until a read has succeeded: a node that can't reach the store serves what it can, as before. A confirmation covers all that was written before its read began, so what is decided by one within the bound includes each version that is due. A read from before a pause of the process is repeated. Log: requests_held, requests_released. ConfigSync tells of failed reads, and starts no second read beside one that runs.

NodeWithTables.RefusesAsUnknown... is changed: past the bound the node reads first and gives its 503 when the read fails; that nothing is refused as unknown by overdue tables is checked as before.

--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -26,7 +26,8 @@
   using Decode = std::function<Result<ForwardingTables>(const std::string&)>;
   /// Returns true if the store may lack the last writes of the operator.
   using MayLackWrites = std::function<bool()>;
-  /// Receives the event of each version that was read or watched.
+  /// Receives the event of each version that was read or watched, and of each
+  /// read that failed.
   using Submit = std::function<void(ForwardEvent)>;
 
   /// `key` is the tables' entry. It is read each `read_period` unless
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -69,6 +69,10 @@
   /// cannot know whether newer tables are still to be written again.
   bool may_be_outdated = false;
 };
+/// A read of the tables failed, or returned none that can be used.
+struct TablesReadFailed {
+  TimePoint read_started;
+};
 /// A store watch delivered new tables. A watch may lag behind the store, so
 /// this does not confirm that the tables are current.
 struct TablesWatchUpdate {
@@ -147,14 +151,14 @@
     forward_event::RequestArrived, forward_event::CallerDisconnected,
     forward_event::ResponseHeadReceived, forward_event::FirstEventReceived,
     forward_event::EventsForwarded, forward_event::AttemptEnded,
-    forward_event::TablesRead, forward_event::TablesWatchUpdate,
-    forward_event::UpstreamsListed, forward_event::HeartbeatReceived,
-    forward_event::SuspectsRead, forward_event::SuspectLifted,
-    forward_event::FleetSizeRead, forward_event::VersionRecordsRead,
-    forward_event::StreamLookedUp, forward_event::UpstreamProbed,
-    forward_event::RolloutSharesConfirmed, forward_event::PromptCachePolled,
-    forward_event::DrainStarted, forward_event::DrainTimedOut,
-    forward_event::Ticked>;
+    forward_event::TablesRead, forward_event::TablesReadFailed,
+    forward_event::TablesWatchUpdate, forward_event::UpstreamsListed,
+    forward_event::HeartbeatReceived, forward_event::SuspectsRead,
+    forward_event::SuspectLifted, forward_event::FleetSizeRead,
+    forward_event::VersionRecordsRead, forward_event::StreamLookedUp,
+    forward_event::UpstreamProbed, forward_event::RolloutSharesConfirmed,
+    forward_event::PromptCachePolled, forward_event::DrainStarted,
+    forward_event::DrainTimedOut, forward_event::Ticked>;
 
 /// Actions that a forwarding node requests in response to an event.
 namespace forward_action {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -16,6 +16,7 @@
 #include "pollenledge/process/fair_queue.h"
 #include "pollenledge/process/fleet_admission.h"
 #include "pollenledge/process/forward_events.h"
+#include "pollenledge/process/held_requests.h"
 #include "pollenledge/process/limit_buckets.h"
 #include "pollenledge/process/membership.h"
 #include "pollenledge/process/path_monitor.h"
@@ -46,7 +47,8 @@
   /// need an API key are still sent; 0: no limit.
   Duration key_freshness{0};
   /// Time within which changed tables must be active; 0: no limit. A request is
-  /// refused as unknown only by tables that were confirmed more recently.
+  /// refused as unknown only by tables that were confirmed more recently, and
+  /// served by older ones only if the store can't be read.
   Duration tables_bound{0};
   /// Retries allowed per first attempt, for each service.
   double retries_per_request = 0.2;
@@ -157,7 +159,9 @@
   UsageCollection& usage_collection() { return usage_collection_; }
   /// Returns true if a collector has accepted this node's counts of `window`.
   bool IsUsageAcknowledged(UsageWindow window) const;
-  std::size_t active_requests() const { return requests_.size(); }
+  std::size_t active_requests() const {
+    return requests_.size() + held_requests_.size();
+  }
   std::size_t queued_requests() const;
   bool draining() const { return drain_started_at_.has_value(); }
   /// Maximum number of retries that this node accumulates for each service.
@@ -295,12 +299,16 @@
   };
 
   void On(const forward_event::RequestArrived& arrived);
+  /// Decides on a request that arrived at `arrived_at` by the active tables.
+  void BeginRequest(const forward_event::RequestArrived& arrived,
+                    TimePoint arrived_at);
   void On(const forward_event::CallerDisconnected& disconnected);
   void On(const forward_event::ResponseHeadReceived& received);
   void On(const forward_event::FirstEventReceived& first);
   void On(const forward_event::EventsForwarded& forwarded);
   void On(const forward_event::AttemptEnded& ended);
   void On(const forward_event::TablesRead& read);
+  void On(const forward_event::TablesReadFailed& failed);
   void On(const forward_event::TablesWatchUpdate& update);
   void On(const forward_event::UpstreamsListed& listed);
   void On(const forward_event::HeartbeatReceived& received);
@@ -754,6 +762,21 @@
   /// Returns true if no change of the tables can have been due by now that this
   /// node doesn't have.
   bool AreTablesCurrent(TimePoint now) const;
+  /// Returns true if the tables were confirmed so recently that each change
+  /// that is due is in them.
+  bool IsTablesAgeWithinBound(TimePoint now) const;
+  /// Returns true if a change of the tables may have been due by now that this
+  /// node doesn't have, and a read of the store would tell.
+  bool MustConfirmTables() const;
+  /// Lets the request wait until the tables are confirmed.
+  void HoldRequest(const forward_event::RequestArrived& arrived);
+  /// Decides on the held requests by the active tables.
+  void ReleaseHeldRequests(std::vector<HeldRequest> held);
+  /// Releases the held requests if the tables are confirmed.
+  void ReleaseConfirmedRequests();
+  /// A read of the store that began at `read_started` has ended and its result
+  /// was applied.
+  void OnTablesReadEnded(TimePoint read_started);
   /// Returns `denial`, which says that the tables don't allow the request, or,
   /// if they may be outdated, that the request may be sent again.
   NotRun Deny(NotRun denial) const;
@@ -793,6 +816,9 @@
 
   std::shared_ptr<const ForwardingIndex> tables_index_;
   std::optional<TimePoint> tables_confirmed_at_;
+  /// The last read of the store confirmed the tables, or there was none yet.
+  bool can_confirm_tables_ = true;
+  HeldRequests held_requests_;
   TimePoint tables_activated_at_;
   std::uint64_t peer_tables_version_ = 0;  ///< The highest that a peer named.
   TimePoint peer_tables_version_heard_at_;
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -41,6 +41,7 @@
 void ConfigSync::Start() { Read(); }
 
 void ConfigSync::ReadIfDue() {
+  if (read_in_progress_) return;  // Its end schedules the next check.
   if (read_policy_.needs_read(read_period_, BootClockNow())) {
     Read();
   } else {
@@ -94,15 +95,21 @@
       Log(LogLevel::kWarn, "dependency_lost",
           {{"dependency", "store"}, {"error", ErrorOf(item).message}});
     }
+    submit_(forward_event::TablesReadFailed{started});
     return;
   }
   if (std::exchange(store_unavailable_, false)) {
     Log(LogLevel::kInfo, "dependency_regained", {{"dependency", "store"}});
   }
   const StoreItem& found = Value(item);
-  if (!found.entry.has_value()) return;
+  if (!found.entry.has_value()) {
+    submit_(forward_event::TablesReadFailed{started});
+    return;
+  }
   if (const auto index = DecodeIndex(*found.entry)) {
     submit_(forward_event::TablesRead{index, started, may_lack_writes_()});
+  } else {
+    submit_(forward_event::TablesReadFailed{started});
   }
   // The entry's own revision may be older than the history that the store has.
   watch_.OnReadSucceeded(
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -576,6 +576,7 @@
 }
 
 void ForwardNode::On(const forward_event::CallerDisconnected& disconnected) {
+  if (held_requests_.Remove(disconnected.id)) return;
   Request* request = FindRequest(disconnected.id);
   if (request == nullptr) return;
   const std::string service = request->service;
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -90,11 +90,20 @@
 // Admission.
 
 void ForwardNode::On(const forward_event::RequestArrived& arrived) {
+  if (MustConfirmTables()) {
+    HoldRequest(arrived);
+  } else {
+    BeginRequest(arrived, now());
+  }
+}
+
+void ForwardNode::BeginRequest(const forward_event::RequestArrived& arrived,
+                               TimePoint arrived_at) {
   Request& request = requests_[arrived.id];
   request.id = arrived.id;
   request.spec = arrived.spec;
   request.tables_index = tables_index_;
-  request.arrived_at = now();
+  request.arrived_at = arrived_at;
   request.last_event_id = arrived.spec.last_event_id;
   if (std::optional<NotRun> not_run = Admit(&request)) {
     Reject(&request, std::move(*not_run));
@@ -134,7 +143,7 @@
     timeout = std::min(timeout, *request->spec.time_left);
   }
   request->deadline = request->arrived_at + timeout;
-  if (timeout <= Duration::zero()) {
+  if (request->deadline <= now()) {
     return NotRun{
         503, "no-time-left", "no time remains before the deadline", {}};
   }
@@ -273,6 +282,7 @@
 }
 
 void ForwardNode::On(const forward_event::DrainTimedOut&) {
+  ReleaseHeldRequests(held_requests_.TakeAll());
   std::vector<ForwardId> unanswered;
   for (const auto& [id, request] : requests_) {
     // Begun responses go on until the process ends, and so do those that only
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -273,6 +273,7 @@
   } else {
     CheckOrigins();  // The list may have been confirmed.
   }
+  ReleaseConfirmedRequests();
 }
 
 bool ForwardNode::NeedsUpstreamsRead(Duration period, TimePoint now) const {
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -37,14 +37,29 @@
   if (read.may_be_outdated) {
     // A key in them may have been revoked since the copy was made.
     if (is_newer) LogUnconfirmedTables(version);
-    return;
-  }
-  if (IsStoreBehind(version, read.read_started)) {
+  } else if (IsStoreBehind(version, read.read_started)) {
     OnStoreBehind(version);
+  } else {
+    behind_version_ = 0;
+    RecordTablesConfirmation(read.read_started);
+  }
+  OnTablesReadEnded(read.read_started);
+}
+
+void ForwardNode::On(const forward_event::TablesReadFailed& failed) {
+  OnTablesReadEnded(failed.read_started);
+}
+
+void ForwardNode::OnTablesReadEnded(TimePoint read_started) {
+  const bool is_confirmed = IsTablesAgeWithinBound(now());
+  // What a read from before a pause of this process returned says nothing.
+  const bool is_recent = now() - read_started < options_.tables_bound;
+  if (!is_confirmed && !is_recent) {
+    if (!held_requests_.empty()) Emit(forward_action::ReadTables{});
     return;
   }
-  behind_version_ = 0;
-  RecordTablesConfirmation(read.read_started);
+  can_confirm_tables_ = is_confirmed;
+  ReleaseHeldRequests(held_requests_.TakeAll());
 }
 
 bool ForwardNode::IsStoreBehind(std::uint64_t version,
@@ -180,10 +195,52 @@
 }
 
 bool ForwardNode::AreTablesCurrent(TimePoint now) const {
-  if (TablesVersion() < peer_tables_version_) return false;
+  return TablesVersion() >= peer_tables_version_ && IsTablesAgeWithinBound(now);
+}
+
+bool ForwardNode::IsTablesAgeWithinBound(TimePoint now) const {
   if (options_.tables_bound == Duration::zero()) return true;
   const std::optional<Duration> age = TablesAge(now);
   return age.has_value() && *age < options_.tables_bound;
 }
 
+// Requests that wait until the tables are confirmed.
+
+bool ForwardNode::MustConfirmTables() const {
+  return can_confirm_tables_ && tables_confirmed_at_.has_value() &&
+         !IsTablesAgeWithinBound(now());
+}
+
+void ForwardNode::HoldRequest(const forward_event::RequestArrived& arrived) {
+  if (held_requests_.empty()) {
+    Emit(forward_action::WriteLogLine{
+        LogLevel::kInfo,
+        "requests_held",
+        {{"request", arrived.spec.trace_id},
+         {"tables_version", std::to_string(TablesVersion())},
+         {"peer_version", std::to_string(peer_tables_version_)},
+         {"tables_age_ms", FormatTablesAge()}}});
+  }
+  held_requests_.Add(arrived, now());
+  Emit(forward_action::ReadTables{});
+}
+
+void ForwardNode::ReleaseHeldRequests(std::vector<HeldRequest> held) {
+  if (held.empty()) return;
+  Emit(forward_action::WriteLogLine{
+      LogLevel::kInfo,
+      "requests_released",
+      {{"requests", std::to_string(held.size())},
+       {"waited_ms", FormatMilliseconds(now() - held.front().arrived_at)},
+       {"tables_version", std::to_string(TablesVersion())},
+       {"tables_age_ms", FormatTablesAge()}}});
+  for (const HeldRequest& request : held)
+    BeginRequest(request.arrived, request.arrived_at);
+}
+
+void ForwardNode::ReleaseConfirmedRequests() {
+  if (!held_requests_.empty() && IsTablesAgeWithinBound(now()))
+    ReleaseHeldRequests(held_requests_.TakeAll());
+}
+
 }  // namespace pollenledge
--- a/src/libpollenledge/process/forward_tables_test.cc
+++ b/src/libpollenledge/process/forward_tables_test.cc
@@ -102,8 +102,13 @@
   AdvanceTime(kTablesBound - kMillisecond);
   ExpectDenied();
   {
-    SCOPED_TRACE("a change may be due that this node has not read");
+    SCOPED_TRACE("a change may be due that this node can't read");
     AdvanceTime(kMillisecond);
+    EXPECT_EQ(Refuse("/added/x", "key").problem_type, "") << "it reads first";
+    Submit(forward_event::TablesReadFailed{now_});
+    const auto* refused = FindAction<forward_action::Reject>();
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->not_run.problem_type, "unconfirmed-tables");
     ExpectToldToReturn();
   }
   {
--- a/src/libpollenledge/process/forward_timeouts.cc
+++ b/src/libpollenledge/process/forward_timeouts.cc
@@ -30,6 +30,7 @@
     // Skip the request if its check was rescheduled.
     if (request != nullptr && request->next_check_at == at) OnCheckDue(request);
   }
+  ReleaseHeldRequests(held_requests_.TakeDue(now()));
   UpdateRateLimits();
   UpdateSpeeds();
   DispatchAllQueued();
@@ -173,6 +174,7 @@
     next = std::min(next, streams_told_at_ + kStreamTellInterval);
   if (!scheduled_checks_.empty())
     next = std::min(next, scheduled_checks_.begin()->first);
+  next = std::min(next, held_requests_.next_due().value_or(next));
   if (queued_requests() > 0) {
     next = std::min(next, now + std::chrono::milliseconds(20));
   }
