Logs: who confirmed the tables that a request was decided by

`sent`, `relayed` and `refused` name the version of the tables and how long ago they were confirmed, but not by whom. The three lines now have tables_confirmed_by, and `relayed` the age as well; one function writes the fields, which stood three times.

Behaviour is unchanged.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -747,8 +747,10 @@
   Duration LowLevelBroadcastInterval() const;
   /// Reports to the collectors what this node used of a limit that is low.
   void ReportLowLevelUse(const std::string& customer);
-  /// Records that the active tables were current at `confirmed_at`.
-  void RecordTablesConfirmation(TimePoint confirmed_at);
+  /// Records that the active tables were current at `confirmed_at`. `source`
+  /// names who confirmed them, for logs.
+  void RecordTablesConfirmation(TimePoint confirmed_at,
+                                const std::string& source);
   /// Returns true if a read of `version` that began at `read_started` shows
   /// that the store has lost a later version: it was restored from an older
   /// copy.
@@ -796,6 +798,10 @@
 
   /// Returns the version of the active tables; 0 if there are none.
   std::uint64_t TablesVersion() const;
+  /// As `LogRequest`, with the version of the tables that the request is
+  /// decided by, how long ago the active ones were confirmed, and by whom.
+  void LogDecision(LogLevel level, const char* event, const Request& request,
+                   std::vector<LogField> fields);
   /// Returns the milliseconds since the tables were confirmed current, for
   /// logs.
   std::string FormatTablesAge() const;
@@ -816,6 +822,7 @@
 
   std::shared_ptr<const ForwardingIndex> tables_index_;
   std::optional<TimePoint> tables_confirmed_at_;
+  std::string tables_confirmed_by_ = "none";  ///< A peer's name, or "store".
   /// The last read of the store confirmed the tables, or there was none yet.
   bool can_confirm_tables_ = true;
   HeldRequests held_requests_;
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -117,7 +117,7 @@
   ExpectProgress(request, *upstream);
   const std::optional<double> limit = rate_limits_.LimitOf(upstream->info.id);
   if (limit.has_value()) permits_.Consume(upstream->info.id, now());
-  LogRequest(
+  LogDecision(
       LogLevel::kInfo, "sent", *request,
       {{"upstream", request->current_upstream},
        {"software_version", request->current_version},
@@ -125,9 +125,6 @@
        {"repeat_after",
         previous_end.has_value() ? ToString(*previous_end) : "none"},
        {"limit_units", std::to_string(std::llround(request->acquired_units))},
-       {"tables_version",
-        std::to_string(request->tables_index->tables().version)},
-       {"tables_age_ms", FormatTablesAge()},
        {"load", std::to_string(upstream->EstimatedLoad(now()))},
        {"upstream_limit", limit.has_value() ? std::to_string(*limit) : "none"},
        {"report_age_ms", upstream->load_report.has_value()
@@ -522,7 +519,7 @@
   if (not_run.http_status == 429 || not_run.http_status == 503) {
     not_run.retry_after = JitterRetryAfter(not_run.retry_after, *request);
   }
-  LogRequest(
+  LogDecision(
       LogLevel::kInfo, "refused", *request,
       {{"status", std::to_string(not_run.http_status)},
        {"reason", not_run.problem_type},
@@ -532,12 +529,7 @@
         request->last_end.has_value() ? ToString(*request->last_end) : "none"},
        {"names_request", request->last_evidence.names_request ? "yes" : "no"},
        {"earlier_requests",
-        std::to_string(request->last_evidence.earlier_requests)},
-       {"tables_version",
-        request->tables_index == nullptr
-            ? "none"
-            : std::to_string(request->tables_index->tables().version)},
-       {"tables_age_ms", FormatTablesAge()}});
+        std::to_string(request->last_evidence.earlier_requests)}});
   if (request->acquired_units > 0) {
     limits_.Refund(request->customer->name, request->acquired_units);
   }
--- a/src/libpollenledge/process/forward_relay.cc
+++ b/src/libpollenledge/process/forward_relay.cc
@@ -158,13 +158,11 @@
   request->sent_at = now();
   request->last_event_at = now();
   request->first_event_received = false;
-  LogRequest(LogLevel::kInfo, "relayed", *request,
-             {{"peer", peer->id.name},
-              {"attempts", std::to_string(request->attempts)},
-              {"tables_version",
-               std::to_string(request->tables_index->tables().version)},
-              {"peer_tables_version", std::to_string(peer->tables_version)},
-              {"path_lost", paths_.IsLost(request->service) ? "yes" : "no"}});
+  LogDecision(LogLevel::kInfo, "relayed", *request,
+              {{"peer", peer->id.name},
+               {"attempts", std::to_string(request->attempts)},
+               {"peer_tables_version", std::to_string(peer->tables_version)},
+               {"path_lost", paths_.IsLost(request->service) ? "yes" : "no"}});
   Emit(forward_action::RelayRequest{
       .id = request->id,
       .address = peer->peer_address,
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -41,7 +41,7 @@
     OnStoreBehind(version);
   } else {
     behind_version_ = 0;
-    RecordTablesConfirmation(read.read_started);
+    RecordTablesConfirmation(read.read_started, "store");
   }
   OnTablesReadEnded(read.read_started);
 }
@@ -115,12 +115,14 @@
   Emit(forward_action::ReadTables{});
 }
 
-void ForwardNode::RecordTablesConfirmation(TimePoint confirmed_at) {
+void ForwardNode::RecordTablesConfirmation(TimePoint confirmed_at,
+                                           const std::string& source) {
   // Responses may arrive out of order; an older confirmation does not replace a
   // newer one.
   if (!tables_confirmed_at_.has_value() ||
       confirmed_at > *tables_confirmed_at_) {
     tables_confirmed_at_ = confirmed_at;
+    tables_confirmed_by_ = source;
   }
 }
 
@@ -166,8 +168,8 @@
   // The peer responded after this node sent the query. Counting the age of the
   // confirmation from the time of the query gives a lower bound of when the
   // store was read, however long the two datagrams were in transit.
-  RecordTablesConfirmation(response.queried_at -
-                           *response.tables_confirmation_age);
+  RecordTablesConfirmation(
+      response.queried_at - *response.tables_confirmation_age, sender.id.name);
 }
 
 bool ForwardNode::NeedsTablesRead(Duration period, TimePoint now) const {
@@ -182,6 +184,18 @@
   return now - *tables_confirmed_at_;
 }
 
+void ForwardNode::LogDecision(LogLevel level, const char* event,
+                              const Request& request,
+                              std::vector<LogField> fields) {
+  const ForwardingIndex* tables = request.tables_index.get();
+  fields.push_back(
+      {"tables_version",
+       tables == nullptr ? "none" : std::to_string(tables->tables().version)});
+  fields.push_back({"tables_age_ms", FormatTablesAge()});
+  fields.push_back({"tables_confirmed_by", tables_confirmed_by_});
+  LogRequest(level, event, request, std::move(fields));
+}
+
 std::string ForwardNode::FormatTablesAge() const {
   const std::optional<Duration> age = TablesAge(now());
   return age.has_value() ? FormatMilliseconds(*age) : "never";
