CONFIG: the times of the reads of the tables add up to less than the bound

Cause: the period of the reads was three quarters of the bound, a read was due at 0.7 periods of age, and that was looked at each half period. A node whose collectors no longer confirm began to read at an age of up to 2.7 s; with the repeat of a call that isn't answered (200 ms) and 200 ms for the answer that is 3.1 s. Class: a bound that is kept by parts which nobody has added up.

Change: TablesTimes names each part; the age at which a read has begun is seven tenths of the bound, and it is looked at each sixteenth. A node that publishes reads twice in that time, as before. A bound of 0 no longer reads without pause.

--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -9,14 +9,15 @@
 #include "pollenledge/connection/async_store.h"
 #include "pollenledge/process/forward_events.h"
 #include "pollenledge/process/store_watch.h"
+#include "pollenledge/process/tables_times.h"
 
 namespace pollenledge {
 
 /// Keeps a node's tables up to date with the key-value store.
 ///
-/// A watch delivers changes within a fraction of a second. A linearizable read
-/// each period confirms which version is active, since a watch without changes
-/// may also be one whose connection was lost.
+/// A watch delivers changes within a fraction of a second. Linearizable reads
+/// confirm which version is active, since a watch without changes may also be
+/// one whose connection was lost.
 ///
 /// Uses the event loop of its constructor. Not thread-safe; `store` must
 /// outlive it.
@@ -30,11 +31,12 @@
   /// read that failed.
   using Submit = std::function<void(ForwardEvent)>;
 
-  /// `key` is the tables' entry. It is read each `read_period` unless
-  /// `read_policy` reports that a peer confirmed the tables.
+  /// `key` is the tables' entry. It is read as `times` say unless `read_policy`
+  /// reports that a peer confirmed the tables.
   ConfigSync(boost::asio::io_context& loop, AsyncStore* store, std::string key,
-             Duration read_period, Decode decode, StoreReadPolicy read_policy,
-             MayLackWrites may_lack_writes, Submit submit);
+             const TablesTimes& times, Decode decode,
+             StoreReadPolicy read_policy, MayLackWrites may_lack_writes,
+             Submit submit);
 
   /// Starts with a read, which then starts the watch.
   void Start();
@@ -45,6 +47,8 @@
   /// Reads if a read is due, else checks again later.
   void ReadIfDue();
   void ScheduleCheck(Duration delay);
+  /// Returns the time from the end of a read until the next check.
+  Duration CheckDelay() const;
   void Read();
   /// Revisions of the running watch are out of date; the next read continues.
   void OnRestored();
@@ -58,7 +62,7 @@
 
   AsyncStore* store_;
   std::string key_;
-  Duration read_period_;
+  TablesTimes times_;
   Decode decode_;
   StoreReadPolicy read_policy_;
   MayLackWrites may_lack_writes_;
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -172,11 +172,10 @@
   /// late or that found no free slot, over all nodes with recent heartbeats.
   /// Returns 0 if too few streams were counted recently.
   double LateStreamShare(const std::string& service, TimePoint now);
-  /// Returns true if the tables must be read from the store now so that they
-  /// are confirmed current about once per `period`. Call it every half period:
-  /// collectors read on every call, and in a large fleet their confirmations
-  /// save the followers' reads.
-  bool NeedsTablesRead(Duration period, TimePoint now) const;
+  /// Returns true if the tables must be read from the store now, because this
+  /// node is a collector or the tables were last confirmed `max_age` ago. In a
+  /// large fleet the collectors' confirmations save the followers' reads.
+  bool NeedsTablesRead(Duration max_age, TimePoint now) const;
   /// Returns true if the list of upstreams must be read from the store now,
   /// because this node follows no collector or the list was last confirmed more
   /// than `period` ago.
--- a/src/include/pollenledge/process/store_watch.h
+++ b/src/include/pollenledge/process/store_watch.h
@@ -13,9 +13,9 @@
 /// Tells how much of the store a node must read itself. In a large fleet a few
 /// nodes read it and publish the state to the others.
 struct StoreReadPolicy {
-  /// Returns true if a read is due now, given that the state must be confirmed
-  /// at least once every `period`.
-  std::function<bool(Duration period, TimePoint now)> needs_read;
+  /// Returns true if a read is due now, given that one is due once the state
+  /// was last confirmed `max_age` ago.
+  std::function<bool(Duration max_age, TimePoint now)> needs_read;
   /// Returns true if this node must watch the store for changes.
   std::function<bool()> needs_watch;
   /// Returns true if this node publishes what it reads, and therefore reads
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -20,12 +20,12 @@
 }  // namespace
 
 ConfigSync::ConfigSync(boost::asio::io_context& loop, AsyncStore* store,
-                       std::string key, Duration read_period, Decode decode,
+                       std::string key, const TablesTimes& times, Decode decode,
                        StoreReadPolicy read_policy,
                        MayLackWrites may_lack_writes, Submit submit)
     : store_(store),
       key_(std::move(key)),
-      read_period_(read_period),
+      times_(times),
       decode_(std::move(decode)),
       read_policy_(std::move(read_policy)),
       may_lack_writes_(std::move(may_lack_writes)),
@@ -42,13 +42,19 @@
 
 void ConfigSync::ReadIfDue() {
   if (read_in_progress_) return;  // Its end schedules the next check.
-  if (read_policy_.needs_read(read_period_, BootClockNow())) {
+  if (read_policy_.needs_read(times_.max_age(), BootClockNow())) {
     Read();
   } else {
-    ScheduleCheck(read_period_ / 2);
+    ScheduleCheck(times_.check_interval);
   }
 }
 
+Duration ConfigSync::CheckDelay() const {
+  // The other nodes learn of a confirmation later than this one.
+  return read_policy_.publishes_reads() ? times_.read_period / 2
+                                        : times_.check_interval;
+}
+
 void ConfigSync::ScheduleCheck(Duration delay) {
   read_timer_.expires_after(delay);
   read_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -83,8 +89,9 @@
   store_->Read(key_, [this, started](const Result<StoreItem>& item) {
     read_in_progress_ = false;
     OnRead(started, item);
-    const bool is_final = Ok(item) && !may_lack_writes_();
-    ScheduleCheck(is_final ? read_period_ / 2 : kReadRetryDelay);
+    const bool is_final =
+        Ok(item) && Value(item).entry.has_value() && !may_lack_writes_();
+    ScheduleCheck(is_final ? CheckDelay() : kReadRetryDelay);
   });
 }
 
--- a/src/libpollenledge/process/config_sync_test.cc
+++ b/src/libpollenledge/process/config_sync_test.cc
@@ -37,7 +37,8 @@
   boost::asio::io_context loop;
   ScriptedStore store;
   ConfigSync sync(
-      loop, &store, "tables", std::chrono::hours(1),
+      loop, &store, "tables",
+      TablesTimes{std::chrono::hours(2), std::chrono::hours(1)},
       [](const std::string&) -> Result<ForwardingTables> {
         return ForwardingTables{};
       },
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -14,11 +14,6 @@
 constexpr Duration kTablesWatchTime = std::chrono::milliseconds(250);
 constexpr Duration kTablesRequestInterval = std::chrono::milliseconds(500);
 
-/// Maximum age of a peer's freshness confirmation that saves a read of the
-/// tables, as a share of the read period. The age is checked every half period,
-/// so at most 1.2 periods pass without a read or a newer confirmation.
-constexpr double kMaxConfirmationAgeShare = 0.7;
-
 std::vector<CustomerLimit> CustomerLimits(const ForwardingTables& tables) {
   std::vector<CustomerLimit> limits;
   limits.reserve(tables.customers.size());
@@ -172,11 +167,10 @@
       response.queried_at - *response.tables_confirmation_age, sender.id.name);
 }
 
-bool ForwardNode::NeedsTablesRead(Duration period, TimePoint now) const {
+bool ForwardNode::NeedsTablesRead(Duration max_age, TimePoint now) const {
   if (is_collector_) return true;
   const std::optional<Duration> age = TablesAge(now);
-  return !age.has_value() ||
-         ToSeconds(*age) > kMaxConfirmationAgeShare * ToSeconds(period);
+  return !age.has_value() || *age >= max_age;
 }
 
 std::optional<Duration> ForwardNode::TablesAge(TimePoint now) const {
--- /dev/null
+++ b/src/libpollenledge/process/tables_times.cc
@@ -0,0 +1,19 @@
+#include "pollenledge/process/tables_times.h"
+
+namespace pollenledge {
+namespace {
+
+/// Stands for the bound if there is none.
+constexpr Duration kDefaultBound = std::chrono::seconds(2);
+
+}  // namespace
+
+TablesTimes MakeTablesTimes(Duration bound) {
+  if (bound <= Duration::zero()) bound = kDefaultBound;
+  TablesTimes times;
+  times.read_period = bound * 7 / 10;
+  times.check_interval = bound / 16;
+  return times;
+}
+
+}  // namespace pollenledge
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -94,11 +94,6 @@
   return options;
 }
 
-/// How often to read data of which changes must be known within `bound`, even
-/// if the watch has become unresponsive. The last quarter of the bound is left
-/// for the response.
-Duration PollInterval(Duration bound) { return bound * 3 / 4; }
-
 /// Owns the event loop and all components of one forwarding node process. Not
 /// thread-safe: everything runs on the loop's thread.
 class PlatformNode {
@@ -121,7 +116,7 @@
         cloud_(loop_, settings.cloud_address),
         config_sync_(
             loop_, &store_, kOperatorConfigKey,
-            PollInterval(settings.tables_bound), DecodeTables,
+            MakeTablesTimes(settings.tables_bound), DecodeTables,
             MakeStoreReadPolicy(&ForwardNode::NeedsTablesRead),
             [this] { return restore_record_.MayLackWrites(); },
             [this](ForwardEvent event) { service_.Submit(std::move(event)); }),
