--- a/src/libpollenledge/connection/http_reader.cc
+++ b/src/libpollenledge/connection/http_reader.cc
@@ -15,6 +15,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+// The status codes that RFC 9110, section 15, defines the classes of.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 constexpr std::string_view kEmptyLine = "\r\n";
 constexpr std::string_view kHeadTerminator = "\r\n\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
@@ -123,7 +126,8 @@
     head.target = std::string(target);
   }
   void on_response_impl(int code, beast::string_view reason, int,
-                        ErrorCode&) override {
+                        ErrorCode& error) override {
+    if (code < kMinStatus || code > kMaxStatus) error = http::error::bad_status;
     head.status = code;
     head.reason = std::string(reason);
   }
--- a/src/libpollenledge/connection/http_reader_test.cc
+++ b/src/libpollenledge/connection/http_reader_test.cc
@@ -183,6 +183,20 @@
   EXPECT_FALSE(Ok(truncated.OnEndOfStream()));
 }
 
+// Guards against a status that no client understands and that is passed on as
+// the response (MIXED).
+TEST(HttpReaderTest, RejectsAStatusOutsideTheClassesOfHttp) {
+  const auto is_accepted = [](const std::string& status) {
+    HttpReader reader(HttpReader::Role::kResponses, 1024, 1024);
+    return Ok(reader.Append("HTTP/1.1 " + status +
+                            " Text\r\nContent-Length: 0\r\n\r\n"));
+  };
+  for (const char* status : {"000", "042", "099", "600", "999"})
+    EXPECT_FALSE(is_accepted(status)) << status;
+  for (const char* status : {"100", "200", "299", "404", "500", "599"})
+    EXPECT_TRUE(is_accepted(status)) << status;
+}
+
 TEST(HttpReaderTest, ReportsUnreadBytesAfterResponse) {
   HttpReader reader(HttpReader::Role::kResponses, kMaxHeadBytes, kMaxBodyBytes);
   ASSERT_TRUE(Ok(reader.Append(
