--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -111,8 +111,17 @@
   void Connect(Duration timeout);
   void OnConnected(const boost::system::error_code& error);
   void Write();
+  void OnWritten(const boost::system::error_code& error);
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t size);
+  /// The peer sends nothing more: it has closed the connection in order, or the
+  /// connection was lost.
+  void OnEndOfStream(bool is_orderly);
+  /// Waits until the peer has taken the whole request, or has reset the
+  /// connection: then its response was cut off.
+  void AwaitWritten();
+  /// Ends an exchange whose response ended with the connection.
+  void FinishAtClose();
   void ProcessInput();
   void DeliverBody();
   void FinishExchange(ClientExchangeResult end);
@@ -123,7 +132,7 @@
   std::string address_;
   std::int64_t number_;
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer connect_timer_;
+  boost::asio::steady_timer timer_;  ///< Of the connect, or of `AwaitWritten`.
   HttpReader reader_;
   /// Shared so that a handler stays alive while it runs if it ends the
   /// exchange.
@@ -140,6 +149,9 @@
   bool busy_ = false;
   bool may_have_sent_ = false;
   bool request_written_ = false;
+  bool write_failed_ = false;  ///< Of the current request.
+  /// The response ended with the connection; the write may go on.
+  bool response_ended_at_close_ = false;
   bool reusable_ = true;
   bool head_processed_ = false;
   bool skipping_response_ = false;
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -25,6 +25,9 @@
 /// Maximum number of interim responses and responses to other requests that are
 /// skipped before an exchange fails.
 constexpr int kMaxSkippedResponses = 16;
+/// Time for which a peer whose response has ended with the connection may take
+/// the rest of the request: 4 MB take 3.4 s on 10 Mbit/s.
+constexpr Duration kUnreadRequestTimeout = std::chrono::seconds(5);
 /// Keep-alive timeout assumed if the peer sends none. Peers commonly close idle
 /// connections after five seconds.
 constexpr Duration kDefaultKeepAliveTimeout = std::chrono::seconds(4);
@@ -64,7 +67,7 @@
     : address_(std::move(address)),
       number_(number),
       socket_(loop),
-      connect_timer_(loop),
+      timer_(loop),
       reader_(HttpReader::Role::kResponses, kMaxResponseHeadBytes,
               kMaxResponseBodyBytes) {}
 
@@ -81,6 +84,8 @@
   ++request_count_;
   may_have_sent_ = false;
   request_written_ = false;
+  write_failed_ = false;
+  response_ended_at_close_ = false;
   head_processed_ = false;
   skipping_response_ = false;
   skipped_responses_ = 0;
@@ -113,8 +118,8 @@
     });
     return;
   }
-  connect_timer_.expires_after(timeout);
-  connect_timer_.async_wait([this, self](const SystemError& error) {
+  timer_.expires_after(timeout);
+  timer_.async_wait([this, self](const SystemError& error) {
     if (error || open_ || IsReady(socket_.native_handle(), POLLOUT)) return;
     Close();  // Makes the connect fail.
   });
@@ -124,7 +129,7 @@
 }
 
 void ClientConnection::OnConnected(const SystemError& error) {
-  connect_timer_.cancel();
+  timer_.cancel();
   if (!busy_) return;
   const bool too_late =
       send_before_.has_value() && BootClockNow() >= *send_before_;
@@ -156,12 +161,18 @@
   boost::asio::async_write(
       socket_, buffers,
       [this, self, head, body](const SystemError& error, std::size_t) {
-        // The pending read reports an error as well, after the bytes that the
-        // peer has sent.
-        if (!error) request_written_ = true;
+        OnWritten(error);
       });
 }
 
+void ClientConnection::OnWritten(const SystemError& error) {
+  // The exchange goes on: the peer may have responded before. But the kernel
+  // reports a reset only once, so that the read may find an orderly end.
+  request_written_ = !error;
+  write_failed_ = static_cast<bool>(error);
+  if (busy_ && response_ended_at_close_) FinishAtClose();
+}
+
 void ClientConnection::Read() {
   if (reading_ || reading_paused_) return;
   reading_ = true;
@@ -194,15 +205,8 @@
     return;
   }
   if (error) {
-    const bool clean_eof = error == boost::asio::error::eof;
     reusable_ = false;
-    if (clean_eof && head_processed_ && !skipping_response_ &&
-        Ok(reader_.OnEndOfStream())) {
-      DeliverBody();
-      if (busy_) FinishExchange(ClientExchangeResult::kCompleteAtClose);
-      return;
-    }
-    FinishExchange(ClientExchangeResult::kConnectionLost);
+    OnEndOfStream(error == boost::asio::error::eof);
     return;
   }
   const Status status =
@@ -216,6 +220,37 @@
   if (open_) Read();
 }
 
+void ClientConnection::OnEndOfStream(bool is_orderly) {
+  const bool is_whole = is_orderly && head_processed_ && !skipping_response_ &&
+                        Ok(reader_.OnEndOfStream());
+  if (!is_whole) {
+    FinishExchange(ClientExchangeResult::kConnectionLost);
+    return;
+  }
+  DeliverBody();
+  if (!busy_) return;
+  response_ended_at_close_ = true;
+  if (request_written_ || write_failed_) {
+    FinishAtClose();
+  } else {
+    AwaitWritten();
+  }
+}
+
+void ClientConnection::AwaitWritten() {
+  // If the peer doesn't take the rest of the request, a reset follows.
+  timer_.expires_after(kUnreadRequestTimeout);
+  timer_.async_wait(
+      [this, self = shared_from_this()](const SystemError& error) {
+        if (!error && busy_) FinishExchange(ClientExchangeResult::kInvalid);
+      });
+}
+
+void ClientConnection::FinishAtClose() {
+  FinishExchange(write_failed_ ? ClientExchangeResult::kConnectionLost
+                               : ClientExchangeResult::kCompleteAtClose);
+}
+
 void ClientConnection::ProcessInput() {
   while (busy_ && reader_.has_head()) {
     if (!head_processed_) {
@@ -273,7 +308,7 @@
 void ClientConnection::Close() {
   open_ = false;
   reusable_ = false;
-  connect_timer_.cancel();
+  timer_.cancel();
   SystemError ignored;  // The socket is unusable in either case.
   socket_.close(ignored);
 }
--- a/src/libpollenledge/connection/client_connection_test.cc
+++ b/src/libpollenledge/connection/client_connection_test.cc
@@ -189,6 +189,96 @@
       ClientExchangeResult::kConnectionLost);
 }
 
+/// A peer that answers an upload without a length while most of it is unread,
+/// and then ends the connection.
+class EarlyResponseTest : public ::testing::Test {
+ protected:
+  enum class End : std::uint8_t { kReset, kOrderlyAndRead, kOrderlyAndUnread };
+
+  static constexpr std::size_t kUploadBytes = std::size_t{4} * 1024 * 1024;
+  static constexpr int kRepeats = 40;
+
+  /// Returns how the exchange ended.
+  ClientExchangeResult Upload(End end) {
+    loop_.restart();
+    tcp::socket peer(peer_loop_);
+    auto connection = std::make_shared<ClientConnection>(
+        loop_,
+        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()));
+    std::optional<ClientExchangeResult> result;
+    ExchangeHandlers handlers;
+    handlers.on_head = [](const HttpHead&) { return true; };
+    handlers.on_body = [](const std::string&) {};
+    handlers.on_finished = [&](ClientExchangeResult r) { result = r; };
+    connection->Start(
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kUploadBytes) +
+            "\r\n\r\n",
+        "POST", std::chrono::seconds(5), std::move(handlers), std::nullopt,
+        std::make_shared<const std::string>(kUploadBytes, 'x'));
+    acceptor_.accept(peer);
+    while (peer.available() == 0) loop_.run_one();
+    boost::asio::write(
+        peer,
+        boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nhalf a body")));
+    if (end == End::kReset) {
+      // The client reads the head and the part, and goes on writing.
+      loop_.run_for(std::chrono::milliseconds(2));
+      peer.set_option(boost::asio::socket_base::linger(true, 0));
+      peer.close();
+    } else {
+      peer.shutdown(tcp::socket::shutdown_send);
+    }
+    if (end == End::kOrderlyAndUnread) {
+      loop_.run_for(std::chrono::milliseconds(2));
+      EXPECT_FALSE(result.has_value()) << "a reset may still follow";
+      peer.close();  // With unread bytes, this resets the connection.
+    }
+    if (peer.is_open()) peer.non_blocking(true);
+    std::vector<char> buffer(std::size_t{64} * 1024);
+    while (!result.has_value()) {
+      loop_.run_for(std::chrono::milliseconds(1));
+      if (!peer.is_open()) continue;
+      SystemError ignored;  // The end of the upload, or nothing to read yet.
+      peer.read_some(boost::asio::buffer(buffer), ignored);
+    }
+    return *result;
+  }
+
+  /// Returns how many of the exchanges ended in `result`.
+  int CountEnds(End end, ClientExchangeResult result) {
+    int count = 0;
+    for (int i = 0; i < kRepeats; ++i) count += Upload(end) == result ? 1 : 0;
+    return count;
+  }
+
+  boost::asio::io_context loop_;
+  boost::asio::io_context peer_loop_;  ///< Never runs.
+  tcp::acceptor acceptor_{
+      peer_loop_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
+};
+
+// Guards against a part of a response that is taken for the whole: the write of
+// the request learns of the reset, and the read then finds an orderly end
+// (MIXED).
+TEST_F(EarlyResponseTest, IsCutOffByAReset) {
+  EXPECT_EQ(CountEnds(End::kReset, ClientExchangeResult::kConnectionLost),
+            kRepeats);
+}
+
+// Guards against a response that is taken for whole before the peer, which has
+// ended its side in order, resets the connection (MIXED).
+TEST_F(EarlyResponseTest, IsCutOffByAResetThatFollowsAnOrderlyEnd) {
+  EXPECT_EQ(
+      CountEnds(End::kOrderlyAndUnread, ClientExchangeResult::kConnectionLost),
+      kRepeats);
+}
+
+TEST_F(EarlyResponseTest, IsWholeIfThePeerTakesTheRestOfTheRequest) {
+  EXPECT_EQ(
+      CountEnds(End::kOrderlyAndRead, ClientExchangeResult::kCompleteAtClose),
+      kRepeats);
+}
+
 /// More connections than one call of the poll returns, to a peer whose kernel
 /// establishes them while this loop is late.
 class LateLoopTest : public ::testing::Test {
