Callers: what waits in the kernel for the node is bounded

They sent many large bodies at once, most of them short of their end.

Cause: ByteBudget counts what the process holds. What it hasn't read, or what a client hasn't taken, is in the kernel's buffers, which nothing bounded: 128 KB a connection to begin with, megabytes once it was read quickly. They take the same machine's memory. Class: a sum that leaves out one of the places where the bytes wait.

Change: the listening sockets set the sizes of both buffers, which accepted and waiting connections inherit; the receive buffer grows for a body that the account has made room for, up to 256 KB. Connections to upstreams, other nodes, the store and the cloud have 128 KB each way. No client inside the limits of the pages meets a refusal by this; a sender waits for its window.

Not shown: that this is what ended the users' process. The own interface's threads (pollen_entry) are not touched by this.

--- a/src/include/pollenledge/connection/caller_connection.h
+++ b/src/include/pollenledge/connection/caller_connection.h
@@ -77,6 +77,12 @@
 /// Not thread-safe; use it only on the event loop's thread.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
+  /// Sizes of the kernel's buffers of each connection. The kernel doubles them
+  /// for its own use. All connections together can fill them, so they are far
+  /// smaller than the kernel would choose.
+  static constexpr int kReceiveBufferBytes = 16 * 1024;
+  static constexpr int kSendBufferBytes = 32 * 1024;
+
   CallerConnection(boost::asio::ip::tcp::socket socket,
                    std::shared_ptr<const CallerHandlers> handlers);
   ~CallerConnection();
@@ -166,6 +172,9 @@
   bool Hold(ByteBudget::Stage stage, std::size_t bytes);
   /// Counts what the reader holds. Returns false if the node holds too much.
   bool HoldReader();
+  /// Lets at least `bytes` of a request wait in the kernel, and no fewer than
+  /// `kReceiveBufferBytes`.
+  void SetReceiveBuffer(std::size_t bytes);
   void UpdateActivity();
   void Send(std::string bytes);
   void Flush();
@@ -216,6 +225,7 @@
   TimePoint output_progress_at_;  ///< When the caller last took output.
   TimePoint read_at_;             ///< When bytes were last read.
   std::optional<TimePoint> armed_deadline_;
+  int receive_buffer_bytes_ = kReceiveBufferBytes;
   std::size_t held_body_bytes_ = 0;  ///< Of the request, as in the budget.
   std::size_t discarded_bytes_ = 0;
   bool head_admitted_ = false;
--- a/src/libpollenledge/connection/caller_connection.cc
+++ b/src/libpollenledge/connection/caller_connection.cc
@@ -27,6 +27,9 @@
 constexpr std::size_t kOutputBlockBytes = std::size_t{16} * 1024;
 constexpr std::size_t kMaxBuffersPerWrite = 16;
 constexpr std::size_t kMinTrimBytes = std::size_t{128} * 1024;
+/// Maximum size of the kernel's buffer for a body that the account has room
+/// for.
+constexpr std::size_t kMaxReceiveBufferBytes = std::size_t{256} * 1024;
 /// Maximum size of pipelined requests read while a response is pending.
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{64} * 1024;
 /// Memory for a chunked body is requested in steps of this size.
@@ -185,6 +188,7 @@
     state_ = State::kAwaitingResponse;
     keep_alive_ = reader_.keep_alive();
     UpdateActivity();
+    SetReceiveBuffer(0);
     std::string body = reader_.TakeBody();
     handlers_->on_request(shared_from_this(), reader_.head(), std::move(body));
     return;
@@ -217,12 +221,23 @@
   if (!HoldReceived()) return false;
   if (const std::optional<std::size_t> size = reader_.announced_body_bytes())
     reader_.ReserveBody(*size);
+  // The account has room for these bytes, wherever they wait.
+  SetReceiveBuffer(std::min(held_body_bytes_, kMaxReceiveBufferBytes));
   const std::string* expect = head.Find("Expect");
   if (expect != nullptr && EqualsIgnoreCase(*expect, "100-continue"))
     Send("HTTP/1.1 100 Continue\r\n\r\n");
   return open_;
 }
 
+void CallerConnection::SetReceiveBuffer(std::size_t bytes) {
+  const int size = std::max(kReceiveBufferBytes, static_cast<int>(bytes));
+  if (size == receive_buffer_bytes_) return;
+  receive_buffer_bytes_ = size;
+  SystemError ignored;  // A failure only increases latency.
+  socket_.set_option(boost::asio::socket_base::receive_buffer_size(size),
+                     ignored);
+}
+
 bool CallerConnection::HoldReader() {
   // The owner copies the head.
   return Hold(ByteBudget::Stage::kReader,
--- a/src/libpollenledge/connection/caller_server.cc
+++ b/src/libpollenledge/connection/caller_server.cc
@@ -30,6 +30,11 @@
   if (!Ok(endpoint)) throw std::runtime_error(ErrorOf(endpoint).message);
   acceptor_.open(Value(endpoint).protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  // Accepted sockets inherit the sizes, also while they wait to be accepted.
+  acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(
+      CallerConnection::kReceiveBufferBytes));
+  acceptor_.set_option(boost::asio::socket_base::send_buffer_size(
+      CallerConnection::kSendBufferBytes));
   acceptor_.bind(Value(endpoint));
   acceptor_.listen(kListenBacklog);
   Accept();
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -22,6 +22,9 @@
 /// one megabyte, and encoding makes it a third larger.
 constexpr std::size_t kMaxResponseHeadBytes = std::size_t{32} * 1024;
 constexpr std::size_t kMaxResponseBodyBytes = std::size_t{64} * 1024 * 1024;
+/// Size of the kernel's buffers of a connection, in each direction. What waits
+/// there takes the machine's memory besides what this process holds.
+constexpr int kSocketBufferBytes = 128 * 1024;
 /// Maximum number of interim responses and responses to other requests that are
 /// skipped before an exchange fails.
 constexpr int kMaxSkippedResponses = 16;
@@ -142,6 +145,12 @@
   open_ = true;
   SystemError ignored;  // A failure only increases latency.
   socket_.set_option(tcp::no_delay(true), ignored);
+  // On failure the kernel chooses sizes of up to some megabytes.
+  socket_.set_option(
+      boost::asio::socket_base::receive_buffer_size(kSocketBufferBytes),
+      ignored);
+  socket_.set_option(
+      boost::asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
   Read();
   Write();
 }
