Own interface: callers that stop short of their end give way to those that wait

The process lived; all its threads waited.

Cause: a thread reads one body at a time and waits for its caller for the whole timeout (10 s), as does one that discards a refused body or waits for the next head. Class: a resource of all callers that one of them holds by doing nothing.

Change: while connections wait for a thread, a body of which less than 4 KB came in a second is cut off (408, not run), the one that stood still for longest first and no more of them than callers wait; a head has a second, and no idle connection keeps a thread. A body whose bytes this process has not read yet is passed over. Without waiting callers all is as before.

Left: a caller that sends 4 KB a second still holds its thread.

--- a/src/libpollenledge/connection/http_server.cc
+++ b/src/libpollenledge/connection/http_server.cc
@@ -10,8 +10,12 @@
 #include <Poco/ThreadPool.h>
 #include <poll.h>
 
+#include <algorithm>
+#include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <istream>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <ostream>
@@ -31,6 +35,122 @@
 constexpr std::size_t kMaxDiscardedBytes = 16UL << 20;
 constexpr Duration kMaxDiscardTime = std::chrono::seconds(2);
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
+/// While connections wait for a thread, a caller that sends less than
+/// `kProgressStepBytes` in this time may lose its thread to one of them.
+constexpr Duration kStallBound = std::chrono::seconds(1);
+constexpr std::size_t kProgressStepBytes = std::size_t{4} * 1024;
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+// The request bodies that threads of one server are reading. Thread-safe; its
+// lock is taken last.
+class BodyReads {
+ public:
+  using Id = std::uint64_t;
+
+  Id Begin(const Poco::Net::StreamSocket& socket) {
+    const std::lock_guard lock(mutex_);
+    reads_.emplace(++last_id_, Read{socket, std::chrono::steady_clock::now()});
+    return last_id_;
+  }
+
+  void OnProgress(Id id, std::size_t bytes) {
+    const std::lock_guard lock(mutex_);
+    Read& read = reads_.at(id);
+    read.unrecorded_bytes += bytes;
+    if (read.unrecorded_bytes < kProgressStepBytes) return;
+    read.unrecorded_bytes = 0;
+    read.progress_at = std::chrono::steady_clock::now();
+  }
+
+  // Returns false if the rest of the body was cut off by `EndStalled`.
+  bool End(Id id) {
+    const std::lock_guard lock(mutex_);
+    const bool is_cut = reads_.at(id).is_cut;
+    reads_.erase(id);
+    return !is_cut;
+  }
+
+  // Ends at most `count` reads that stand still, the longest first.
+  void EndStalled(int count, SteadyTime now) {
+    const std::lock_guard lock(mutex_);
+    std::multimap<SteadyTime, Read*> stalled;
+    for (auto& [id, read] : reads_) {
+      const bool is_stalled = now - read.progress_at >= kStallBound &&
+                              !IsReady(read.socket.impl()->sockfd(), POLLIN);
+      if (is_stalled && !read.is_cut) stalled.emplace(read.progress_at, &read);
+    }
+    for (const auto& [progress_at, read] : stalled) {
+      if (count-- <= 0) return;
+      Cut(read);
+    }
+  }
+
+ private:
+  struct Read {
+    Poco::Net::StreamSocket socket;
+    SteadyTime progress_at;
+    std::size_t unrecorded_bytes = 0;
+    bool is_cut = false;
+  };
+
+  // The thread reads the end of the stream and can still send a response.
+  static void Cut(Read* read) {
+    read->is_cut = true;
+    try {
+      read->socket.shutdownReceive();
+    } catch (const Poco::Exception&) {
+      // The caller has closed the connection meanwhile.
+    }
+  }
+
+  std::mutex mutex_;
+  std::map<Id, Read> reads_;
+  Id last_id_ = 0;
+};
+
+// The body reads of the server to which the current thread belongs; null in
+// other threads.
+thread_local BodyReads* thread_body_reads = nullptr;
+
+// Registers the read of one body, in a thread of a server.
+class BodyReadScope {
+ public:
+  explicit BodyReadScope(Poco::Net::HTTPServerRequest& request)
+      : reads_(thread_body_reads) {
+    auto* known = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&request);
+    if (known == nullptr) reads_ = nullptr;
+    if (reads_ != nullptr) id_ = reads_->Begin(known->socket());
+  }
+  ~BodyReadScope() { Finish(); }
+  BodyReadScope(const BodyReadScope&) = delete;
+  BodyReadScope& operator=(const BodyReadScope&) = delete;
+
+  void OnProgress(std::size_t bytes) {
+    if (reads_ != nullptr) reads_->OnProgress(id_, bytes);
+  }
+  // Returns false if the rest of the body was cut off.
+  bool Finish() {
+    BodyReads* reads = std::exchange(reads_, nullptr);
+    return reads == nullptr || reads->End(id_);
+  }
+
+ private:
+  BodyReads* reads_;
+  BodyReads::Id id_ = 0;
+};
+
+void DiscardBody(std::istream& in, BodyReadScope* scope) {
+  const auto deadline = std::chrono::steady_clock::now() + kMaxDiscardTime;
+  char buffer[kProgressStepBytes];
+  std::size_t discarded_bytes = 0;
+  while (in.good() && discarded_bytes < kMaxDiscardedBytes &&
+         std::chrono::steady_clock::now() < deadline) {
+    in.read(buffer, sizeof buffer);
+    scope->OnProgress(static_cast<std::size_t>(in.gcount()));
+    discarded_bytes += static_cast<std::size_t>(in.gcount());
+  }
+}
 
 // Shuts down connections whose first request's header is not received in time.
 // The server's receive timeout alone does not limit a caller that sends single
@@ -38,8 +158,13 @@
 // overdue.
 class HeaderTimeoutFilter : public Poco::Net::TCPServerConnectionFilter {
  public:
-  explicit HeaderTimeoutFilter(Duration timeout)
-      : timeout_(timeout), thread_([this] { CloseOverdueConnections(); }) {}
+  // `count_waiting` returns how many connections wait for a thread.
+  HeaderTimeoutFilter(Duration timeout, BodyReads* body_reads,
+                      std::function<int()> count_waiting)
+      : timeout_(timeout),
+        body_reads_(body_reads),
+        count_waiting_(std::move(count_waiting)),
+        thread_([this] { CloseOverdueConnections(); }) {}
 
   bool accept(const Poco::Net::StreamSocket& socket) override {
     const std::lock_guard lock(mutex_);
@@ -57,6 +182,9 @@
     }
   }
 
+  // Returns true if connections wait for a thread.
+  bool HasWaiting() const { return count_waiting_() > 0; }
+
   void Stop() {
     {
       const std::lock_guard lock(mutex_);
@@ -87,7 +215,12 @@
     std::unique_lock lock(mutex_);
     while (!stopping_) {
       wakeup_.wait_for(lock, kSweepInterval, [this] { return stopping_; });
-      const auto accepted_before = std::chrono::steady_clock::now() - timeout_;
+      const SteadyTime now = std::chrono::steady_clock::now();
+      const int waiting = count_waiting_();
+      body_reads_->EndStalled(waiting, now);
+      const Duration timeout =
+          waiting > 0 ? std::min(timeout_, kStallBound) : timeout_;
+      const auto accepted_before = now - timeout;
       for (std::size_t i = 0; i < pending_.size();) {
         if (pending_[i].accepted_at > accepted_before ||
             WaitsForServer(&pending_[i])) {
@@ -106,6 +239,8 @@
   }
 
   const Duration timeout_;
+  BodyReads* body_reads_;
+  std::function<int()> count_waiting_;
   std::mutex mutex_;
   std::condition_variable wakeup_;
   std::vector<PendingConnection> pending_;
@@ -113,27 +248,21 @@
   std::thread thread_;
 };
 
-void DiscardBody(std::istream& in) {
-  const auto deadline = std::chrono::steady_clock::now() + kMaxDiscardTime;
-  char buffer[16 * 1024];
-  std::size_t discarded_bytes = 0;
-  while (in.good() && discarded_bytes < kMaxDiscardedBytes &&
-         std::chrono::steady_clock::now() < deadline) {
-    in.read(buffer, sizeof buffer);
-    discarded_bytes += static_cast<std::size_t>(in.gcount());
-  }
-}
-
 class RequestHandler : public Poco::Net::HTTPRequestHandler {
  public:
   RequestHandler(const BoundedHttpServer::Handler& handle,
-                 HeaderTimeoutFilter* header_timeout)
-      : handle_(handle), header_timeout_(header_timeout) {}
+                 HeaderTimeoutFilter* header_timeout, BodyReads* body_reads)
+      : handle_(handle),
+        header_timeout_(header_timeout),
+        body_reads_(body_reads) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
     header_timeout_->OnHeader(
         dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket());
+    thread_body_reads = body_reads_;
+    // An idle connection holds a thread.
+    if (header_timeout_->HasWaiting()) response.setKeepAlive(false);
     try {
       handle_(request, response);
     } catch (const std::exception& error) {
@@ -145,22 +274,27 @@
  private:
   const BoundedHttpServer::Handler& handle_;
   HeaderTimeoutFilter* header_timeout_;
+  BodyReads* body_reads_;
 };
 
 class RequestHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
   RequestHandlerFactory(BoundedHttpServer::Handler handle,
-                        HeaderTimeoutFilter* header_timeout)
-      : handle_(std::move(handle)), header_timeout_(header_timeout) {}
+                        HeaderTimeoutFilter* header_timeout,
+                        BodyReads* body_reads)
+      : handle_(std::move(handle)),
+        header_timeout_(header_timeout),
+        body_reads_(body_reads) {}
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest&) override {
-    return new RequestHandler(handle_, header_timeout_);
+    return new RequestHandler(handle_, header_timeout_, body_reads_);
   }
 
  private:
   BoundedHttpServer::Handler handle_;
   HeaderTimeoutFilter* header_timeout_;
+  BodyReads* body_reads_;
 };
 
 }  // namespace
@@ -169,14 +303,17 @@
  public:
   Impl(const Options& options, Handler handle)
       : threads_(2, options.threads),
-        header_timeout_(new HeaderTimeoutFilter(options.timeout)),
+        header_timeout_(new HeaderTimeoutFilter(
+            options.timeout, &body_reads_, [this] { return CountWaiting(); })),
         server_(
-            new RequestHandlerFactory(std::move(handle), header_timeout_.get()),
+            new RequestHandlerFactory(std::move(handle), header_timeout_.get(),
+                                      &body_reads_),
             threads_,
             Poco::Net::ServerSocket(Poco::Net::SocketAddress(options.address)),
             MakeParams(options)) {
     server_.setConnectionFilter(header_timeout_);
     server_.start();
+    running_ = &server_;
   }
 
   ~Impl() {
@@ -198,6 +335,14 @@
     return params;
   }
 
+  // Returns how many connections wait for a thread.
+  int CountWaiting() const {
+    const Poco::Net::HTTPServer* server = running_;
+    return server == nullptr ? 0 : server->queuedConnections();
+  }
+
+  std::atomic<const Poco::Net::HTTPServer*> running_ = nullptr;
+  BodyReads body_reads_;
   Poco::ThreadPool threads_;
   Poco::AutoPtr<HeaderTimeoutFilter> header_timeout_;
   Poco::Net::HTTPServer server_;
@@ -217,24 +362,30 @@
       "the body is larger than " + std::to_string(max_bytes) + " bytes"};
   const bool has_length = request.hasContentLength();
   std::istream& in = request.stream();
+  BodyReadScope scope(request);
   if (has_length && request.getContentLength64() > max_bytes) {
-    DiscardBody(in);
+    DiscardBody(in, &scope);
     return too_large;
   }
   std::string body;
-  char buffer[16 * 1024];
+  char buffer[kProgressStepBytes];
   try {
     while (in.good()) {
       in.read(buffer, sizeof buffer);
+      scope.OnProgress(static_cast<std::size_t>(in.gcount()));
       body.append(buffer, static_cast<std::size_t>(in.gcount()));
       if (static_cast<std::int64_t>(body.size()) > max_bytes) {
-        DiscardBody(in);
+        DiscardBody(in, &scope);
         return too_large;
       }
     }
   } catch (const Poco::Exception&) {
     return Error{ErrorCode::kUnavailable, "the body did not arrive in time"};
   }
+  if (!scope.Finish()) {
+    return Error{ErrorCode::kUnavailable,
+                 "the body stood still while other callers waited"};
+  }
   if (has_length &&
       static_cast<std::int64_t>(body.size()) < request.getContentLength64()) {
     return Error{ErrorCode::kUnavailable, "the body was truncated"};
--- a/src/libpollenledge/connection/http_server_test.cc
+++ b/src/libpollenledge/connection/http_server_test.cc
@@ -111,6 +111,71 @@
   EXPECT_GE(std::chrono::steady_clock::now() - start, kWork / 2);
 }
 
+/// A server whose timeout is far longer than a test, and that reads bodies.
+class StalledBodies : public ::testing::Test {
+ protected:
+  static constexpr int kLength = 100;
+
+  /// Sends a head with that length and `sent` bytes of the body.
+  StreamSocket ConnectAndSend(int sent) const {
+    StreamSocket socket(Poco::Net::SocketAddress(
+        "127.0.0.1", static_cast<Poco::UInt16>(server_.port())));
+    socket.setReceiveTimeout(Poco::Timespan(20, 0));
+    SendText(&socket, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                          std::to_string(kLength) + "\r\n\r\n" +
+                          std::string(static_cast<std::size_t>(sent), 'x'));
+    return socket;
+  }
+
+  static void SendText(StreamSocket* socket, const std::string& text) {
+    socket->sendBytes(text.data(), static_cast<int>(text.size()));
+  }
+
+  /// Returns the status of the response; 0 if there is none.
+  static int ReceiveStatus(StreamSocket* socket) {
+    constexpr std::size_t kStatusAt = 9;
+    std::array<char, 1024> buffer{};
+    try {
+      const int size =
+          socket->receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      const std::string text(buffer.data(), static_cast<std::size_t>(size));
+      return text.size() < kStatusAt + 3 ? 0
+                                         : std::stoi(text.substr(kStatusAt, 3));
+    } catch (const Poco::Exception&) {
+      return 0;
+    }
+  }
+
+  BoundedHttpServer server_{
+      {"127.0.0.1:0", kThreads, std::chrono::minutes(10)},
+      [](Poco::Net::HTTPServerRequest& request,
+         Poco::Net::HTTPServerResponse& response) {
+        const Result<std::string> body = ReadBody(request, kLength);
+        SendHttpResponse(response, Ok(body) ? 200 : 408, "text/plain", "done");
+      }};
+};
+
+// Guards against callers that hold all threads by bodies which stop short of
+// their end, so that no other caller is served (issue 62).
+TEST_F(StalledBodies, GiveWayToCallersThatWait) {
+  constexpr int kCrowd = 2 * kThreads;
+  std::vector<StreamSocket> crowd;
+  crowd.reserve(kCrowd);
+  for (int i = 0; i < kCrowd; ++i)
+    crowd.push_back(ConnectAndSend(kLength - 1));
+  StreamSocket ordinary = ConnectAndSend(kLength);
+  EXPECT_EQ(ReceiveStatus(&ordinary), 200);
+  EXPECT_EQ(ReceiveStatus(&crowd.front()), 408);
+}
+
+// Guards against a slow caller that is cut off though nobody needs its thread.
+TEST_F(StalledBodies, GoOnWhileNobodyWaits) {
+  StreamSocket caller = ConnectAndSend(kLength - 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  SendText(&caller, "x");
+  EXPECT_EQ(ReceiveStatus(&caller), 200);
+}
+
 // Guards against connections on which nothing is ever sent.
 TEST_F(BoundedHttpServerTest, ASilentConnectionIsClosed) {
   StreamSocket caller = Connect();
