Own interface: a chunked body whose caller has gone isn't taken for whole

What callers could see: a request was run with a part of its body.

Cause: Poco takes the end of a connection for the end of a chunked body, within a chunk and before the last one.

Change: after a chunked body, ReadBody asks whether the caller has ended its side; if so the request isn't run (408).

Bodies with a length were compared with it already.

--- a/src/libpollenledge/connection/http_server.cc
+++ b/src/libpollenledge/connection/http_server.cc
@@ -248,6 +248,15 @@
   std::thread thread_;
 };
 
+// Returns true if the caller has ended its side of the connection.
+bool HasCallerEnded(Poco::Net::HTTPServerRequest& request) {
+  auto* known = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&request);
+  if (known == nullptr) return false;
+  Poco::Net::StreamSocket& socket = known->socket();
+  return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) &&
+         socket.available() == 0;
+}
+
 class RequestHandler : public Poco::Net::HTTPRequestHandler {
  public:
   RequestHandler(const BoundedHttpServer::Handler& handle,
@@ -390,6 +399,10 @@
       static_cast<std::int64_t>(body.size()) < request.getContentLength64()) {
     return Error{ErrorCode::kUnavailable, "the body was truncated"};
   }
+  // Poco takes the end of the connection for the end of a chunked body.
+  const bool is_chunked = request.getChunkedTransferEncoding();
+  if (is_chunked && HasCallerEnded(request))
+    return Error{ErrorCode::kUnavailable, "the body may be truncated"};
   return body;
 }
 
--- a/src/libpollenledge/connection/http_server_test.cc
+++ b/src/libpollenledge/connection/http_server_test.cc
@@ -161,13 +161,29 @@
   constexpr int kCrowd = 2 * kThreads;
   std::vector<StreamSocket> crowd;
   crowd.reserve(kCrowd);
-  for (int i = 0; i < kCrowd; ++i)
-    crowd.push_back(ConnectAndSend(kLength - 1));
+  for (int i = 0; i < kCrowd; ++i) crowd.push_back(ConnectAndSend(kLength - 1));
   StreamSocket ordinary = ConnectAndSend(kLength);
   EXPECT_EQ(ReceiveStatus(&ordinary), 200);
   EXPECT_EQ(ReceiveStatus(&crowd.front()), 408);
 }
 
+// Guards against a request that is run with a part of its body, because its
+// caller went away in the middle of a chunk.
+TEST_F(StalledBodies, AChunkedBodyThatIsCutIsNotWhole) {
+  for (const char* part : {"5\r\nab", "5\r\nabcde\r\n", "5\r\nabcde\r\n0"}) {
+    SCOPED_TRACE(part);
+    StreamSocket caller(Poco::Net::SocketAddress(
+        "127.0.0.1", static_cast<Poco::UInt16>(server_.port())));
+    caller.setReceiveTimeout(Poco::Timespan(20, 0));
+    SendText(&caller,
+             std::string("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                         "chunked\r\n\r\n") +
+                 part);
+    caller.shutdownSend();
+    EXPECT_NE(ReceiveStatus(&caller), 200);
+  }
+}
+
 // Guards against a slow caller that is cut off though nobody needs its thread.
 TEST_F(StalledBodies, GoOnWhileNobodyWaits) {
   StreamSocket caller = ConnectAndSend(kLength - 1);
