--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -109,15 +109,14 @@
     Log(LogLevel::kInfo, "dependency_regained", {{"dependency", "store"}});
   }
   const StoreItem& found = Value(item);
-  if (!found.entry.has_value()) {
+  const auto index =
+      found.entry.has_value() ? DecodeIndex(*found.entry) : nullptr;
+  if (index == nullptr) {
     submit_(forward_event::TablesReadFailed{started});
-    return;
-  }
-  if (const auto index = DecodeIndex(*found.entry)) {
-    submit_(forward_event::TablesRead{index, started, may_lack_writes_()});
   } else {
-    submit_(forward_event::TablesReadFailed{started});
+    submit_(forward_event::TablesRead{index, started, may_lack_writes_()});
   }
+  if (!found.entry.has_value()) return;
   // The entry's own revision may be older than the history that the store has.
   watch_.OnReadSucceeded(
       std::max(found.store_revision, found.entry->mod_revision));
