--- a/src/libpollenledge/connection/http_server.cc
+++ b/src/libpollenledge/connection/http_server.cc
@@ -15,7 +15,6 @@
 #include <condition_variable>
 #include <functional>
 #include <istream>
-#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <ostream>
@@ -23,6 +22,7 @@
 #include <utility>
 #include <vector>
 
+#include "pollenledge/connection/body_reads.h"
 #include "pollenledge/connection/socket_readiness.h"
 #include "pollenledge/process/log.h"
 
@@ -35,79 +35,8 @@
 constexpr std::size_t kMaxDiscardedBytes = 16UL << 20;
 constexpr Duration kMaxDiscardTime = std::chrono::seconds(2);
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
-/// While connections wait for a thread, a caller that sends less than
-/// `kProgressStepBytes` in this time may lose its thread to one of them.
-constexpr Duration kStallBound = std::chrono::seconds(1);
-constexpr std::size_t kProgressStepBytes = std::size_t{4} * 1024;
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
-// The request bodies that threads of one server are reading. Thread-safe; its
-// lock is taken last.
-class BodyReads {
- public:
-  using Id = std::uint64_t;
-
-  Id Begin(const Poco::Net::StreamSocket& socket) {
-    const std::lock_guard lock(mutex_);
-    reads_.emplace(++last_id_, Read{socket, std::chrono::steady_clock::now()});
-    return last_id_;
-  }
-
-  void OnProgress(Id id, std::size_t bytes) {
-    const std::lock_guard lock(mutex_);
-    Read& read = reads_.at(id);
-    read.unrecorded_bytes += bytes;
-    if (read.unrecorded_bytes < kProgressStepBytes) return;
-    read.unrecorded_bytes = 0;
-    read.progress_at = std::chrono::steady_clock::now();
-  }
-
-  // Returns false if the rest of the body was cut off by `EndStalled`.
-  bool End(Id id) {
-    const std::lock_guard lock(mutex_);
-    const bool is_cut = reads_.at(id).is_cut;
-    reads_.erase(id);
-    return !is_cut;
-  }
-
-  // Ends at most `count` reads that stand still, the longest first.
-  void EndStalled(int count, SteadyTime now) {
-    const std::lock_guard lock(mutex_);
-    std::multimap<SteadyTime, Read*> stalled;
-    for (auto& [id, read] : reads_) {
-      const bool is_stalled = now - read.progress_at >= kStallBound &&
-                              !IsReady(read.socket.impl()->sockfd(), POLLIN);
-      if (is_stalled && !read.is_cut) stalled.emplace(read.progress_at, &read);
-    }
-    for (const auto& [progress_at, read] : stalled) {
-      if (count-- <= 0) return;
-      Cut(read);
-    }
-  }
-
- private:
-  struct Read {
-    Poco::Net::StreamSocket socket;
-    SteadyTime progress_at;
-    std::size_t unrecorded_bytes = 0;
-    bool is_cut = false;
-  };
-
-  // The thread reads the end of the stream and can still send a response.
-  static void Cut(Read* read) {
-    read->is_cut = true;
-    try {
-      read->socket.shutdownReceive();
-    } catch (const Poco::Exception&) {
-      // The caller has closed the connection meanwhile.
-    }
-  }
-
-  std::mutex mutex_;
-  std::map<Id, Read> reads_;
-  Id last_id_ = 0;
-};
+using SteadyTime = BodyReads::SteadyTime;
 
 // The body reads of the server to which the current thread belongs; null in
 // other threads.
@@ -120,14 +49,17 @@
       : reads_(thread_body_reads) {
     auto* known = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&request);
     if (known == nullptr) reads_ = nullptr;
-    if (reads_ != nullptr) id_ = reads_->Begin(known->socket());
+    if (reads_ != nullptr) {
+      id_ = reads_->Begin(known->socket(), std::chrono::steady_clock::now());
+    }
   }
   ~BodyReadScope() { Finish(); }
   BodyReadScope(const BodyReadScope&) = delete;
   BodyReadScope& operator=(const BodyReadScope&) = delete;
 
   void OnProgress(std::size_t bytes) {
-    if (reads_ != nullptr) reads_->OnProgress(id_, bytes);
+    if (reads_ == nullptr) return;
+    reads_->OnProgress(id_, bytes, std::chrono::steady_clock::now());
   }
   // Returns false if the rest of the body was cut off.
   bool Finish() {
@@ -142,7 +74,7 @@
 
 void DiscardBody(std::istream& in, BodyReadScope* scope) {
   const auto deadline = std::chrono::steady_clock::now() + kMaxDiscardTime;
-  char buffer[kProgressStepBytes];
+  char buffer[BodyReads::kProgressStepBytes];
   std::size_t discarded_bytes = 0;
   while (in.good() && discarded_bytes < kMaxDiscardedBytes &&
          std::chrono::steady_clock::now() < deadline) {
@@ -217,9 +149,9 @@
       wakeup_.wait_for(lock, kSweepInterval, [this] { return stopping_; });
       const SteadyTime now = std::chrono::steady_clock::now();
       const int waiting = count_waiting_();
-      body_reads_->EndStalled(waiting, now);
+      body_reads_->CutStalled(waiting, now);
       const Duration timeout =
-          waiting > 0 ? std::min(timeout_, kStallBound) : timeout_;
+          waiting > 0 ? std::min(timeout_, BodyReads::kStallBound) : timeout_;
       const auto accepted_before = now - timeout;
       for (std::size_t i = 0; i < pending_.size();) {
         if (pending_[i].accepted_at > accepted_before ||
@@ -377,7 +309,7 @@
     return too_large;
   }
   std::string body;
-  char buffer[kProgressStepBytes];
+  char buffer[BodyReads::kProgressStepBytes];
   try {
     while (in.good()) {
       in.read(buffer, sizeof buffer);
