CONFIG: a held request counts as queued, and waits for a part of its route's time

Change: queued_requests counts held requests. They wait for a third of the time to their deadline, by the route's timeout as well, 500 ms at most.

The test's model took each deadline from the tables at the arrival. All its checks stand: each request ends once, at its deadline at the latest.

--- a/src/include/pollenledge/process/held_requests.h
+++ b/src/include/pollenledge/process/held_requests.h
@@ -22,10 +22,12 @@
   /// Maximum time for which a request waits. It covers a read of the store
   /// whose first call is lost.
   static constexpr Duration kMaxWait = std::chrono::milliseconds(500);
-  /// Maximum wait as a share of the caller's remaining time.
+  /// Maximum wait as a share of the time that the request has.
   static constexpr int kMaxWaitDivisor = 3;
 
-  void Add(const forward_event::RequestArrived& arrived, TimePoint now);
+  /// `time_left` is the time until the request's deadline.
+  void Add(const forward_event::RequestArrived& arrived, Duration time_left,
+           TimePoint now);
   /// Returns false if the request is not held.
   bool Remove(ForwardId id);
   std::vector<HeldRequest> TakeAll();
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -325,7 +325,7 @@
 }
 
 std::size_t ForwardNode::queued_requests() const {
-  std::size_t queued = 0;
+  std::size_t queued = held_requests_.size();
   for (const auto& [key, queue] : queues_) queued += queue.size();
   return queued;
 }
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -229,7 +229,11 @@
          {"peer_version", std::to_string(peer_tables_version_)},
          {"tables_age_ms", FormatTablesAge()}}});
   }
-  held_requests_.Add(arrived, now());
+  const ForwardSpec& spec = arrived.spec;
+  const ForwardingRoute* route = tables_index_->FindRoute(spec.host, spec.path);
+  Duration time_left = spec.time_left.value_or(Duration::max());
+  if (route != nullptr) time_left = std::min(time_left, route->timeout);
+  held_requests_.Add(arrived, time_left, now());
   Emit(forward_action::ReadTables{});
 }
 
--- a/src/libpollenledge/process/held_requests.cc
+++ b/src/libpollenledge/process/held_requests.cc
@@ -7,10 +7,9 @@
 namespace pollenledge {
 
 void HeldRequests::Add(const forward_event::RequestArrived& arrived,
-                       TimePoint now) {
-  Duration wait = kMaxWait;
-  if (arrived.spec.time_left.has_value())
-    wait = std::min(wait, *arrived.spec.time_left / kMaxWaitDivisor);
+                       Duration time_left, TimePoint now) {
+  const Duration wait =
+      std::min<Duration>(kMaxWait, time_left / kMaxWaitDivisor);
   const HeldRequest held{arrived, now, now + wait};
   next_due_ = std::min(held.release_at, next_due_.value_or(held.release_at));
   requests_.push_back(held);
--- a/src/libpollenledge/test_support/random_forward_changes.h
+++ b/src/libpollenledge/test_support/random_forward_changes.h
@@ -105,10 +105,58 @@
 
   // Time and events.
 
+  /// A request that the node holds until its tables are confirmed is decided by
+  /// those that it then has, so that its route may have another timeout.
+  void FollowHeldRequests(const ForwardEvent& event,
+                          const std::vector<ForwardAction>& actions) {
+    if (const auto* arrived =
+            std::get_if<forward_event::RequestArrived>(&event)) {
+      const bool is_held = std::any_of(
+          actions.begin(), actions.end(), [](const ForwardAction& action) {
+            return std::holds_alternative<forward_action::ReadTables>(action);
+          });
+      if (is_held) held_[arrived->id] = {arrived->spec, now_};
+      return;
+    }
+    const bool are_released = std::any_of(
+        actions.begin(), actions.end(), [](const ForwardAction& action) {
+          const auto* line = std::get_if<forward_action::WriteLogLine>(&action);
+          return line != nullptr &&
+                 line->event == std::string("requests_released");
+        });
+    if (!are_released) return;
+    const bool are_due_only =
+        std::holds_alternative<forward_event::Ticked>(event);
+    std::erase_if(held_, [&](const auto& entry) {
+      const auto& [id, held] = entry;
+      if (are_due_only && now_ < ReleaseTime(id, held)) return false;
+      const auto found = checker_.open().find(id);
+      if (found != checker_.open().end())
+        ApplyRoute(held.spec, held.arrived_at, &found->second);
+      return true;
+    });
+  }
+
+  struct Held {
+    ForwardSpec spec;
+    TimePoint arrived_at;
+  };
+
+  /// Returns when the node decides on a held request at the latest.
+  TimePoint ReleaseTime(ForwardId id, const Held& held) {
+    const auto found = checker_.open().find(id);
+    if (found == checker_.open().end()) return now_;
+    const Duration time_left = found->second.deadline - held.arrived_at;
+    return held.arrived_at +
+           std::min<Duration>(HeldRequests::kMaxWait,
+                              time_left / HeldRequests::kMaxWaitDivisor);
+  }
+
   void Submit(const ForwardEvent& event) {
     checker_.BeforeEvent(event, now_);
     const std::vector<ForwardAction> actions =
         node_.Handle(event, {now_, WallTime()});
+    FollowHeldRequests(event, actions);
     checker_.AfterEvent(event, actions, node_);
     for (const ForwardAction& action : actions) {
       if (const auto* lookup =
@@ -175,20 +223,25 @@
   }
 
   void Track(ForwardId id, const ForwardSpec& spec) {
-    const ForwardingRoute* route =
-        node_.tables_index()->FindRoute(spec.host, spec.path);
     OpenRequest request;
     request.deadline = now_ + RandomTables::kLongestTimeout;
-    if (route != nullptr) {
-      request.deadline =
-          now_ +
-          std::min(route->timeout, spec.time_left.value_or(route->timeout));
-      request.is_stream = route->kind == RouteKind::kStreaming;
-    }
+    ApplyRoute(spec, now_, &request);
     request.last_event_id = spec.last_event_id.value_or(0);
     checker_.Add(id, request);
   }
 
+  /// Sets what the node's tables say of the request.
+  void ApplyRoute(const ForwardSpec& spec, TimePoint arrived_at,
+                  OpenRequest* request) const {
+    const ForwardingRoute* route =
+        node_.tables_index()->FindRoute(spec.host, spec.path);
+    if (route == nullptr) return;
+    request->deadline =
+        arrived_at +
+        std::min(route->timeout, spec.time_left.value_or(route->timeout));
+    request->is_stream = route->kind == RouteKind::kStreaming;
+  }
+
   static Fingerprint ContentFingerprint(const std::string& content) {
     return ComputeFingerprint({content});
   }
@@ -456,6 +509,7 @@
   bool is_cut_ = false;  ///< No upstream can be reached.
   std::vector<forward_action::LookUpStream> lookups_;
   std::vector<UpstreamId> probes_;
+  std::map<ForwardId, Held> held_;  ///< Not decided by the node yet.
 };
 
 }  // namespace pollenledge::testing
