Logs: how far a failed read of the tables got, and what a node knew of its peers' tables

The logs could not tell a store that doesn't answer from one whose answer is on its way when the call is given up, nor whether a node had heard of later tables when it sent a request by its own.

No decision changes.

--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -21,6 +21,17 @@
   HttpClient::Callback callback;
   std::shared_ptr<ClientConnection> connection;
   HttpResponse response;
+  std::string content_length;  ///< As the response's head states it.
+
+  /// Describes for a log how far the call got.
+  std::string DescribeProgress() const {
+    if (connection == nullptr || !connection->may_have_sent())
+      return "not connected";
+    if (response.status == 0) return "no byte of the response";
+    return std::to_string(response.body.size()) + " of " +
+           (content_length.empty() ? "?" : content_length) +
+           " bytes of the response's body";
+  }
 
   void Finish(Result<HttpResponse> result) {
     timer.cancel();
@@ -44,10 +55,11 @@
         }
         pool->CloseIdleTo(pending->connection->address());
         const bool sent = pending->connection->may_have_sent();
+        const std::string progress = pending->DescribeProgress();
         pending->connection->Abort();
         pending->Finish(
             Error{sent ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
-                  "no response within the timeout"});
+                  "no response within the timeout: " + progress});
       });
 }
 
@@ -77,6 +89,9 @@
     if (const std::string* type = head.Find("Content-Type")) {
       pending->response.content_type = *type;
     }
+    if (const std::string* length = head.Find("Content-Length")) {
+      pending->content_length = *length;
+    }
     pending->response.fields = head.fields;
     return true;
   };
--- a/src/libpollenledge/connection/http_client_test.cc
+++ b/src/libpollenledge/connection/http_client_test.cc
@@ -53,6 +53,7 @@
     for (int i = 0; i < kCalls; ++i) {
       client_.Call(call, [this](const Result<HttpResponse>& response) {
         ++(Ok(response) ? succeeded_ : failed_);
+        if (!Ok(response)) last_error_ = ErrorOf(response).message;
       });
     }
     while (!all_received_) loop_.poll_one();
@@ -90,6 +91,7 @@
   std::atomic<bool> finished_ = false;
   int succeeded_ = 0;
   int failed_ = 0;
+  std::string last_error_;
 };
 
 // Guards against a node that takes the store for lost, and so its tables and
@@ -110,6 +112,9 @@
   BeLate();
   FinishCalls();
   EXPECT_EQ(failed_, kCalls);
+  EXPECT_EQ(last_error_,
+            "no response within the timeout: 1 of 2 bytes of the response's "
+            "body");
 }
 
 }  // namespace
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -16,6 +16,19 @@
 /// Delay before a failed read is retried, shorter than the time until the next
 /// periodic read.
 constexpr Duration kReadRetryDelay = std::chrono::milliseconds(300);
+/// A read that takes longer is logged.
+constexpr Duration kSlowRead = std::chrono::milliseconds(300);
+
+void LogReadEnd(Duration took, const Result<StoreItem>& item) {
+  if (!Ok(item)) {
+    Log(LogLevel::kWarn, "tables_read_failed",
+        {{"took_ms", FormatMilliseconds(took)},
+         {"error", ErrorOf(item).message}});
+  } else if (took >= kSlowRead) {
+    Log(LogLevel::kInfo, "tables_read_slow",
+        {{"took_ms", FormatMilliseconds(took)}});
+  }
+}
 
 }  // namespace
 
@@ -88,6 +101,7 @@
   read_started_at_ = started;
   store_->Read(key_, [this, started](const Result<StoreItem>& item) {
     read_in_progress_ = false;
+    LogReadEnd(BootClockNow() - started, item);
     OnRead(started, item);
     const bool is_final =
         Ok(item) && Value(item).entry.has_value() && !may_lack_writes_();
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -187,6 +187,8 @@
        tables == nullptr ? "none" : std::to_string(tables->tables().version)});
   fields.push_back({"tables_age_ms", FormatTablesAge()});
   fields.push_back({"tables_confirmed_by", tables_confirmed_by_});
+  fields.push_back(
+      {"peer_tables_version", std::to_string(peer_tables_version_)});
   LogRequest(level, event, request, std::move(fields));
 }
 
