CONFIG: the answer to a slow read of the store is no longer thrown away

What callers saw: where callers' bytes fill a node's link, its reads of the tables fail one after the other while the store answers each of them. Requests are handled by tables that were replaced seconds ago, and those with a key are refused.

Cause: a call ended after 900 ms with the reset of its connection, and each idle one beside it was closed. The next read opened a connection and asked anew. If the two round trips need longer than that, no read ever ends, for as long as it lasts: a livelock by a timeout that discards progress.

A failed call closes only connections that were not used since it began. A node whose reads take long begins them earlier (TablesTimes::MaxAge), so that a read of up to 1.1 s ends within a bound of 3 s. The hedge moved from the adapter to the library (HedgedCall).

Ruled out: a longer timeout alone, as held requests and the bindings of streams wait for the error of a read, and StoreContact counts an outage from it.

--- a/src/include/pollenledge/connection/async_store.h
+++ b/src/include/pollenledge/connection/async_store.h
@@ -108,6 +108,22 @@
     restore_callbacks_.push_back(std::move(callback));
   }
 
+  /// Receives the result of a read whose callback had been given an error
+  /// before. The result is as of `sent_at` or later.
+  using LateReadCallback = std::function<void(
+      const std::string& key, const StoreItem& item, TimePoint sent_at)>;
+  using LateListingCallback = std::function<void(
+      const std::string& prefix, const StoreListing&, TimePoint sent_at)>;
+
+  /// Adds a callback for the late results of reads.
+  void OnLateRead(LateReadCallback callback) {
+    late_read_callbacks_.push_back(std::move(callback));
+  }
+  /// Adds a callback for the late results of listings.
+  void OnLateListing(LateListingCallback callback) {
+    late_listing_callbacks_.push_back(std::move(callback));
+  }
+
   /// Reads one key. The read is linearizable.
   virtual void Read(const std::string& key, Callback<StoreItem> callback) = 0;
   /// Reads all entries under `prefix`, page by page. Each page is a
@@ -139,10 +155,24 @@
       callback(responded, sent_at);
     }
   }
+  void NotifyLateRead(const std::string& key, const StoreItem& item,
+                      TimePoint sent_at) {
+    for (const LateReadCallback& callback : late_read_callbacks_) {
+      callback(key, item, sent_at);
+    }
+  }
+  void NotifyLateListing(const std::string& prefix, const StoreListing& listing,
+                         TimePoint sent_at) {
+    for (const LateListingCallback& callback : late_listing_callbacks_) {
+      callback(prefix, listing, sent_at);
+    }
+  }
 
  private:
   std::vector<ContactCallback> contact_callbacks_;
   std::vector<std::function<void()>> restore_callbacks_;
+  std::vector<LateReadCallback> late_read_callbacks_;
+  std::vector<LateListingCallback> late_listing_callbacks_;
 };
 
 }  // namespace pollenledge
--- a/src/include/pollenledge/connection/client_connection.h
+++ b/src/include/pollenledge/connection/client_connection.h
@@ -186,9 +186,10 @@
   /// Returns a connection to the pool after its exchange. Drops it if it is not
   /// reusable.
   void Release(std::shared_ptr<ClientConnection> connection);
-  /// Closes all idle connections to `address`. Call this after a connection to
-  /// it failed, because the same cause may have left the others unresponsive.
-  void CloseIdleTo(const std::string& address);
+  /// Closes the idle connections to `address` that no exchange has used since
+  /// `unused_since`. Call this after an exchange with it that began then has
+  /// failed, because the same cause may have left these unresponsive.
+  void CloseIdleTo(const std::string& address, TimePoint unused_since);
   /// Closes the connections that have been idle beyond their keep-alive
   /// timeout.
   void CloseIdle(TimePoint now);
--- a/src/include/pollenledge/process/config_sync.h
+++ b/src/include/pollenledge/process/config_sync.h
@@ -52,6 +52,8 @@
   void Read();
   /// Revisions of the running watch are out of date; the next read continues.
   void OnRestored();
+  /// A read that started at `started` has ended, or its result came late.
+  void OnReadEnded(TimePoint started, const Result<StoreItem>& item);
   void OnRead(TimePoint started, const Result<StoreItem>& item);
   void OnChanges(const StoreChanges& changes);
   /// Reads soon: the read starts the next watch.
@@ -68,6 +70,7 @@
   MayLackWrites may_lack_writes_;
   bool read_in_progress_ = false;
   TimePoint read_started_at_;
+  Duration read_time_{0};  ///< That the last read took.
   Submit submit_;
   boost::asio::steady_timer read_timer_;
   StoreWatch watch_;
--- a/src/include/pollenledge/process/tables_times.h
+++ b/src/include/pollenledge/process/tables_times.h
@@ -23,8 +23,10 @@
   /// How often a node checks the age of its confirmation.
   Duration check_interval{0};
 
-  /// Returns the age from which on a check begins a read.
-  Duration max_age() const { return read_period - check_interval; }
+  /// Returns the age from which on a check begins a read, if reads take
+  /// `read_time` at present. A node whose reads take long begins them earlier,
+  /// so that they end at the same age.
+  Duration MaxAge(Duration read_time) const;
 
   friend bool operator==(const TablesTimes&, const TablesTimes&) = default;
 };
--- a/src/libpollenledge/connection/client_connection.cc
+++ b/src/libpollenledge/connection/client_connection.cc
@@ -401,13 +401,16 @@
   idle_[connection->address()].push_back(std::move(connection));
 }
 
-void ClientConnectionPool::CloseIdleTo(const std::string& address) {
+void ClientConnectionPool::CloseIdleTo(const std::string& address,
+                                       TimePoint unused_since) {
   const auto found = idle_.find(address);
   if (found == idle_.end()) return;
-  for (const auto& connection : found->second) {
+  std::erase_if(found->second, [&](const auto& connection) {
+    if (connection->idle_since() >= unused_since) return false;
     if (connection->reusable()) connection->Abort();
-  }
-  idle_.erase(found);
+    return true;
+  });
+  if (found->second.empty()) idle_.erase(found);
 }
 
 void ClientConnectionPool::CloseIdle(TimePoint now) {
--- a/src/libpollenledge/connection/http_client.cc
+++ b/src/libpollenledge/connection/http_client.cc
@@ -12,13 +12,18 @@
 /// waits for the event loop.
 constexpr Duration kUnreadResponseRecheck = std::chrono::milliseconds(5);
 
-/// A call in progress.
+/// A call in progress, or one that has timed out and may still be answered.
 struct PendingCall {
-  PendingCall(boost::asio::io_context& loop, HttpClient::Callback done)
-      : timer(loop), callback(std::move(done)) {}
+  PendingCall(boost::asio::io_context& loop, HttpClient::Callback done,
+              HttpClient::LateCallback late)
+      : timer(loop),
+        callback(std::move(done)),
+        late_callback(std::move(late)) {}
 
   boost::asio::steady_timer timer;
-  HttpClient::Callback callback;
+  HttpClient::Callback callback;  ///< Empty once the call has ended.
+  HttpClient::LateCallback late_callback;
+  TimePoint started_at = BootClockNow();
   std::shared_ptr<ClientConnection> connection;
   HttpResponse response;
   std::string content_length;  ///< As the response's head states it.
@@ -33,16 +38,30 @@
            " bytes of the response's body";
   }
 
-  void Finish(Result<HttpResponse> result) {
-    timer.cancel();
-    connection.reset();
+  /// Ends the call; its connection may go on.
+  void End(Result<HttpResponse> result) {
     // The callback may own the object that owns this call.
     const HttpClient::Callback done = std::exchange(callback, nullptr);
     if (done) done(std::move(result));
   }
+
+  /// The connection has ended the exchange.
+  void Finish(Result<HttpResponse> result) {
+    timer.cancel();
+    connection.reset();
+    const HttpClient::LateCallback late = std::exchange(late_callback, nullptr);
+    if (callback != nullptr) {
+      End(std::move(result));
+    } else if (late != nullptr && Ok(result)) {
+      late(std::move(Value(result)));
+    }
+  }
 };
 
-/// Ends `pending` after `timeout`, unless its response is being read then.
+void OnTimeout(ClientConnectionPool* pool,
+               const std::shared_ptr<PendingCall>& pending);
+
+/// Calls `OnTimeout` after `timeout`, unless the response is being read then.
 void ArmTimeout(ClientConnectionPool* pool,
                 const std::shared_ptr<PendingCall>& pending, Duration timeout) {
   pending->timer.expires_after(timeout);
@@ -51,18 +70,30 @@
         if (error || pending->connection == nullptr) return;
         if (pending->connection->HasUnhandledInput()) {
           ArmTimeout(pool, pending, kUnreadResponseRecheck);
-          return;
+        } else {
+          OnTimeout(pool, pending);
         }
-        pool->CloseIdleTo(pending->connection->address());
-        const bool sent = pending->connection->may_have_sent();
-        const std::string progress = pending->DescribeProgress();
-        pending->connection->Abort();
-        pending->Finish(
-            Error{sent ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
-                  "no response within the timeout: " + progress});
       });
 }
 
+void OnTimeout(ClientConnectionPool* pool,
+               const std::shared_ptr<PendingCall>& pending) {
+  const bool sent = pending->connection->may_have_sent();
+  const Error timed_out = {
+      sent ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
+      "no response within the timeout: " + pending->DescribeProgress()};
+  pool->CloseIdleTo(pending->connection->address(), pending->started_at);
+  const bool waits_on =
+      pending->callback != nullptr && pending->late_callback != nullptr;
+  if (waits_on) {
+    ArmTimeout(pool, pending, HttpClient::kLateResponseTime);
+    pending->End(timed_out);
+  } else {
+    pending->connection->Abort();
+    pending->Finish(timed_out);
+  }
+}
+
 std::string RenderRequest(const HttpCall& call) {
   std::string text = call.method + ' ' + call.path +
                      " HTTP/1.1\r\nHost: " + call.address + "\r\n";
@@ -77,8 +108,10 @@
 
 }  // namespace
 
-void HttpClient::Call(const HttpCall& call, Callback callback) {
-  auto pending = std::make_shared<PendingCall>(loop_, std::move(callback));
+void HttpClient::Call(const HttpCall& call, Callback callback,
+                      LateCallback late_callback) {
+  auto pending = std::make_shared<PendingCall>(loop_, std::move(callback),
+                                               std::move(late_callback));
   const Duration max_idle =
       call.new_connection ? Duration::zero() : call.timeout;
   pending->connection = pool_.Acquire(call.address, max_idle, BootClockNow());
@@ -102,7 +135,7 @@
     const bool is_complete = end == ClientExchangeResult::kComplete ||
                              end == ClientExchangeResult::kCompleteAtClose;
     if (!is_complete && pending->connection != nullptr) {
-      pool_.CloseIdleTo(pending->connection->address());
+      pool_.CloseIdleTo(pending->connection->address(), pending->started_at);
     }
     if (pending->connection != nullptr) pool_.Release(pending->connection);
     switch (end) {
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -49,13 +49,17 @@
           [this](const StoreChanges& changes) { OnChanges(changes); },
           [this](const Error&) { OnWatchEnded(); }) {
   store->OnRestored([this] { OnRestored(); });
+  store->OnLateRead([this](const std::string& read_key, const StoreItem& item,
+                           TimePoint sent_at) {
+    if (read_key == key_) OnReadEnded(sent_at, item);
+  });
 }
 
 void ConfigSync::Start() { Read(); }
 
 void ConfigSync::ReadIfDue() {
   if (read_in_progress_) return;  // Its end schedules the next check.
-  if (read_policy_.needs_read(times_.max_age(), BootClockNow())) {
+  if (read_policy_.needs_read(times_.MaxAge(read_time_), BootClockNow())) {
     Read();
   } else {
     ScheduleCheck(times_.check_interval);
@@ -101,14 +105,19 @@
   read_started_at_ = started;
   store_->Read(key_, [this, started](const Result<StoreItem>& item) {
     read_in_progress_ = false;
-    LogReadEnd(BootClockNow() - started, item);
-    OnRead(started, item);
+    OnReadEnded(started, item);
     const bool is_final =
         Ok(item) && Value(item).entry.has_value() && !may_lack_writes_();
     ScheduleCheck(is_final ? CheckDelay() : kReadRetryDelay);
   });
 }
 
+void ConfigSync::OnReadEnded(TimePoint started, const Result<StoreItem>& item) {
+  read_time_ = BootClockNow() - started;
+  LogReadEnd(read_time_, item);
+  OnRead(started, item);
+}
+
 void ConfigSync::OnRead(TimePoint started, const Result<StoreItem>& item) {
   if (!Ok(item)) {
     watch_.OnReadFailed();
--- a/src/libpollenledge/process/tables_times.cc
+++ b/src/libpollenledge/process/tables_times.cc
@@ -1,5 +1,7 @@
 #include "pollenledge/process/tables_times.h"
 
+#include <algorithm>
+
 namespace pollenledge {
 namespace {
 
@@ -8,6 +10,10 @@
 
 }  // namespace
 
+Duration TablesTimes::MaxAge(Duration read_time) const {
+  return std::max(read_period - check_interval - read_time, Duration::zero());
+}
+
 TablesTimes MakeTablesTimes(Duration bound) {
   if (bound <= Duration::zero()) bound = kDefaultBound;
   TablesTimes times;
--- a/src/libpollenledge/process/tables_times_test.cc
+++ b/src/libpollenledge/process/tables_times_test.cc
@@ -28,10 +28,11 @@
 
   /// Returns how old the confirmation is when the node begins to read by
   /// itself, if it checks at `check_offset` after the last confirmation and
-  /// then each interval.
-  Duration AgeAtRead(const TablesTimes& times, Duration check_offset) const {
+  /// then each interval. Its reads take `read_time`.
+  Duration AgeAtRead(const TablesTimes& times, Duration check_offset,
+                     Duration read_time = Duration(0)) const {
     TimePoint at = now_ + check_offset;
-    while (!node_.NeedsTablesRead(times.max_age(), at))
+    while (!node_.NeedsTablesRead(times.MaxAge(read_time), at))
       at += times.check_interval;
     return at - now_;
   }
@@ -70,11 +71,27 @@
   }
 }
 
+// Guards against a node whose reads end in time alone, but not one after the
+// other (CONFIG with full links).
+TEST(TablesTimesTest, SlowReadsBeginEarlier) {
+  const Follower follower;
+  const Duration bound = std::chrono::seconds(3);
+  const TablesTimes times = MakeTablesTimes(bound);
+  for (const Duration read_time :
+       {milliseconds(300), milliseconds(700), milliseconds(1100)}) {
+    SCOPED_TRACE(FormatMilliseconds(read_time));
+    // A confirmation is as old as its read when that ends.
+    const Duration age =
+        follower.AgeAtRead(times, read_time + times.check_interval, read_time);
+    EXPECT_LE(age + read_time, bound);
+  }
+}
+
 // Guards against a node without a bound that reads without pause.
 TEST(TablesTimesTest, WithoutABoundThereIsTimeBetweenTwoReads) {
   const TablesTimes times = MakeTablesTimes(Duration(0));
   EXPECT_GT(times.check_interval, milliseconds(50));
-  EXPECT_GT(times.max_age(), times.check_interval);
+  EXPECT_GT(times.MaxAge(Duration(0)), times.check_interval);
 }
 
 }  // namespace
--- a/src/libpollenledge/process/upstream_sync.cc
+++ b/src/libpollenledge/process/upstream_sync.cc
@@ -203,6 +203,12 @@
           [this](const StoreChanges& changes) { OnChanges(changes); },
           [this](const Error& error) { OnWatchError(error); }) {
   store->OnRestored([this] { OnRestored(); });
+  store->OnLateListing([this](const std::string& listed_prefix,
+                              const StoreListing& listing, TimePoint sent_at) {
+    // A listing from before a change that is known would undo it.
+    if (listed_prefix == prefix_ && listing.store_revision >= revision_)
+      OnListed(sent_at, listing);
+  });
   store->OnContact([this](bool responded, TimePoint sent_at) {
     if (responded) {
       directory_.OnStoreResponded(sent_at, BootClockNow());
--- a/src/platform/platform_store.cc
+++ b/src/platform/platform_store.cc
@@ -5,7 +5,6 @@
 #include <Poco/URI.h>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -22,8 +21,6 @@
 /// Timeout of a call that is not a watch. The store usually responds within a
 /// few milliseconds, but sometimes takes several hundred milliseconds.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
-/// Time after which a read that is not answered is sent once more.
-constexpr Duration kReadHedgeDelay = std::chrono::milliseconds(200);
 /// A watch times out if no response has arrived this long after its wait.
 constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(1500);
 /// Grows by one each time the store is restored from an older copy.
@@ -161,14 +158,25 @@
       call_observer_(std::move(observer)) {}
 
 void PlatformStore::Call(const char* kind, HttpCall call,
-                         HttpClient::Callback callback) {
+                         HttpClient::Callback callback,
+                         HttpClient::LateCallback late_callback) {
   call.address = address_;
   // A watch that ends shows nothing: the store cuts waiting ones at any time.
   const bool is_watch = std::string_view(kind) == kWatchCall;
   const TimePoint sent_at = BootClockNow();
+  HttpClient::LateCallback on_late;
+  if (late_callback != nullptr) {
+    on_late = [this, kind, sent_at, late_callback = std::move(late_callback)](
+                  HttpResponse response) {
+      call_observer_(kind, "late");
+      NotifyContact(IsAnswered(response), sent_at);
+      if (UpdateEra(kind, response)) late_callback(std::move(response));
+    };
+  }
   client_.Call(
-      call, [this, kind, is_watch, sent_at,
-             callback = std::move(callback)](Result<HttpResponse> response) {
+      call,
+      [this, kind, is_watch, sent_at,
+       callback = std::move(callback)](Result<HttpResponse> response) {
         call_observer_(kind, OutcomeName(response));
         if (!is_watch) NotifyContact(IsAnswered(response), sent_at);
         if (Ok(response) && !UpdateEra(kind, Value(response))) {
@@ -176,49 +184,20 @@
                            "the response is of an earlier era of the store"};
         }
         callback(std::move(response));
-      });
+      },
+      std::move(on_late));
 }
 
-/// A read and the calls that were sent for it.
-struct PlatformStore::HedgedRead {
-  HedgedRead(boost::asio::io_context& loop, const char* read_kind,
-             HttpCall read_call, HttpClient::Callback on_end)
-      : kind(read_kind),
-        call(std::move(read_call)),
-        callback(std::move(on_end)),
-        hedge_timer(loop) {}
-
-  const char* kind;
-  HttpCall call;
-  HttpClient::Callback callback;  ///< Empty once the read has ended.
-  boost::asio::steady_timer hedge_timer;
-  int unanswered = 0;  ///< Calls without a response so far.
-};
-
 void PlatformStore::CallRead(const char* kind, const HttpCall& call,
-                             HttpClient::Callback callback) {
-  auto read =
-      std::make_shared<HedgedRead>(loop_, kind, call, std::move(callback));
-  read->hedge_timer.expires_after(kReadHedgeDelay);
-  read->hedge_timer.async_wait(
-      [this, read](const boost::system::error_code& error) {
-        if (error || read->callback == nullptr) return;
-        read->call.new_connection = true;
-        SendRead(read);
-      });
-  SendRead(read);
-}
-
-void PlatformStore::SendRead(const std::shared_ptr<HedgedRead>& read) {
-  ++read->unanswered;
-  Call(read->kind, read->call, [read](Result<HttpResponse> response) {
-    --read->unanswered;
-    if (read->callback == nullptr) return;
-    if (!Ok(response) && read->unanswered > 0) return;
-    read->hedge_timer.cancel();
-    const HttpClient::Callback done = std::exchange(read->callback, nullptr);
-    done(std::move(response));
-  });
+                             HttpClient::Callback callback,
+                             HedgedCall::LateCallback late_callback) {
+  HedgedCall::Start(
+      loop_, call,
+      [this, kind](const HttpCall& attempt, HttpClient::Callback on_end,
+                   HttpClient::LateCallback on_late) {
+        Call(kind, attempt, std::move(on_end), std::move(on_late));
+      },
+      std::move(callback), std::move(late_callback));
 }
 
 bool PlatformStore::IsCurrent(std::int64_t position) const {
@@ -267,26 +246,38 @@
   return true;
 }
 
+Result<StoreItem> PlatformStore::ToItem(
+    const Result<HttpResponse>& response) const {
+  if (Ok(response) && Value(response).status == kStatusNoLeaseOrKey)
+    return StoreItem{};
+  if (auto error = CheckResponse<StoreItem>(response)) return *error;
+  return ParseBody<StoreItem>(Value(response), [this](const Json& json) {
+    return StoreItem{ToEntry(json),
+                     ToPosition(json.value("as_of", std::int64_t{0}))};
+  });
+}
+
 void PlatformStore::Read(const std::string& key, Callback<StoreItem> callback) {
   CallRead(
       "read", MakeGet("/-/kv-key?key=" + EscapeQueryValue(key)),
-      [this, callback = std::move(callback)](Result<HttpResponse> response) {
-        if (Ok(response) && Value(response).status == kStatusNoLeaseOrKey) {
-          callback(StoreItem{});
-          return;
-        }
-        if (auto error = CheckResponse<StoreItem>(response)) {
-          callback(*error);
-          return;
-        }
-        callback(
-            ParseBody<StoreItem>(Value(response), [this](const Json& json) {
-              return StoreItem{ToEntry(json), ToPosition(json.value(
-                                                  "as_of", std::int64_t{0}))};
-            }));
+      [this, callback = std::move(callback)](
+          const Result<HttpResponse>& response) { callback(ToItem(response)); },
+      [this, key](const Result<HttpResponse>& response, TimePoint sent_at) {
+        const Result<StoreItem> item = ToItem(response);
+        if (Ok(item)) NotifyLateRead(key, Value(item), sent_at);
       });
 }
 
+Result<PlatformStore::Page> PlatformStore::ToPage(
+    const Result<HttpResponse>& response) const {
+  if (auto error = CheckResponse<Page>(response)) return *error;
+  return ParseBody<Page>(Value(response), [this](const Json& json) {
+    return Page{{ToEntries(json.at("entries")),
+                 ToPosition(json.at("as_of").get<std::int64_t>())},
+                json.value("has_more", false)};
+  });
+}
+
 void PlatformStore::List(const std::string& prefix,
                          Callback<StoreListing> callback) {
   ListPage(prefix, "", {}, std::move(callback));
@@ -301,45 +292,46 @@
   CallRead(
       "list", MakeGet(path),
       [this, prefix, collected = std::move(collected),
-       callback = std::move(callback)](Result<HttpResponse> response) mutable {
-        if (auto error = CheckResponse<StoreListing>(response)) {
-          callback(*error);
-          return;
-        }
-        bool has_more = false;
-        Result<StoreListing> page = ParseBody<StoreListing>(
-            Value(response), [this, &has_more](const Json& json) {
-              has_more = json.value("has_more", false);
-              return StoreListing{
-                  ToEntries(json.at("entries")),
-                  ToPosition(json.at("as_of").get<std::int64_t>())};
-            });
-        if (!Ok(page)) {
-          callback(std::move(page));
-          return;
-        }
-        if (!IsCurrent(collected.store_revision)) {
-          callback(Error{ErrorCode::kUnavailable,
-                         "the store was restored between two pages"});
-          return;
-        }
-        // A watch from the first page's revision also brings the changes made
-        // while the other pages were read.
-        if (collected.store_revision == 0) {
-          collected.store_revision = Value(page).store_revision;
-        }
-        for (KvEntry& entry : Value(page).entries) {
-          collected.entries.push_back(std::move(entry));
-        }
-        if (!has_more || collected.entries.empty()) {
-          callback(std::move(collected));
-          return;
-        }
-        const std::string last_key = collected.entries.back().key;
-        ListPage(prefix, last_key, std::move(collected), std::move(callback));
+       callback =
+           std::move(callback)](const Result<HttpResponse>& response) mutable {
+        OnPage(prefix, ToPage(response), std::move(collected),
+               std::move(callback));
+      },
+      [this, prefix, is_first = after_key.empty()](
+          const Result<HttpResponse>& response, TimePoint sent_at) {
+        const Result<Page> page = ToPage(response);
+        if (Ok(page) && is_first && !Value(page).has_more)
+          NotifyLateListing(prefix, Value(page).listing, sent_at);
       });
 }
 
+void PlatformStore::OnPage(const std::string& prefix, const Result<Page>& page,
+                           StoreListing collected,
+                           Callback<StoreListing> callback) {
+  if (!Ok(page)) {
+    callback(ErrorOf(page));
+    return;
+  }
+  if (!IsCurrent(collected.store_revision)) {
+    callback(Error{ErrorCode::kUnavailable,
+                   "the store was restored between two pages"});
+    return;
+  }
+  const StoreListing& listing = Value(page).listing;
+  // A watch from the first page's revision also brings the changes made while
+  // the other pages were read.
+  if (collected.store_revision == 0)
+    collected.store_revision = listing.store_revision;
+  collected.entries.insert(collected.entries.end(), listing.entries.begin(),
+                           listing.entries.end());
+  if (!Value(page).has_more || collected.entries.empty()) {
+    callback(std::move(collected));
+    return;
+  }
+  const std::string last_key = collected.entries.back().key;
+  ListPage(prefix, last_key, std::move(collected), std::move(callback));
+}
+
 void PlatformStore::Watch(const std::string& prefix,
                           std::int64_t after_revision, Duration wait,
                           Callback<StoreChanges> callback) {
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "pollenledge/connection/async_store.h"
+#include "pollenledge/connection/hedged_call.h"
 #include "pollenledge/connection/http_client.h"
 
 namespace pollenledge {
@@ -18,13 +19,14 @@
 /// which all its responses name.
 ///
 /// A call that is not a watch times out after 900 ms, a watch 1.5 s after its
-/// wait has passed. A read that is not answered within 200 ms is sent once more
-/// on a new connection: the first one may lead nowhere. Not thread-safe: use it
-/// on the thread of `loop`.
+/// wait has passed. Reads and listings are hedged (`HedgedCall`); results that
+/// come after they have timed out are late results. Of a listing of several
+/// pages none is reported. Not thread-safe: use it on the thread of `loop`.
 class PlatformStore : public AsyncStore {
  public:
   /// Called at the end of each call with its kind and its outcome: "ok",
-  /// "refused" (an unexpected status), "unavailable" or "unknown".
+  /// "refused" (an unexpected status), "unavailable" or "unknown"; and with
+  /// "late" when a response comes after one of the last two.
   using CallObserver =
       std::function<void(const char* call, const char* outcome)>;
 
@@ -60,18 +62,27 @@
   template <typename T>
   void Post(Callback<T> callback, Result<T> result);
   /// Sends `call` and reports its outcome under `kind` to the observer. A
-  /// response of an earlier era becomes an error.
-  void Call(const char* kind, HttpCall call, HttpClient::Callback callback);
-  /// Sends a read as `Call` does. If it is not answered soon, sends it once
-  /// more on a new connection, and takes the response that comes first.
+  /// response of an earlier era becomes an error, or is dropped if it is late.
+  void Call(const char* kind, HttpCall call, HttpClient::Callback callback,
+            HttpClient::LateCallback late_callback = nullptr);
+  /// Makes a hedged call that reads.
   void CallRead(const char* kind, const HttpCall& call,
-                HttpClient::Callback callback);
-  struct HedgedRead;
-  void SendRead(const std::shared_ptr<HedgedRead>& read);
+                HttpClient::Callback callback,
+                HedgedCall::LateCallback late_callback);
+  Result<StoreItem> ToItem(const Result<HttpResponse>& response) const;
+  /// One page of a listing.
+  struct Page {
+    StoreListing listing;
+    bool has_more = false;
+  };
+  Result<Page> ToPage(const Result<HttpResponse>& response) const;
   /// Reads the entries after `after_key` (empty: from the first), adds them to
   /// `collected` and continues until no entries are left.
   void ListPage(const std::string& prefix, const std::string& after_key,
                 StoreListing collected, Callback<StoreListing> callback);
+  /// Adds `page` to `collected`, and reads the next one if there is one.
+  void OnPage(const std::string& prefix, const Result<Page>& page,
+              StoreListing collected, Callback<StoreListing> callback);
 
   boost::asio::io_context& loop_;
   std::string address_;
