CONFIG: a node that knows of later tables doesn't serve by its own

What callers saw: a request handled by tables that had been replaced for longer than the bound, at a node that had logged tables_behind for seconds.

Cause: only refusals asked what version the peers have. After a failed read, or after the wait of 500 ms, a request was sent by tables of any age, as if nobody reached the store: "my reads fail" was taken for "the store can't be read". Class: a decision that leaves out what the process knows.

Change: if the tables were confirmed longer ago than the bound and a live peer has later ones, a request is rejected at once (503, outdated-tables, back after 0.1 s, as other nodes can serve it), and the node isn't ready, so that new connections go elsewhere. Within the bound, and where no live peer has later tables, it serves as before: a part of the fleet that is cut off stops for a peer that was lost only until the peer counts as lost.

Ruled out: the highest version that any peer ever named (peer_tables_version_), as a cut after it would stop a domain for good.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -48,7 +48,8 @@
   Duration key_freshness{0};
   /// Time within which changed tables must be active; 0: no limit. A request is
   /// refused as unknown only by tables that were confirmed more recently, and
-  /// served by older ones only if the store can't be read.
+  /// served by older ones only if the store can't be read and no live peer has
+  /// later ones.
   Duration tables_bound{0};
   /// Retries allowed per first attempt, for each service.
   double retries_per_request = 0.2;
@@ -766,6 +767,9 @@
   /// Returns true if the tables were confirmed so recently that each change
   /// that is due is in them.
   bool IsTablesAgeWithinBound(TimePoint now) const;
+  /// Returns true if a live peer has later tables than this node, which may
+  /// have been due for longer than the bound.
+  bool AreTablesOutdated(TimePoint now) const;
   /// Returns true if a change of the tables may have been due by now that this
   /// node doesn't have, and a read of the store would tell.
   bool MustConfirmTables() const;
--- a/src/libpollenledge/process/forward_late_tables_test.cc
+++ b/src/libpollenledge/process/forward_late_tables_test.cc
@@ -91,6 +91,23 @@
     return last_id_;
   }
 
+  /// A peer states the version of its tables.
+  void HearOf(std::uint64_t version) {
+    Heartbeat heartbeat;
+    MemberRecord peer;
+    peer.id = {"peer", 1};
+    peer.heartbeat = ++peer_heartbeat_;
+    peer.tables_version = version;
+    heartbeat.records = {peer};
+    Submit(forward_event::HeartbeatReceived{heartbeat});
+  }
+
+  /// Returns why the request was rejected; empty if it was not.
+  std::string RejectedFor(ForwardId id) const {
+    const auto found = rejected_.find(id);
+    return found == rejected_.end() ? "" : found->second.problem_type;
+  }
+
   void Advance(Duration time) {
     now_ += time;
     Submit(forward_event::Ticked{});
@@ -108,6 +125,7 @@
   std::map<ForwardId, NotRun> rejected_;
   int reads_ = 0;
   ForwardId last_id_ = 0;
+  std::uint64_t peer_heartbeat_ = 0;
 };
 
 // Guards against a request that a node runs as older tables allow, though the
@@ -163,6 +181,55 @@
   }
 }
 
+// Guards against a node that goes on by its own tables, though its peers have
+// told it of later ones (CONFIG with full links).
+TEST(LateTablesTest, ANodeThatKnowsOfLaterTablesDoesNotServeByItsOwn) {
+  LateTables run;
+  run.FinishRead(1, run.now_);
+  run.HearOf(2);
+  {
+    SCOPED_TRACE("within the bound both versions are in force");
+    EXPECT_EQ(run.SentTo(run.SubmitRequest()), "upstream-1");
+    EXPECT_TRUE(run.node_.IsReady(run.now_));
+  }
+  run.Advance(kTablesBound);
+  run.HearOf(2);
+  {
+    SCOPED_TRACE("a read that fails doesn't let requests through");
+    const ForwardId request = run.SubmitRequest();
+    run.FailRead(run.now_);
+    EXPECT_EQ(run.SentTo(request), "");
+    EXPECT_EQ(run.RejectedFor(request), "outdated-tables");
+  }
+  {
+    SCOPED_TRACE("the next one is rejected at once, with a time to return");
+    const ForwardId request = run.SubmitRequest();
+    EXPECT_EQ(run.RejectedFor(request), "outdated-tables");
+    EXPECT_EQ(run.rejected_.at(request).http_status, 503);
+    EXPECT_GT(run.rejected_.at(request).retry_after, Duration(0));
+    EXPECT_FALSE(run.node_.IsReady(run.now_));
+  }
+  {
+    SCOPED_TRACE("the later tables have come");
+    run.FinishRead(2, run.now_);
+    EXPECT_EQ(run.SentTo(run.SubmitRequest()), "upstream-2");
+    EXPECT_TRUE(run.node_.IsReady(run.now_));
+  }
+}
+
+// Guards against a cut-off part of the fleet that stops serving because one of
+// its nodes had later tables before it was lost.
+TEST(LateTablesTest, APeerThatIsGoneDoesNotStopANode) {
+  LateTables run;
+  run.FinishRead(1, run.now_);
+  run.HearOf(2);
+  run.Advance(kTablesBound);
+  run.FailRead(run.now_);
+  EXPECT_EQ(run.RejectedFor(run.SubmitRequest()), "outdated-tables");
+  run.Advance(2 * Membership::kSuspectTimeout);
+  EXPECT_EQ(run.SentTo(run.SubmitRequest()), "upstream-1");
+}
+
 // Guards against requests that wait for a read which does not end (incident
 // CONFIG of Kutch and SFMA).
 TEST(LateTablesTest, RequestsWaitForABoundedTime) {
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -33,8 +33,8 @@
 /// balancer probes readiness twice and stops sending new connections.
 /// Afterwards the node admits only requests whose deadline is before it stops.
 constexpr Duration kDrainAdmitAllTime = std::chrono::seconds(2);
-/// Retry-After of a request that any other node can serve.
-constexpr Duration kDrainRetryAfter = std::chrono::milliseconds(100);
+/// Retry-After of a request that other nodes can serve.
+constexpr Duration kOtherNodeRetryAfter = std::chrono::milliseconds(100);
 /// Maximum Retry-After as a share of the caller's remaining time, so that the
 /// response to the retry can still arrive in time.
 constexpr double kMaxRetryAfterShare = 1.0 / 3.0;
@@ -122,6 +122,11 @@
     return NotRun{503, "no-configuration",
                   "no configuration has been loaded yet", kDefaultRetryAfter};
   }
+  if (AreTablesOutdated(now())) {
+    return NotRun{503, "outdated-tables",
+                  "another node has later tables than this one",
+                  kOtherNodeRetryAfter};
+  }
   if (std::optional<NotRun> not_run = CheckTablesVersion(*request))
     return not_run;
   request->route =
@@ -183,7 +188,7 @@
     return std::nullopt;
   return NotRun{503, "stopping",
                 "this node may stop before the response is complete",
-                kDrainRetryAfter};
+                kOtherNodeRetryAfter};
 }
 
 bool ForwardNode::AreKeysFresh(TimePoint now) const {
@@ -296,7 +301,7 @@
     EndUnanswered(FindRequest(id), ForwardOutcome::kCancelled, "stopped",
                   NotRun{503, "stopped",
                          "this node stopped before an upstream had capacity",
-                         kDrainRetryAfter});
+                         kOtherNodeRetryAfter});
   }
 }
 
@@ -305,6 +310,7 @@
 bool ForwardNode::IsReady(TimePoint now) const {
   if (draining() || tables_index_ == nullptr || !suspects_loaded_) return false;
   if (tables_index_->requires_api_key() && !AreKeysFresh(now)) return false;
+  if (AreTablesOutdated(now)) return false;
   return !upstreams_.all().empty();
 }
 
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -214,6 +214,15 @@
   return age.has_value() && *age < options_.tables_bound;
 }
 
+bool ForwardNode::AreTablesOutdated(TimePoint now) const {
+  if (IsTablesAgeWithinBound(now)) return false;
+  const std::vector<const MemberRecord*> peers = membership_.LiveOthers(now);
+  return std::any_of(peers.begin(), peers.end(),
+                     [this](const MemberRecord* peer) {
+                       return peer->tables_version > TablesVersion();
+                     });
+}
+
 // Requests that wait until the tables are confirmed.
 
 bool ForwardNode::MustConfirmTables() const {
