--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -78,6 +78,13 @@
 struct TablesWatchUpdate {
   std::shared_ptr<const ForwardingIndex> tables;
 };
+/// The document of `ParseTables` was parsed.
+struct TablesFromPeer {
+  std::shared_ptr<const ForwardingIndex> tables;
+  std::string peer;  ///< Name of the node that sent the last part of it.
+  /// When that node's tables were last confirmed current, by this node's clock.
+  std::optional<TimePoint> confirmed_at;
+};
 /// The list of upstreams was read from the store, or changed by a store watch.
 struct UpstreamsListed {
   std::vector<ForwardUpstreamInfo> upstreams;
@@ -152,13 +159,14 @@
     forward_event::ResponseHeadReceived, forward_event::FirstEventReceived,
     forward_event::EventsForwarded, forward_event::AttemptEnded,
     forward_event::TablesRead, forward_event::TablesReadFailed,
-    forward_event::TablesWatchUpdate, forward_event::UpstreamsListed,
-    forward_event::HeartbeatReceived, forward_event::SuspectsRead,
-    forward_event::SuspectLifted, forward_event::FleetSizeRead,
-    forward_event::VersionRecordsRead, forward_event::StreamLookedUp,
-    forward_event::UpstreamProbed, forward_event::RolloutSharesConfirmed,
-    forward_event::PromptCachePolled, forward_event::DrainStarted,
-    forward_event::DrainTimedOut, forward_event::Ticked>;
+    forward_event::TablesWatchUpdate, forward_event::TablesFromPeer,
+    forward_event::UpstreamsListed, forward_event::HeartbeatReceived,
+    forward_event::SuspectsRead, forward_event::SuspectLifted,
+    forward_event::FleetSizeRead, forward_event::VersionRecordsRead,
+    forward_event::StreamLookedUp, forward_event::UpstreamProbed,
+    forward_event::RolloutSharesConfirmed, forward_event::PromptCachePolled,
+    forward_event::DrainStarted, forward_event::DrainTimedOut,
+    forward_event::Ticked>;
 
 /// Actions that a forwarding node requests in response to an event.
 namespace forward_action {
@@ -238,6 +246,13 @@
 };
 /// Read the tables from the store now, because a newer version exists.
 struct ReadTables {};
+/// Parse the document of tables that came from another node. `TablesFromPeer`
+/// follows unless it is malformed.
+struct ParseTables {
+  std::string document;
+  std::string peer;
+  std::optional<TimePoint> confirmed_at;  ///< As in `TablesFromPeer`.
+};
 /// Read the list of upstreams from the store soon, because it may have changed.
 struct ReadUpstreams {};
 /// Read the crash reports from the store now, because nodes that this one does
@@ -287,8 +302,8 @@
                  forward_action::Reject, forward_action::Fail,
                  forward_action::DeliverResponse, forward_action::CancelAttempt,
                  forward_action::SendHeartbeat, forward_action::ReadTables,
-                 forward_action::ReadUpstreams, forward_action::ReadSuspects,
-                 forward_action::PersistSuspects,
+                 forward_action::ParseTables, forward_action::ReadUpstreams,
+                 forward_action::ReadSuspects, forward_action::PersistSuspects,
                  forward_action::UpdateVersionRecords,
                  forward_action::RecordStreams, forward_action::LookUpStream,
                  forward_action::Count, forward_action::WriteLogLine>;
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -92,6 +92,8 @@
   static constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
   /// Interval between heartbeats in a small fleet.
   static constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(250);
+  /// The store delivers a version that a peer names within this time.
+  static constexpr Duration kTablesWatchTime = std::chrono::milliseconds(250);
   /// Interval at which the bindings of streams are told to peers and written to
   /// the store while a service has several versions.
   static constexpr Duration kStreamTellInterval =
@@ -310,6 +312,7 @@
   void On(const forward_event::TablesRead& read);
   void On(const forward_event::TablesReadFailed& failed);
   void On(const forward_event::TablesWatchUpdate& update);
+  void On(const forward_event::TablesFromPeer& received);
   void On(const forward_event::UpstreamsListed& listed);
   void On(const forward_event::HeartbeatReceived& received);
   void On(const forward_event::SuspectsRead& read);
@@ -758,6 +761,8 @@
   void OnStoreBehind(std::uint64_t version);
   void LogUnconfirmedTables(std::uint64_t version);
   void RecordPeerTablesVersion(std::uint64_t version);
+  /// Updates since when a peer has later tables than this node.
+  void UpdateBehindSince();
   /// Reads the store if a peer has had later tables for so long that the watch
   /// should have delivered them.
   void ReadNewerTables();
@@ -787,6 +792,21 @@
   NotRun Deny(NotRun denial) const;
   /// Applies a peer's confirmation that the active tables are current.
   void ApplyTablesConfirmation(const Heartbeat& response);
+  /// As above, of a response to what this node asked at `asked_at`.
+  void ApplyTablesConfirmation(const Heartbeat& response, TimePoint asked_at);
+
+  // Tables from other nodes.
+  /// Asks a peer for its tables if this node needs them and that is due.
+  void RequestTables();
+  /// Returns true if a peer has had later tables for so long that the store
+  /// should have delivered them, or if the store can't be read and the
+  /// confirmation of the tables grows old.
+  bool NeedsTablesFromPeer() const;
+  /// Prefers peers with later tables. Returns null if there is none with the
+  /// same or later ones.
+  const MemberRecord* ChooseTablesPeer();
+  void RespondToTablesRequest(const Heartbeat& heartbeat);
+  void OnTablesReply(const Heartbeat& heartbeat);
   /// Applies the changed upstream list and dispatches queued requests.
   void ApplyUpstreamList();
   /// Returns the counts of complete windows that no collector has accepted yet.
@@ -828,11 +848,17 @@
   std::string tables_confirmed_by_ = "none";  ///< A peer's name, or "store".
   /// The last read of the store confirmed the tables, or there was none yet.
   bool can_confirm_tables_ = true;
+  bool tables_read_failed_ = false;  ///< The last read of the store.
   HeldRequests held_requests_;
   TimePoint tables_activated_at_;
   std::uint64_t peer_tables_version_ = 0;  ///< The highest that a peer named.
   TimePoint peer_tables_version_heard_at_;
-  TimePoint tables_requested_at_;     ///< By `ReadNewerTables`.
+  /// When a peer first named a later version than the active one; empty if none
+  /// has.
+  std::optional<TimePoint> behind_since_;
+  TimePoint newer_tables_read_at_;  ///< By `ReadNewerTables`.
+  TimePoint tables_requested_at_;   ///< From a peer.
+  TablesAssembly tables_assembly_;
   std::uint64_t behind_version_ = 0;  ///< Last one logged by `OnStoreBehind`.
   WallClockEstimate wall_clock_;
   UpstreamList upstream_list_;
--- a/src/include/pollenledge/process/forward_service.h
+++ b/src/include/pollenledge/process/forward_service.h
@@ -39,6 +39,8 @@
   std::function<void()> read_suspects;
   /// Starts a read of the tables from the store; may be empty.
   std::function<void()> read_tables;
+  /// Parses the document of tables that came from another node; may be empty.
+  std::function<Result<ForwardingTables>(const std::string&)> parse_tables;
   /// Reads the list of upstreams from the store soon.
   std::function<void()> read_upstreams;
   /// Update the records of versions and streams in the store; may be empty.
@@ -154,6 +156,7 @@
   void Execute(const forward_action::CancelAttempt& cancel);
   void Execute(const forward_action::SendHeartbeat& send);
   void Execute(const forward_action::ReadTables& read);
+  void Execute(const forward_action::ParseTables& parse);
   void Execute(const forward_action::ReadSuspects& read);
   void Execute(const forward_action::ReadUpstreams& read);
   void Execute(const forward_action::PersistSuspects& persist);
--- a/src/include/pollenledge/process/membership.h
+++ b/src/include/pollenledge/process/membership.h
@@ -13,6 +13,7 @@
 #include "pollenledge/process/prompt_cache_report.h"
 #include "pollenledge/process/rate_limit_permits.h"
 #include "pollenledge/process/speed_report.h"
+#include "pollenledge/process/tables_transfer.h"
 #include "pollenledge/process/upstream_list.h"
 #include "pollenledge/process/upstream_rate_limits.h"
 #include "pollenledge/process/usage_collection.h"
@@ -174,6 +175,9 @@
   std::vector<AdmissionDemand> admission_demands;
   /// Speeds of upstreams, if the sender schedules by prediction.
   std::vector<SpeedReport> speed_reports;
+  std::optional<TablesRequest> tables_request;
+  /// With it, `tables_confirmation_age` is that of the sender's tables.
+  std::optional<TablesReply> tables_reply;
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/src/include/pollenledge/version/forwarding_tables.h
+++ b/src/include/pollenledge/version/forwarding_tables.h
@@ -156,9 +156,12 @@
 /// Immutable after construction, so that threads may share it.
 class ForwardingIndex {
  public:
-  explicit ForwardingIndex(ForwardingTables tables);
+  /// `document` are the bytes that `tables` were parsed from; empty if unknown.
+  explicit ForwardingIndex(ForwardingTables tables, std::string document = {});
 
   const ForwardingTables& tables() const { return tables_; }
+  /// The bytes from which another node can parse the same tables.
+  const std::string& document() const { return document_; }
   /// Returns the route of `host` with the longest path prefix that matches
   /// `path`; null if there is none. A port after the host is ignored.
   const ForwardingRoute* FindRoute(std::string_view host,
@@ -170,6 +173,7 @@
 
  private:
   ForwardingTables tables_;
+  std::string document_;
   /// Indices of the routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
   std::unordered_map<std::string, std::size_t> customers_by_key_;
--- a/src/libpollenledge/connection/heartbeat_codec.cc
+++ b/src/libpollenledge/connection/heartbeat_codec.cc
@@ -4,21 +4,13 @@
 
 #include "admission_codec.h"
 #include "report_codec.h"
+#include "tables_codec.h"
 #include "wire_codec.h"
 #include "wire_list.h"
 
 namespace pollenledge {
 namespace {
 
-std::int64_t ClockToWire(TimePoint at) {
-  return std::chrono::floor<std::chrono::microseconds>(at.time_since_epoch())
-      .count();
-}
-
-TimePoint ClockFromWire(std::int64_t micros) {
-  return TimePoint(std::chrono::microseconds(micros));
-}
-
 template <typename List, typename Value>
 void MessagesFromWire(const List& list, std::vector<Value>* values) {
   for (const auto message : list) values->push_back(FromWire(message));
@@ -189,6 +181,10 @@
   if (reader.hasUpstreamChanges()) {
     heartbeat.upstream_changes = FromWire(reader.getUpstreamChanges());
   }
+  if (reader.hasTablesRequest())
+    heartbeat.tables_request = FromWire(reader.getTablesRequest());
+  if (reader.hasTablesReply())
+    heartbeat.tables_reply = FromWire(reader.getTablesReply());
   return heartbeat;
 }
 
@@ -252,6 +248,10 @@
   if (heartbeat.upstream_changes.has_value()) {
     ToWire(*heartbeat.upstream_changes, builder.initUpstreamChanges());
   }
+  if (heartbeat.tables_request.has_value())
+    ToWire(*heartbeat.tables_request, builder.initTablesRequest());
+  if (heartbeat.tables_reply.has_value())
+    ToWire(*heartbeat.tables_reply, builder.initTablesReply());
 }
 
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/heartbeat_link_test.cc
+++ b/src/libpollenledge/connection/heartbeat_link_test.cc
@@ -80,6 +80,11 @@
        {{"c", 4}}}};
   heartbeat.speed_reports = {
       {77, SpeedReportKind::kSpeed, 1.5F, 3, 9, std::chrono::milliseconds(40)}};
+  heartbeat.tables_request =
+      TablesRequest{41, 42, 8192, TimePoint(std::chrono::milliseconds(5500))};
+  heartbeat.tables_reply =
+      TablesReply{TimePoint(std::chrono::milliseconds(5400)),
+                  TablesPart{42, 9000, 8192, std::string("tables\0!", 8)}};
   return heartbeat;
 }
 
--- a/src/libpollenledge/connection/peer_link.cc
+++ b/src/libpollenledge/connection/peer_link.cc
@@ -73,9 +73,7 @@
     results.setFinished(response.finished);
     results.setHttpStatus(static_cast<std::uint16_t>(response.http_status));
     results.setContentType(response.content_type);
-    results.setData(capnp::Data::Reader(
-        reinterpret_cast<const unsigned char*>(response.data.data()),
-        response.data.size()));
+    results.setData(DataToWire(response.data));
     return kj::READY_NOW;
   }
 
@@ -376,9 +374,7 @@
         response.finished = results.getFinished();
         response.http_status = results.getHttpStatus();
         response.content_type = results.getContentType();
-        const capnp::Data::Reader data = results.getData();
-        response.data.assign(reinterpret_cast<const char*>(data.begin()),
-                             data.size());
+        response.data = DataFromWire(results.getData());
       });
   if (!Ok(status)) return ErrorOf(status);
   return response;
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -265,6 +265,35 @@
   promptCaches @20 :List(PromptCacheReport);  # At most one.
   admissionLevels @21 :List(AdmissionLevel);
   rolloutShares @22 :List(RolloutShare);
+  # May be missing.
+  tablesRequest @23 :TablesRequest;
+  # The answer to one; may be missing.
+  tablesReply @24 :TablesReply;
+}
+
+# Asks for tables that are later than the sender's.
+struct TablesRequest {
+  knownVersion @0 :UInt64;
+  # The version of which the sender has the first bytes; 0 if it has none.
+  partialVersion @1 :UInt64;
+  receivedBytes @2 :UInt32;
+  # The sender's clock.
+  requestedAtMicros @3 :Int64;
+}
+
+struct TablesReply {
+  # As in the request.
+  requestedAtMicros @0 :Int64;
+  # Missing if the sender's tables are not later.
+  part @1 :TablesPart;
+}
+
+# A part of the document of one version of the tables, as the store has it.
+struct TablesPart {
+  version @0 :UInt64;
+  documentBytes @1 :UInt32;
+  offset @2 :UInt32;
+  bytes @3 :Data;
 }
 
 enum UpstreamState { live @0; leaving @1; gone @2; }
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -57,6 +57,9 @@
 CAPNP_DECLARE_SCHEMA(efae1259026186ad);
 CAPNP_DECLARE_SCHEMA(92887053021954c4);
 CAPNP_DECLARE_SCHEMA(f49ff5c110e7e6d9);
+CAPNP_DECLARE_SCHEMA(b5756aeb781a8b94);
+CAPNP_DECLARE_SCHEMA(d46fa924e209ff5d);
+CAPNP_DECLARE_SCHEMA(a9646ccd49bf6eeb);
 CAPNP_DECLARE_SCHEMA(cc43680172605054);
 enum class UpstreamState_cc43680172605054: uint16_t {
   LIVE,
@@ -553,7 +556,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 6, 16)
+    CAPNP_DECLARE_STRUCT_HEADER(f49ff5c110e7e6d9, 6, 18)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TablesRequest {
+  TablesRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b5756aeb781a8b94, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TablesReply {
+  TablesReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d46fa924e209ff5d, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TablesPart {
+  TablesPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a9646ccd49bf6eeb, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4115,6 +4163,12 @@
   inline bool hasRolloutShares() const;
   inline  ::capnp::List< ::pollenledge::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Reader getRolloutShares() const;
 
+  inline bool hasTablesRequest() const;
+  inline  ::pollenledge::wire::TablesRequest::Reader getTablesRequest() const;
+
+  inline bool hasTablesReply() const;
+  inline  ::pollenledge::wire::TablesReply::Reader getTablesReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4277,6 +4331,20 @@
   inline void adoptRolloutShares(::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RolloutShare,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenledge::wire::RolloutShare,  ::capnp::Kind::STRUCT>> disownRolloutShares();
 
+  inline bool hasTablesRequest();
+  inline  ::pollenledge::wire::TablesRequest::Builder getTablesRequest();
+  inline void setTablesRequest( ::pollenledge::wire::TablesRequest::Reader value);
+  inline  ::pollenledge::wire::TablesRequest::Builder initTablesRequest();
+  inline void adoptTablesRequest(::capnp::Orphan< ::pollenledge::wire::TablesRequest>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::TablesRequest> disownTablesRequest();
+
+  inline bool hasTablesReply();
+  inline  ::pollenledge::wire::TablesReply::Builder getTablesReply();
+  inline void setTablesReply( ::pollenledge::wire::TablesReply::Reader value);
+  inline  ::pollenledge::wire::TablesReply::Builder initTablesReply();
+  inline void adoptTablesReply(::capnp::Orphan< ::pollenledge::wire::TablesReply>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::TablesReply> disownTablesReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4296,6 +4364,282 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenledge::wire::UpstreamChanges::Pipeline getUpstreamChanges();
+  inline  ::pollenledge::wire::TablesRequest::Pipeline getTablesRequest();
+  inline  ::pollenledge::wire::TablesReply::Pipeline getTablesReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TablesRequest::Reader {
+public:
+  typedef TablesRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKnownVersion() const;
+
+  inline  ::uint64_t getPartialVersion() const;
+
+  inline  ::uint32_t getReceivedBytes() const;
+
+  inline  ::int64_t getRequestedAtMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TablesRequest::Builder {
+public:
+  typedef TablesRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKnownVersion();
+  inline void setKnownVersion( ::uint64_t value);
+
+  inline  ::uint64_t getPartialVersion();
+  inline void setPartialVersion( ::uint64_t value);
+
+  inline  ::uint32_t getReceivedBytes();
+  inline void setReceivedBytes( ::uint32_t value);
+
+  inline  ::int64_t getRequestedAtMicros();
+  inline void setRequestedAtMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TablesRequest::Pipeline {
+public:
+  typedef TablesRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TablesReply::Reader {
+public:
+  typedef TablesReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRequestedAtMicros() const;
+
+  inline bool hasPart() const;
+  inline  ::pollenledge::wire::TablesPart::Reader getPart() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TablesReply::Builder {
+public:
+  typedef TablesReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRequestedAtMicros();
+  inline void setRequestedAtMicros( ::int64_t value);
+
+  inline bool hasPart();
+  inline  ::pollenledge::wire::TablesPart::Builder getPart();
+  inline void setPart( ::pollenledge::wire::TablesPart::Reader value);
+  inline  ::pollenledge::wire::TablesPart::Builder initPart();
+  inline void adoptPart(::capnp::Orphan< ::pollenledge::wire::TablesPart>&& value);
+  inline ::capnp::Orphan< ::pollenledge::wire::TablesPart> disownPart();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TablesReply::Pipeline {
+public:
+  typedef TablesReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pollenledge::wire::TablesPart::Pipeline getPart();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TablesPart::Reader {
+public:
+  typedef TablesPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint32_t getDocumentBytes() const;
+
+  inline  ::uint32_t getOffset() const;
+
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TablesPart::Builder {
+public:
+  typedef TablesPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint32_t getDocumentBytes();
+  inline void setDocumentBytes( ::uint32_t value);
+
+  inline  ::uint32_t getOffset();
+  inline void setOffset( ::uint32_t value);
+
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TablesPart::Pipeline {
+public:
+  typedef TablesPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -10576,6 +10920,269 @@
       ::capnp::bounded<15>() * ::capnp::POINTERS));
 }
 
+inline bool NodeHeartbeat::Reader::hasTablesRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasTablesRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::TablesRequest::Reader NodeHeartbeat::Reader::getTablesRequest() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::TablesRequest::Builder NodeHeartbeat::Builder::getTablesRequest() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::TablesRequest::Pipeline NodeHeartbeat::Pipeline::getTablesRequest() {
+  return  ::pollenledge::wire::TablesRequest::Pipeline(_typeless.getPointerField(16));
+}
+#endif  // !CAPNP_LITE
+inline void NodeHeartbeat::Builder::setTablesRequest( ::pollenledge::wire::TablesRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::TablesRequest::Builder NodeHeartbeat::Builder::initTablesRequest() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::adoptTablesRequest(
+    ::capnp::Orphan< ::pollenledge::wire::TablesRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::TablesRequest> NodeHeartbeat::Builder::disownTablesRequest() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
+inline bool NodeHeartbeat::Reader::hasTablesReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHeartbeat::Builder::hasTablesReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::TablesReply::Reader NodeHeartbeat::Reader::getTablesReply() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesReply>::get(_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::TablesReply::Builder NodeHeartbeat::Builder::getTablesReply() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesReply>::get(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::TablesReply::Pipeline NodeHeartbeat::Pipeline::getTablesReply() {
+  return  ::pollenledge::wire::TablesReply::Pipeline(_typeless.getPointerField(17));
+}
+#endif  // !CAPNP_LITE
+inline void NodeHeartbeat::Builder::setTablesReply( ::pollenledge::wire::TablesReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesReply>::set(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::TablesReply::Builder NodeHeartbeat::Builder::initTablesReply() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesReply>::init(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline void NodeHeartbeat::Builder::adoptTablesReply(
+    ::capnp::Orphan< ::pollenledge::wire::TablesReply>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::TablesReply> NodeHeartbeat::Builder::disownTablesReply() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TablesRequest::Reader::getKnownVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TablesRequest::Builder::getKnownVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TablesRequest::Builder::setKnownVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TablesRequest::Reader::getPartialVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TablesRequest::Builder::getPartialVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TablesRequest::Builder::setPartialVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TablesRequest::Reader::getReceivedBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TablesRequest::Builder::getReceivedBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TablesRequest::Builder::setReceivedBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TablesRequest::Reader::getRequestedAtMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TablesRequest::Builder::getRequestedAtMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TablesRequest::Builder::setRequestedAtMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TablesReply::Reader::getRequestedAtMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TablesReply::Builder::getRequestedAtMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TablesReply::Builder::setRequestedAtMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TablesReply::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TablesReply::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenledge::wire::TablesPart::Reader TablesReply::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesPart>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollenledge::wire::TablesPart::Builder TablesReply::Builder::getPart() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesPart>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenledge::wire::TablesPart::Pipeline TablesReply::Pipeline::getPart() {
+  return  ::pollenledge::wire::TablesPart::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void TablesReply::Builder::setPart( ::pollenledge::wire::TablesPart::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesPart>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenledge::wire::TablesPart::Builder TablesReply::Builder::initPart() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesPart>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TablesReply::Builder::adoptPart(
+    ::capnp::Orphan< ::pollenledge::wire::TablesPart>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesPart>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenledge::wire::TablesPart> TablesReply::Builder::disownPart() {
+  return ::capnp::_::PointerHelpers< ::pollenledge::wire::TablesPart>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TablesPart::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TablesPart::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TablesPart::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TablesPart::Reader::getDocumentBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TablesPart::Builder::getDocumentBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TablesPart::Builder::setDocumentBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TablesPart::Reader::getOffset() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TablesPart::Builder::getOffset() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TablesPart::Builder::setOffset( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TablesPart::Reader::hasBytes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TablesPart::Builder::hasBytes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader TablesPart::Reader::getBytes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder TablesPart::Builder::getBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TablesPart::Builder::setBytes( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder TablesPart::Builder::initBytes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TablesPart::Builder::adoptBytes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> TablesPart::Builder::disownBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool RequestSpec::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/connection/wire_codec.cc
+++ b/src/libpollenledge/connection/wire_codec.cc
@@ -7,15 +7,6 @@
 
 constexpr std::int8_t kUnspecifiedRank = -1;
 
-std::string DataToString(capnp::Data::Reader data) {
-  return std::string(reinterpret_cast<const char*>(data.begin()), data.size());
-}
-
-capnp::Data::Reader StringToData(const std::string& text) {
-  return capnp::Data::Reader(
-      reinterpret_cast<const unsigned char*>(text.data()), text.size());
-}
-
 RequestSpec SpecFromWire(wire::RequestSpec::Reader reader) {
   RequestSpec spec;
   spec.customer = reader.getCustomer();
@@ -105,8 +96,8 @@
   message.request.upstream_name = upstream.name;
   message.request.upstream_incarnation = upstream.incarnation;
   message.path = reader.getPath();
-  message.body = DataToString(reader.getBody());
-  message.delivered_response = DataToString(reader.getDelivered());
+  message.body = DataFromWire(reader.getBody());
+  message.delivered_response = DataFromWire(reader.getDelivered());
   return message;
 }
 
@@ -120,8 +111,8 @@
   ToWire(UpstreamId{request.upstream_name, request.upstream_incarnation},
          builder.initUpstream());
   builder.setPath(message.path);
-  builder.setBody(StringToData(message.body));
-  builder.setDelivered(StringToData(message.delivered_response));
+  builder.setBody(DataToWire(message.body));
+  builder.setDelivered(DataToWire(message.delivered_response));
 }
 
 ListedUpstream FromWire(wire::Upstream::Reader reader) {
@@ -148,4 +139,22 @@
   return remaining.has_value() ? remaining->count() : -1;
 }
 
+std::int64_t ClockToWire(TimePoint at) {
+  return std::chrono::floor<std::chrono::microseconds>(at.time_since_epoch())
+      .count();
+}
+
+TimePoint ClockFromWire(std::int64_t micros) {
+  return TimePoint(std::chrono::microseconds(micros));
+}
+
+std::string DataFromWire(capnp::Data::Reader data) {
+  return std::string(reinterpret_cast<const char*>(data.begin()), data.size());
+}
+
+capnp::Data::Reader DataToWire(const std::string& text) {
+  return capnp::Data::Reader(
+      reinterpret_cast<const unsigned char*>(text.data()), text.size());
+}
+
 }  // namespace pollenledge
--- a/src/libpollenledge/connection/wire_codec.h
+++ b/src/libpollenledge/connection/wire_codec.h
@@ -32,4 +32,12 @@
 std::optional<Duration> RemainingFromWire(std::int64_t micros);
 std::int64_t RemainingToWire(const std::optional<Duration>& remaining);
 
+// A point of a node's monotonic clock is encoded in microseconds.
+std::int64_t ClockToWire(TimePoint at);
+TimePoint ClockFromWire(std::int64_t micros);
+
+std::string DataFromWire(capnp::Data::Reader data);
+/// The result refers to the bytes of `text`.
+capnp::Data::Reader DataToWire(const std::string& text);
+
 }  // namespace pollenledge
--- a/src/libpollenledge/process/config_sync.cc
+++ b/src/libpollenledge/process/config_sync.cc
@@ -164,8 +164,8 @@
          {"error", ErrorOf(tables).message}});
     return nullptr;
   }
-  auto index =
-      std::make_shared<const ForwardingIndex>(std::move(Value(tables)));
+  auto index = std::make_shared<const ForwardingIndex>(std::move(Value(tables)),
+                                                       entry.value);
   // A late response must not replace a newer revision.
   if (entry.mod_revision > decoded_revision_) {
     decoded_revision_ = entry.mod_revision;
--- a/src/libpollenledge/process/forward_peers.cc
+++ b/src/libpollenledge/process/forward_peers.cc
@@ -59,6 +59,11 @@
   }
   RespondToPermitRequest(heartbeat);
   ApplyPermits(heartbeat);
+  if (heartbeat.tables_request.has_value()) RespondToTablesRequest(heartbeat);
+  if (heartbeat.tables_reply.has_value()) {
+    OnTablesReply(heartbeat);
+    return;
+  }
   if (heartbeat.requests_levels) {
     RespondToQuery(heartbeat);
     return;
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -309,6 +309,20 @@
   if (options_.read_tables) options_.read_tables();
 }
 
+void ForwardService::Execute(const forward_action::ParseTables& parse) {
+  if (!options_.parse_tables) return;
+  Result<ForwardingTables> tables = options_.parse_tables(parse.document);
+  if (!Ok(tables)) {
+    Log(LogLevel::kError, "tables_rejected",
+        {{"peer", parse.peer}, {"error", ErrorOf(tables).message}});
+    return;
+  }
+  Submit(forward_event::TablesFromPeer{
+      std::make_shared<const ForwardingIndex>(std::move(Value(tables)),
+                                              parse.document),
+      parse.peer, parse.confirmed_at});
+}
+
 void ForwardService::Execute(const forward_action::ReadSuspects&) {
   if (options_.read_suspects) options_.read_suspects();
 }
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -9,10 +9,9 @@
 namespace pollenledge {
 namespace {
 
-/// A watch delivers a version that a peer names within this time. A node that
-/// still lacks it then reads the store, again after each interval.
-constexpr Duration kTablesWatchTime = std::chrono::milliseconds(250);
-constexpr Duration kTablesRequestInterval = std::chrono::milliseconds(500);
+/// A node that still lacks a version which a peer has named for longer than
+/// `kTablesWatchTime` reads the store after each interval.
+constexpr Duration kNewerTablesReadInterval = std::chrono::milliseconds(500);
 
 std::vector<CustomerLimit> CustomerLimits(const ForwardingTables& tables) {
   std::vector<CustomerLimit> limits;
@@ -38,10 +37,12 @@
     behind_version_ = 0;
     RecordTablesConfirmation(read.read_started, "store");
   }
+  tables_read_failed_ = false;
   OnTablesReadEnded(read.read_started);
 }
 
 void ForwardNode::On(const forward_event::TablesReadFailed& failed) {
+  tables_read_failed_ = true;
   OnTablesReadEnded(failed.read_started);
 }
 
@@ -91,15 +92,24 @@
   if (version <= peer_tables_version_) return;
   peer_tables_version_ = version;
   peer_tables_version_heard_at_ = now();
+  UpdateBehindSince();
+}
+
+void ForwardNode::UpdateBehindSince() {
+  if (TablesVersion() >= peer_tables_version_) {
+    behind_since_.reset();
+  } else if (!behind_since_.has_value()) {
+    behind_since_ = now();
+  }
 }
 
 void ForwardNode::ReadNewerTables() {
-  const Duration known_for = now() - peer_tables_version_heard_at_;
-  const bool is_behind = TablesVersion() < peer_tables_version_;
-  if (!is_behind || known_for < kTablesWatchTime ||
-      now() - tables_requested_at_ < kTablesRequestInterval)
+  if (!behind_since_.has_value()) return;
+  const Duration known_for = now() - *behind_since_;
+  if (known_for < kTablesWatchTime ||
+      now() - newer_tables_read_at_ < kNewerTablesReadInterval)
     return;
-  tables_requested_at_ = now();
+  newer_tables_read_at_ = now();
   Emit(forward_action::WriteLogLine{
       LogLevel::kWarn,
       "tables_behind",
@@ -146,25 +156,34 @@
   stream_versions_.OnRouteMoved(MovedServices(tables->tables()), now());
   tables_index_ = tables;
   tables_activated_at_ = now();
+  behind_since_.reset();
+  UpdateBehindSince();
   UpdateVersionRecords();
   limits_.Configure(CustomerLimits(tables_index_->tables()), now());
   UpdateLimits();
 }
 
 void ForwardNode::ApplyTablesConfirmation(const Heartbeat& response) {
-  if (!response.tables_confirmation_age.has_value() || tables_index_ == nullptr)
-    return;
   const MemberRecord& sender = response.records.front();
-  if (sender.tables_version > tables_index_->tables().version) {
+  const bool is_later = sender.tables_version > TablesVersion();
+  if (response.tables_confirmation_age.has_value() &&
+      tables_index_ != nullptr && is_later)
     Emit(forward_action::ReadTables{});
-  }
+  ApplyTablesConfirmation(response, response.queried_at);
+}
+
+void ForwardNode::ApplyTablesConfirmation(const Heartbeat& response,
+                                          TimePoint asked_at) {
+  const MemberRecord& sender = response.records.front();
   // A confirmation of another version does not apply to the active tables.
-  if (sender.tables_version != tables_index_->tables().version) return;
-  // The peer responded after this node sent the query. Counting the age of the
-  // confirmation from the time of the query gives a lower bound of when the
-  // store was read, however long the two datagrams were in transit.
-  RecordTablesConfirmation(
-      response.queried_at - *response.tables_confirmation_age, sender.id.name);
+  if (!response.tables_confirmation_age.has_value() ||
+      tables_index_ == nullptr || sender.tables_version != TablesVersion())
+    return;
+  // The peer responded after this node asked. Counting the age of the
+  // confirmation from then gives a lower bound of when the store was read,
+  // however long the two datagrams were in transit.
+  RecordTablesConfirmation(asked_at - *response.tables_confirmation_age,
+                           sender.id.name);
 }
 
 bool ForwardNode::NeedsTablesRead(Duration max_age, TimePoint now) const {
--- a/src/libpollenledge/process/forward_timeouts.cc
+++ b/src/libpollenledge/process/forward_timeouts.cc
@@ -35,6 +35,7 @@
   UpdateSpeeds();
   DispatchAllQueued();
   ReadNewerTables();
+  RequestTables();
   SendSuspectReports();
   UpdateAdmissionLevels();
   SendHeartbeats();
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -548,6 +548,8 @@
   void Execute(std::size_t, const forward_action::ReadTables&) {
     ++tables_reads;
   }
+  // The nodes of this fleet get their tables by `ReadTables` only.
+  void Execute(std::size_t, const forward_action::ParseTables&) {}
   void Execute(std::size_t node, const forward_action::ReadSuspects&) {
     ++suspects_reads;
     Schedule(kMillisecond, [this, node] {
--- a/src/libpollenledge/version/forwarding_tables.cc
+++ b/src/libpollenledge/version/forwarding_tables.cc
@@ -25,8 +25,8 @@
   return nullptr;
 }
 
-ForwardingIndex::ForwardingIndex(ForwardingTables tables)
-    : tables_(std::move(tables)) {
+ForwardingIndex::ForwardingIndex(ForwardingTables tables, std::string document)
+    : tables_(std::move(tables)), document_(std::move(document)) {
   for (std::size_t i = 0; i < tables_.routes.size(); ++i) {
     routes_by_host_[tables_.routes[i].host].push_back(i);
   }
--- a/src/platform/platform_node.cc
+++ b/src/platform/platform_node.cc
@@ -239,6 +239,7 @@
   /// Adds the callbacks that use the store.
   ForwardServiceOptions WithStoreCallbacks(ForwardServiceOptions options) {
     options.read_tables = [this] { config_sync_.ReadNow(); };
+    options.parse_tables = DecodeTables;
     options.read_upstreams = [this] { upstream_sync_.ListSoon(); };
     options.persist_suspects = [this](const std::vector<CrashReport>& crashes) {
       suspect_sync_.AddCrashes(crashes);
--- a/testsuite/platform_cut.py
+++ b/testsuite/platform_cut.py
@@ -1,25 +1,40 @@
-"""A platform on which one of the nodes has no path to any upstream."""
+"""Platforms on which one of the nodes is cut off from a part of the others."""
 
 import json
 
 from platform_standins import Platform, Store, config, free_port
 
 
-class CutPlatform(Platform):
-    """A platform whose first node has no path to any upstream."""
+class StoreOfOneNode(Platform):
+    """A platform whose first node has a store of its own, with the same tables and upstreams
+    at first."""
 
     def __enter__(self):
-        self.cut_store = Store()
+        self.own_store = Store()
         super().__enter__()
-        self.cut_store.put("op/config", config(1))
+        self.own_store.put("op/config", config(1))
         for runner in self.runners:
-            self.cut_store.put(f"servers/{runner.name}", json.dumps(
-                {"service": "work", "address": f"127.0.0.1:{free_port()}", "zone": "a", "state": "ready",
-                 "version": runner.version, "batch_slots": 8, "born": runner.start_count}))
+            self.own_store.put(f"servers/{runner.name}", self.entry_in_own_store(runner))
         node = self.nodes[0]
         node.kill()
         text = node.settings.read_text()
-        node.settings.write_text(text.replace(self.store.address, self.cut_store.address))
+        node.settings.write_text(text.replace(self.store.address, self.own_store.address))
         node.start()
         self.wait_until(lambda: node.readiness_status() == 200)
         return self
+
+    def entry_in_own_store(self, runner):
+        return self.store.items[f"servers/{runner.name}"][0]
+
+
+class CutPlatform(StoreOfOneNode):
+    """A platform whose first node has no path to any upstream."""
+
+    @property
+    def cut_store(self):
+        return self.own_store
+
+    def entry_in_own_store(self, runner):
+        return json.dumps(
+            {"service": "work", "address": f"127.0.0.1:{free_port()}", "zone": "a", "state": "ready",
+             "version": runner.version, "batch_slots": 8, "born": runner.start_count})
