platform_relay_late_copies: the cut node's upstreams have ports that stay closed

Traced: the upstreams that the cut node must not reach had the addresses of ports that were free when the case began. Once anything listens there (another case beside it, or a connect to a free port of the ephemeral range that meets itself), the node's probe succeeds, it has a path, and relays nothing more.

Evidence: a trial that opens listeners at these ports before the third row prints the very rows of the failure.

Change: CutPlatform holds the ports (ClosedPort: bound, never listening). The case and what it expects are as they were.

--- a/testsuite/platform_cut.py
+++ b/testsuite/platform_cut.py
@@ -2,7 +2,7 @@
 
 import json
 
-from platform_standins import Platform, Store, config, free_port
+from platform_standins import ClosedPort, Platform, Store, config
 
 
 class StoreOfOneNode(Platform):
@@ -30,11 +30,16 @@
 class CutPlatform(StoreOfOneNode):
     """A platform whose first node has no path to any upstream."""
 
+    def __enter__(self):
+        self.closed_ports = []
+        return super().__enter__()
+
     @property
     def cut_store(self):
         return self.own_store
 
     def entry_in_own_store(self, runner):
+        self.closed_ports.append(ClosedPort())
         return json.dumps(
-            {"service": "work", "address": f"127.0.0.1:{free_port()}", "zone": "a", "state": "ready",
+            {"service": "work", "address": self.closed_ports[-1].address, "zone": "a", "state": "ready",
              "version": runner.version, "batch_slots": 8, "born": runner.start_count})
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -43,6 +43,16 @@
                 continue
 
 
+class ClosedPort:
+    """A port at which connects fail for as long as this object lives. One that is only free may be
+    taken by another case, or by the connecting socket itself."""
+
+    def __init__(self, host="127.0.0.1"):
+        self.holder = socket.socket()
+        self.holder.bind((host, 0))
+        self.address = f"{host}:{self.holder.getsockname()[1]}"
+
+
 class Server(ThreadingHTTPServer):
     """An HTTP server that does not report connections lost to killed clients."""
 
