CONFIG: a relayed request is decided by the tables that its node knows

What callers could see: at a node that relays its requests, a route that moves to its new service, back and forth, while the other nodes activate a version one after the other (the rule's "a machine regresses").

Cause: each node decided a relayed request by its own tables, if these were the same or later ones. So the version went by which node was chosen.

Change: a node keeps the tables that it replaced within the last second (16 at most) and decides a relayed request by the version that the sending node names, if that is among them. The node that the request arrived at answers for its age: its own tables only grow, and it rejects what they no longer allow. Old builds name no version and are served by the newest one.

Ruled out: choosing only peers with the same version, as their records lag.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -231,7 +231,8 @@
     Fingerprint fingerprint;  ///< Of the customer, target and body.
     /// The above, and those of the prompt's shared segments.
     std::vector<Fingerprint> suspect_fingerprints;
-    /// The tables version that was active when the request arrived.
+    /// The tables version that was active when the request arrived, here or at
+    /// the node that relayed it.
     std::shared_ptr<const ForwardingIndex> tables_index;
     const ForwardingRoute* route = nullptr;
     const ForwardingCustomer* customer = nullptr;  ///< Null on public routes.
@@ -830,6 +831,12 @@
   std::string FormatTablesAge() const;
   void ActivateTables(const std::shared_ptr<const ForwardingIndex>& tables,
                       const char* source);
+  /// Returns the tables to decide a request by that arrives now. A relayed one
+  /// is decided by those of the node that it arrived at, if this node has
+  /// replaced them only just now: else that node would seem to alternate
+  /// between versions.
+  std::shared_ptr<const ForwardingIndex> TablesFor(
+      const ForwardSpec& spec) const;
   void LogRequest(LogLevel level, const char* event, const Request& request,
                   std::vector<LogField> fields);
   /// Randomizes `base` so that callers rejected together do not retry together.
@@ -851,6 +858,11 @@
   bool tables_read_failed_ = false;  ///< The last read of the store.
   HeldRequests held_requests_;
   TimePoint tables_activated_at_;
+  struct ReplacedTables {
+    std::shared_ptr<const ForwardingIndex> index;
+    TimePoint replaced_at;
+  };
+  std::deque<ReplacedTables> replaced_tables_;  ///< Oldest first.
   std::uint64_t peer_tables_version_ = 0;  ///< The highest that a peer named.
   TimePoint peer_tables_version_heard_at_;
   /// When a peer first named a later version than the active one; empty if none
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -102,7 +102,7 @@
   Request& request = requests_[arrived.id];
   request.id = arrived.id;
   request.spec = arrived.spec;
-  request.tables_index = tables_index_;
+  request.tables_index = TablesFor(arrived.spec);
   request.arrived_at = arrived_at;
   request.last_event_id = arrived.spec.last_event_id;
   if (std::optional<NotRun> not_run = Admit(&request)) {
--- a/src/libpollenledge/process/forward_relay_test.cc
+++ b/src/libpollenledge/process/forward_relay_test.cc
@@ -67,6 +67,29 @@
   }
 }
 
+// Guards against a node that seems to go back to older tables, because the
+// nodes that its requests pass through activate a version one after the other
+// (CONFIG: a machine regresses).
+TEST_P(RelayedRequests, AreDecidedByTheTablesOfTheNodeThatTheyArrivedAt) {
+  using Versions = std::map<std::string, int>;
+  for (std::size_t node = 1; node < fleet_.size() / 2; ++node) {
+    fleet_.ReadTables(node, 2);
+  }
+  fleet_.sent_by_version.clear();
+  {
+    SCOPED_TRACE("some of the other nodes have later tables");
+    SendFor("read", 500 * kMillisecond);
+    EXPECT_EQ(fleet_.sent_by_version, (Versions{{"1", 25}}));
+  }
+  fleet_.ReadTables(kCutNode, 2);
+  fleet_.sent_by_version.clear();
+  {
+    SCOPED_TRACE("the node has them as well");
+    SendFor("read", 500 * kMillisecond);
+    EXPECT_EQ(fleet_.sent_by_version.count("1"), 0U);
+  }
+}
+
 // Guards against a node of an earlier release, which doesn't check the version,
 // that handles a relayed request by older tables during an upgrade.
 TEST_P(RelayedRequests, PassThroughEarlierReleasesOnlyIfTheseHaveTheTables) {
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -12,6 +12,10 @@
 /// A node that still lacks a version which a peer has named for longer than
 /// `kTablesWatchTime` reads the store after each interval.
 constexpr Duration kNewerTablesReadInterval = std::chrono::milliseconds(500);
+/// How long, and how many, replaced tables are kept for relayed requests. Nodes
+/// usually activate a version within this time of each other.
+constexpr Duration kReplacedTablesTime = std::chrono::seconds(1);
+constexpr std::size_t kMaxReplacedTables = 16;
 
 std::vector<CustomerLimit> CustomerLimits(const ForwardingTables& tables) {
   std::vector<CustomerLimit> limits;
@@ -154,6 +158,10 @@
        {"idle_timeout_ms",
         FormatMilliseconds(tables->tables().limits.idle_timeout)}}});
   stream_versions_.OnRouteMoved(MovedServices(tables->tables()), now());
+  if (tables_index_ != nullptr)
+    replaced_tables_.push_back({std::move(tables_index_), now()});
+  if (replaced_tables_.size() > kMaxReplacedTables)
+    replaced_tables_.pop_front();
   tables_index_ = tables;
   tables_activated_at_ = now();
   behind_since_.reset();
@@ -163,6 +171,18 @@
   UpdateLimits();
 }
 
+std::shared_ptr<const ForwardingIndex> ForwardNode::TablesFor(
+    const ForwardSpec& spec) const {
+  if (!spec.is_relayed) return tables_index_;
+  for (const ReplacedTables& replaced : replaced_tables_) {
+    const bool is_recent = now() - replaced.replaced_at < kReplacedTablesTime;
+    if (is_recent &&
+        replaced.index->tables().version == spec.min_tables_version)
+      return replaced.index;
+  }
+  return tables_index_;
+}
+
 void ForwardNode::ApplyTablesConfirmation(const Heartbeat& response) {
   const MemberRecord& sender = response.records.front();
   const bool is_later = sender.tables_version > TablesVersion();
--- a/src/libpollenledge/process/forward_tables_peers.cc
+++ b/src/libpollenledge/process/forward_tables_peers.cc
@@ -32,8 +32,7 @@
   Heartbeat request;
   request.records = {membership_.AdvanceHeartbeat()};
   request.records.front().tables_version = TablesVersion();
-  request.tables_request =
-      tables_assembly_.NextRequest(TablesVersion(), now());
+  request.tables_request = tables_assembly_.NextRequest(TablesVersion(), now());
   Emit(forward_action::SendHeartbeat{{peer->peer_address, std::move(request)}});
 }
 
@@ -87,9 +86,8 @@
   std::optional<TimePoint> confirmed_at;
   if (heartbeat.tables_confirmation_age.has_value())
     confirmed_at = reply.requested_at - *heartbeat.tables_confirmation_age;
-  Emit(forward_action::ParseTables{std::move(*document),
-                                   heartbeat.records.front().id.name,
-                                   confirmed_at});
+  Emit(forward_action::ParseTables{
+      std::move(*document), heartbeat.records.front().id.name, confirmed_at});
 }
 
 void ForwardNode::On(const forward_event::TablesFromPeer& received) {
--- a/src/libpollenledge/process/forward_tables_peers_test.cc
+++ b/src/libpollenledge/process/forward_tables_peers_test.cc
@@ -131,7 +131,8 @@
       FinishRead(i);
       const bool is_due = node(i).NeedsTablesRead(kTablesBound * 6 / 10, now_);
       if (is_due) StartRead(i);
-      if (node(i).NextTickTime(now_) <= now_) Submit(i, forward_event::Ticked{});
+      if (node(i).NextTickTime(now_) <= now_)
+        Submit(i, forward_event::Ticked{});
     }
   }
 
@@ -188,8 +189,8 @@
   }
 
   void CountServed(const forward_action::SendAttempt& sent) {
-    const std::uint64_t version = std::stoull(
-        sent.upstream.name.substr(std::string("upstream-").size()));
+    const std::uint64_t version =
+        std::stoull(sent.upstream.name.substr(std::string("upstream-").size()));
     const auto next = written_at_.upper_bound(version);
     ++served;
     if (next != written_at_.end() &&
@@ -229,9 +230,9 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, TablesFromPeers,
                          ::testing::Values(2U, 7U, 12U, 40U));
 
-// Guards against a node that goes on by old tables, or rejects all keys, because
-// the store turns it away while its peers have what it lacks (CONFIG with full
-// links).
+// Guards against a node that goes on by old tables, or rejects all keys,
+// because the store turns it away while its peers have what it lacks (CONFIG
+// with full links).
 TEST_P(TablesFromPeers, ANodeThatTheStoreTurnsAwayKeepsUpWithItsPeers) {
   PartlyServedFleet fleet(GetParam());
   fleet.is_turned_away = [&](std::size_t i) { return i == fleet.size() - 1; };
--- a/src/libpollenledge/process/tables_transfer.cc
+++ b/src/libpollenledge/process/tables_transfer.cc
@@ -8,8 +8,8 @@
 
 /// Size of a part, which fits into a datagram with the rest of its message.
 constexpr std::size_t kPartBytes = std::size_t{8} * 1024;
-/// Parts that answer one request. A node that lost its place in a large document
-/// costs the sender no more than this.
+/// Parts that answer one request. A node that lost its place in a large
+/// document costs the sender no more than this.
 constexpr std::size_t kMaxPartsPerRequest = 8;
 
 }  // namespace
@@ -34,14 +34,13 @@
 
 TablesRequest TablesAssembly::NextRequest(std::uint64_t known_version,
                                           TimePoint now) const {
-  return {known_version, version_,
-          static_cast<std::uint32_t>(received_.size()), now};
+  return {known_version, version_, static_cast<std::uint32_t>(received_.size()),
+          now};
 }
 
 std::optional<std::string> TablesAssembly::Add(const TablesPart& part,
                                                std::uint64_t known_version) {
-  if (part.version <= known_version ||
-      part.document_bytes > kMaxDocumentBytes)
+  if (part.version <= known_version || part.document_bytes > kMaxDocumentBytes)
     return std::nullopt;
   if (part.version != version_ && part.offset == 0) {
     version_ = part.version;
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -256,6 +256,8 @@
   Duration longest_wait_of_rejected{0};
   // Number of log lines of all nodes, by event.
   std::map<std::string, int> log_line_counts;
+  // Number of attempts, by the version of the tables that they were decided by.
+  std::map<std::string, int> sent_by_version;
   // Counters of all nodes, by name and labels.
   std::map<std::string, int> counters;
   // Times of the first attempts and of the retries.
@@ -572,6 +574,10 @@
   }
   void Execute(std::size_t, const forward_action::WriteLogLine& line) {
     ++log_line_counts[line.event];
+    for (const LogField& field : line.fields) {
+      if (line.event == "sent" && field.name == "tables_version")
+        ++sent_by_version[field.value];
+    }
   }
 
   bool IsStream(ForwardId id) const {
