--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -69,7 +69,8 @@
   /// cannot know whether newer tables are still to be written again.
   bool may_be_outdated = false;
 };
-/// A read of the tables failed, or returned none that can be used.
+/// A read of the tables failed, or returned none that can be used. Its result
+/// may still come late, as a `TablesRead`.
 struct TablesReadFailed {
   TimePoint read_started;
 };
--- a/src/libpollenledge/process/forward_late_tables_test.cc
+++ b/src/libpollenledge/process/forward_late_tables_test.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <random>
 
+#include "one_route_tables.h"
 #include "pollenledge/process/forward_node.h"
 
 namespace pollenledge {
@@ -15,26 +16,14 @@
 /// Longest time for which a request waits until the tables are confirmed.
 constexpr Duration kMaxWait = milliseconds(500);
 
-constexpr Duration kRouteTimeout = std::chrono::seconds(10);
-
 std::string ServiceOf(std::uint64_t version) {
   return "service-" + std::to_string(version);
 }
 
 /// Tables whose only route leads to the service of their version.
 std::shared_ptr<const ForwardingIndex> MakeTables(std::uint64_t version) {
-  ForwardingTables tables;
-  tables.version = version;
-  ForwardingRoute route;
-  route.name = "read";
-  route.host = "h";
-  route.path_prefix = "/read/";
-  route.services = {{ServiceOf(version), 1}};
-  route.timeout = kRouteTimeout;
-  tables.routes = {route};
-  tables.services = {{.name = ServiceOf(version)}};
-  tables.customers = {{.name = "c", .api_keys = {"key"}}};
-  return std::make_shared<const ForwardingIndex>(std::move(tables));
+  return std::make_shared<const ForwardingIndex>(
+      testing::MakeOneRouteTables(version, ServiceOf(version)));
 }
 
 /// A node whose tables are confirmed current from time to time.
@@ -86,7 +75,7 @@
     spec.time_left = time_left;
     spec.host = "h";
     spec.path = "/read/x";
-    spec.api_key = "key";
+    spec.api_key = testing::kOneRouteKey;
     Submit(forward_event::RequestArrived{++last_id_, spec});
     return last_id_;
   }
--- a/src/libpollenledge/process/forward_tables_peers_test.cc
+++ b/src/libpollenledge/process/forward_tables_peers_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "one_route_tables.h"
 #include "pollenledge/process/forward_node.h"
 
 namespace pollenledge {
@@ -20,7 +21,6 @@
 constexpr Duration kStep = milliseconds(10);
 /// Time from the start of a read until it fails.
 constexpr Duration kFailedReadTime = milliseconds(1100);
-constexpr char kKey[] = "key";
 
 std::string ServiceOf(std::uint64_t version) {
   return "service-" + std::to_string(version);
@@ -30,21 +30,11 @@
 /// document is the version, in several parts.
 std::shared_ptr<const ForwardingIndex> MakeTables(std::uint64_t version) {
   constexpr std::size_t kDocumentBytes = 20'000;
-  ForwardingTables tables;
-  tables.version = version;
-  ForwardingRoute route;
-  route.name = "read";
-  route.host = "h";
-  route.path_prefix = "/read/";
-  route.services = {{ServiceOf(version), 1}};
-  route.timeout = std::chrono::seconds(10);
-  tables.routes = {route};
-  tables.services = {{.name = ServiceOf(version)}};
-  tables.customers = {{.name = "c", .api_keys = {kKey}}};
   std::string document = std::to_string(version) + ' ';
   document.resize(kDocumentBytes, '.');
-  return std::make_shared<const ForwardingIndex>(std::move(tables),
-                                                 std::move(document));
+  return std::make_shared<const ForwardingIndex>(
+      testing::MakeOneRouteTables(version, ServiceOf(version)),
+      std::move(document));
 }
 
 /// A store with changing tables and a fleet of nodes, of which some can't read
@@ -90,7 +80,7 @@
       ForwardSpec spec;
       spec.host = "h";
       spec.path = "/read/x";
-      spec.api_key = kKey;
+      spec.api_key = testing::kOneRouteKey;
       requests_[++last_id_] = now_;
       Submit(i, forward_event::RequestArrived{last_id_, spec});
     }
--- a/src/libpollenledge/process/forward_tables_test.cc
+++ b/src/libpollenledge/process/forward_tables_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "one_route_tables.h"
 #include "pollenledge/process/forward_node.h"
 
 namespace pollenledge {
@@ -21,19 +22,10 @@
   }
 
   void ReadTables(std::uint64_t version) {
-    ForwardingTables tables;
-    tables.version = version;
-    ForwardingRoute route;
-    route.name = "read";
-    route.host = "h";
-    route.path_prefix = "/read/";
-    route.services = {{"s", 1}};
-    route.timeout = std::chrono::seconds(10);
-    tables.routes = {route};
-    tables.services = {{.name = "s"}};
-    tables.customers = {{.name = "c", .api_keys = {"key"}}};
     Submit(forward_event::TablesRead{
-        std::make_shared<const ForwardingIndex>(std::move(tables)), now_});
+        std::make_shared<const ForwardingIndex>(
+            testing::MakeOneRouteTables(version, "s")),
+        now_});
   }
 
   /// A peer states that its tables have this version.
