--- a/src/platform/platform_store.cc
+++ b/src/platform/platform_store.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 #include <charconv>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
@@ -305,7 +306,7 @@
       });
 }
 
-void PlatformStore::OnPage(const std::string& prefix, const Result<Page>& page,
+void PlatformStore::OnPage(const std::string& prefix, Result<Page> page,
                            StoreListing collected,
                            Callback<StoreListing> callback) {
   if (!Ok(page)) {
@@ -317,13 +318,14 @@
                    "the store was restored between two pages"});
     return;
   }
-  const StoreListing& listing = Value(page).listing;
+  StoreListing& listing = Value(page).listing;
   // A watch from the first page's revision also brings the changes made while
   // the other pages were read.
   if (collected.store_revision == 0)
     collected.store_revision = listing.store_revision;
-  collected.entries.insert(collected.entries.end(), listing.entries.begin(),
-                           listing.entries.end());
+  collected.entries.insert(collected.entries.end(),
+                           std::make_move_iterator(listing.entries.begin()),
+                           std::make_move_iterator(listing.entries.end()));
   if (!Value(page).has_more || collected.entries.empty()) {
     callback(std::move(collected));
     return;
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -81,7 +81,7 @@
   void ListPage(const std::string& prefix, const std::string& after_key,
                 StoreListing collected, Callback<StoreListing> callback);
   /// Adds `page` to `collected`, and reads the next one if there is one.
-  void OnPage(const std::string& prefix, const Result<Page>& page,
+  void OnPage(const std::string& prefix, Result<Page> page,
               StoreListing collected, Callback<StoreListing> callback);
 
   boost::asio::io_context& loop_;
