Roll-outs: starts on new connections are compared with their like

KNOWN-RED testsuite.platform_rollout: a good version was reverted.

Change: the usual time of a route's starts is kept for new and for open connections apart (RolloutShares::Start), and each start is compared with its own kind. What is reported and stored is as before, so old and new builds work together. Until eight starts on new connections were seen at the other versions, those of the target are not counted, as before with all starts.

Ruled out: leaving the connect out of the time, as the peer's own set-up of a connection is the larger part.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -257,8 +257,10 @@
     TimePoint first_event_at;           ///< Of the current attempt.
     bool proven_sound = false;     ///< The current attempt, see `MayCrash`.
     bool sent_under_load = false;  ///< The current attempt's upstream had load.
-    int event_batches = 0;         ///< Forwarded by the current attempt.
-    bool is_retrial = false;       ///< Sent although its suspects are rejected.
+    /// The current attempt opened its connection. Known once it responds.
+    bool on_new_connection = false;
+    int event_batches = 0;    ///< Forwarded by the current attempt.
+    bool is_retrial = false;  ///< Sent although its suspects are rejected.
     /// Counted as demand by `CheckFleetAdmission`.
     bool counted_as_demand = false;
     bool response_started = false;  ///< The caller received the head.
--- a/src/include/pollenledge/process/rollout_shares.h
+++ b/src/include/pollenledge/process/rollout_shares.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -95,18 +96,26 @@
   void OnSent(const std::string& service, const std::string& version,
               bool is_new, TimePoint now);
 
-  /// Evidence. `route` names the route; `took` is the time from sending the
-  /// request to the first event or, on a route without streams, to the end.
+  /// The start of a response. The first request on a connection takes longer
+  /// than those after it, so either kind is compared with its own.
+  struct Start {
+    /// From sending the request to the first event or, on a route without
+    /// streams, to the end.
+    Duration took{0};
+    bool on_new_connection = false;
+  };
+
+  /// Evidence. `where` names the route.
   void OnAnswer(const std::string& service, const RolloutEvidence& where,
                 bool failed);
   void OnStart(const std::string& service, const RolloutEvidence& where,
-               Duration took);
+               const Start& start);
   /// `took` is the time in which the same number of events was received.
   void OnPaced(const std::string& service, const RolloutEvidence& where,
                Duration took);
-  /// Returns true if `took` is slow on the route.
+  /// Returns true if `start` is slow on the route.
   bool IsSlowStart(const std::string& service, const std::string& route,
-                   Duration took) const;
+                   const Start& start) const;
   /// True if `version` is the target of a running roll-out of `service`.
   bool IsTarget(const std::string& service, const std::string& version) const;
   /// True if observations of `service` are of use now.
@@ -157,9 +166,11 @@
 
   RolloutLimits limits_;
   std::map<std::string, Rollout> rollouts_;  ///< By service.
-  /// By service and route. Also kept while there is no roll-out, so that the
-  /// first responses of a target are compared.
-  std::map<std::pair<std::string, std::string>, UsualTime> usual_starts_;
+  /// Usual times are also kept while there is no roll-out, so that the first
+  /// responses of a target are compared. By service, route and whether the
+  /// connection was new.
+  std::map<std::tuple<std::string, std::string, bool>, UsualTime> usual_starts_;
+  /// By service and route.
   std::map<std::pair<std::string, std::string>, UsualTime> usual_paces_;
   /// Listed versions by service.
   std::map<std::string, std::map<std::string, ListedVersion>> listed_;
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -291,6 +291,7 @@
   request->last_event_at = now();
   LearnFirstEvent(request);
   if (request->relay.empty()) BindStream(request, first);
+  request->on_new_connection = !first.connected_at.has_value();
   ObserveStart(*request);
   RecordPromptRead(*request);
   RecordAdmittedFirstEvent(*request);
@@ -333,6 +334,7 @@
     return;
   }
   if (request->current_upstream.empty()) return;
+  request->on_new_connection = !ended.connection_idle.has_value();
   const std::string upstream = request->current_upstream;
   if (ended.end == ForwardOutcome::kNotSent && MaySend(ended.id))
     OnConnectFailed(request->service, upstream);
--- a/src/libpollenledge/process/forward_rollouts.cc
+++ b/src/libpollenledge/process/forward_rollouts.cc
@@ -106,7 +106,7 @@
 void ForwardNode::ObserveStart(const Request& request) {
   if (!rollouts_.enabled() || request.current_upstream.empty()) return;
   rollouts_.OnStart(request.service, EvidenceOf(request),
-                    now() - request.sent_at);
+                    {now() - request.sent_at, request.on_new_connection});
 }
 
 void ForwardNode::ObserveEvents(Request* request) {
@@ -119,7 +119,8 @@
 void ForwardNode::ObserveEnd(const Request& request, ForwardOutcome end) {
   if (!rollouts_.enabled() || request.current_upstream.empty()) return;
   const RolloutEvidence where = EvidenceOf(request);
-  const Duration took = now() - request.sent_at;
+  const RolloutShares::Start start = {now() - request.sent_at,
+                                      request.on_new_connection};
   switch (end) {
     case ForwardOutcome::kCompleted:
     case ForwardOutcome::kFailed:
@@ -135,14 +136,14 @@
       }
       // A failure may come sooner than an answer.
       if (!request.first_event_received && !failed)
-        rollouts_.OnStart(request.service, where, took);
+        rollouts_.OnStart(request.service, where, start);
       return;
     }
     case ForwardOutcome::kConnectionLost:
       // Includes attempts that this node gave up because nothing came.
       if (!request.first_event_received &&
-          rollouts_.IsSlowStart(request.service, where.route, took)) {
-        rollouts_.OnStart(request.service, where, took);
+          rollouts_.IsSlowStart(request.service, where.route, start)) {
+        rollouts_.OnStart(request.service, where, start);
         return;
       }
       if (!rollouts_.IsObserving(request.service)) return;
--- a/src/libpollenledge/process/rollout_shares.cc
+++ b/src/libpollenledge/process/rollout_shares.cc
@@ -315,16 +315,17 @@
 }
 
 void RolloutShares::OnStart(const std::string& service,
-                            const RolloutEvidence& where, Duration took) {
+                            const RolloutEvidence& where, const Start& start) {
   if (!enabled()) return;
-  UsualTime& usual = usual_starts_[{service, where.route}];
-  const std::optional<bool> slow = usual.IsSlow(took);
+  UsualTime& usual =
+      usual_starts_[{service, where.route, start.on_new_connection}];
+  const std::optional<bool> slow = usual.IsSlow(start.took);
   if (slow.has_value() && IsObserving(service)) {
     RolloutEvidence* row = RowOf(Find(service), where);
     ++row->starts;
     if (*slow) ++row->slow_starts;
   }
-  if (!where.at_target) usual.Add(took);
+  if (!where.at_target) usual.Add(start.took);
 }
 
 void RolloutShares::OnPaced(const std::string& service,
@@ -341,10 +342,12 @@
 }
 
 bool RolloutShares::IsSlowStart(const std::string& service,
-                                const std::string& route, Duration took) const {
-  const auto usual = usual_starts_.find({service, route});
+                                const std::string& route,
+                                const Start& start) const {
+  const auto usual =
+      usual_starts_.find({service, route, start.on_new_connection});
   return usual != usual_starts_.end() &&
-         usual->second.IsSlow(took).value_or(false);
+         usual->second.IsSlow(start.took).value_or(false);
 }
 
 std::vector<RolloutShare> RolloutShares::Reports(TimePoint now) const {
