--- a/src/platform/platform_store_test.cc
+++ b/src/platform/platform_store_test.cc
@@ -23,9 +23,8 @@
 class SlowStore {
  public:
   SlowStore(boost::asio::io_context& loop, Duration answer_time,
-            std::string body)
-      : loop_(loop),
-        acceptor_(loop,
+            const std::string& body)
+      : acceptor_(loop,
                   tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
         answer_time_(answer_time),
         answer_("HTTP/1.1 200 OK\r\nContent-Length: " +
@@ -77,7 +76,6 @@
         });
   }
 
-  boost::asio::io_context& loop_;
   tcp::acceptor acceptor_;
   Duration answer_time_;
   std::string answer_;
