CONFIG: an empty list of customers admits nobody

Cause: the parser kept the list and not whether the document has the field; requires_api_key() was "the list isn't empty", so that "nobody may" and "nobody is asked" were one value. Ruled out: keys that outlive their version (forged keys ran as well, from the first version on, and after a restart).

Change: CallerAccess, a variant of KnownCustomers and AnyCaller, takes the place of the list; tables whose access was never set admit nobody. `tables_in_force` logs how many customers there are. The lookup of a node's versions in its log, which two cases had of their own, stands in platform_standins.py.

--- a/src/include/pollenledge/version/forwarding_tables.h
+++ b/src/include/pollenledge/version/forwarding_tables.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include "pollenledge/time.h"
@@ -136,13 +137,30 @@
                          const ForwardingCustomer&) = default;
 };
 
+/// Only callers with an API key of one of the customers may use routes that are
+/// not public. Without customers, nobody may.
+struct KnownCustomers {
+  std::vector<ForwardingCustomer> customers;
+
+  friend bool operator==(const KnownCustomers&,
+                         const KnownCustomers&) = default;
+};
+
+/// Any caller may use any route. No request belongs to a customer.
+struct AnyCaller {
+  friend bool operator==(const AnyCaller&, const AnyCaller&) = default;
+};
+
+/// Who may send requests. Admits nobody unless it is set.
+using CallerAccess = std::variant<KnownCustomers, AnyCaller>;
+
 /// One version of the forwarding configuration. Immutable once built; a request
 /// uses the version that was active when it arrived until it ends.
 struct ForwardingTables {
   std::uint64_t version = 0;
   std::vector<ForwardingRoute> routes;
   std::vector<ForwardingService> services;
-  std::vector<ForwardingCustomer> customers;
+  CallerAccess access;
   CallerLimits limits;
 
   friend bool operator==(const ForwardingTables&,
@@ -150,6 +168,13 @@
 
   /// Returns the service called `name`; null if there is none.
   const ForwardingService* FindService(const std::string& name) const;
+  /// Returns the customers; empty if any caller is admitted.
+  const std::vector<ForwardingCustomer>& customers() const;
+  /// True if routes that are not public need an API key, also if there is no
+  /// customer that has one.
+  bool requires_api_key() const {
+    return std::holds_alternative<KnownCustomers>(access);
+  }
 };
 
 /// Index to look up routes and customers in one version of the tables.
@@ -168,8 +193,6 @@
                                    std::string_view path) const;
   /// Returns the customer that `api_key` belongs to; null if there is none.
   const ForwardingCustomer* FindCustomer(const std::string& api_key) const;
-  /// True if the tables list customers, so that requests need an API key.
-  bool requires_api_key() const { return !tables_.customers.empty(); }
 
  private:
   ForwardingTables tables_;
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -166,7 +166,7 @@
 
 std::optional<NotRun> ForwardNode::CheckKey(Request* request) {
   const ForwardingIndex& index = *request->tables_index;
-  if (!index.requires_api_key() || request->route->is_public)
+  if (!index.tables().requires_api_key() || request->route->is_public)
     return std::nullopt;
   request->customer = index.FindCustomer(request->spec.api_key);
   if (request->customer == nullptr) {
@@ -309,7 +309,8 @@
 
 bool ForwardNode::IsReady(TimePoint now) const {
   if (draining() || tables_index_ == nullptr || !suspects_loaded_) return false;
-  if (tables_index_->requires_api_key() && !AreKeysFresh(now)) return false;
+  if (tables_index_->tables().requires_api_key() && !AreKeysFresh(now))
+    return false;
   if (AreTablesOutdated(now)) return false;
   return !upstreams_.all().empty();
 }
--- a/src/libpollenledge/process/forward_node_test.cc
+++ b/src/libpollenledge/process/forward_node_test.cc
@@ -40,7 +40,7 @@
   ForwardingCustomer customer;
   customer.name = "c";
   customer.api_keys = {"key"};
-  tables.customers = {customer};
+  tables.access = KnownCustomers{{customer}};
   return tables;
 }
 
--- a/src/libpollenledge/process/forward_tables.cc
+++ b/src/libpollenledge/process/forward_tables.cc
@@ -17,10 +17,16 @@
 constexpr Duration kReplacedTablesTime = std::chrono::seconds(1);
 constexpr std::size_t kMaxReplacedTables = 16;
 
+/// Describes in the log who may send requests.
+std::string DescribeAccess(const ForwardingTables& tables) {
+  return tables.requires_api_key() ? std::to_string(tables.customers().size())
+                                   : "any";
+}
+
 std::vector<CustomerLimit> CustomerLimits(const ForwardingTables& tables) {
   std::vector<CustomerLimit> limits;
-  limits.reserve(tables.customers.size());
-  for (const ForwardingCustomer& customer : tables.customers) {
+  limits.reserve(tables.customers().size());
+  for (const ForwardingCustomer& customer : tables.customers()) {
     limits.push_back({customer.name, customer.limit_per_s, customer.burst});
   }
   return limits;
@@ -155,6 +161,7 @@
       "tables_in_force",
       {{"version", std::to_string(tables->tables().version)},
        {"source", source},
+       {"customers", DescribeAccess(tables->tables())},
        {"idle_timeout_ms",
         FormatMilliseconds(tables->tables().limits.idle_timeout)}}});
   stream_versions_.OnRouteMoved(MovedServices(tables->tables()), now());
--- a/src/libpollenledge/test_support/admission_fleet.h
+++ b/src/libpollenledge/test_support/admission_fleet.h
@@ -227,10 +227,12 @@
     service.name = "s";
     service.engine = EngineTraits{.slots = kSlots, .tokens_per_event = 8};
     tables.services = {service};
+    KnownCustomers known;
     for (int i = 0; i < kCustomers; ++i) {
-      tables.customers.push_back({.name = "c" + std::to_string(i),
-                                  .api_keys = {"key" + std::to_string(i)}});
+      known.customers.push_back({.name = "c" + std::to_string(i),
+                                 .api_keys = {"key" + std::to_string(i)}});
     }
+    tables.access = known;
     return std::make_shared<const ForwardingIndex>(std::move(tables));
   }
 
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -360,10 +360,10 @@
       tables.routes.push_back(route);
     }
     tables.services = {{.name = "s"}};
-    tables.customers = {{.name = "metered",
-                         .api_keys = {kMeteredKey},
-                         .limit_per_s = limit_per_s_,
-                         .burst = limit_per_s_}};
+    tables.access = KnownCustomers{{{.name = "metered",
+                                     .api_keys = {kMeteredKey},
+                                     .limit_per_s = limit_per_s_,
+                                     .burst = limit_per_s_}}};
     return std::make_shared<const ForwardingIndex>(std::move(tables));
   }
 
--- a/src/libpollenledge/test_support/one_route_tables.h
+++ b/src/libpollenledge/test_support/one_route_tables.h
@@ -24,7 +24,7 @@
   route.timeout = std::chrono::seconds(10);
   tables.routes = {route};
   tables.services = {{.name = service}};
-  tables.customers = {{.name = "c", .api_keys = {kOneRouteKey}}};
+  tables.access = KnownCustomers{{{.name = "c", .api_keys = {kOneRouteKey}}}};
   return tables;
 }
 
--- a/src/libpollenledge/test_support/random_tables.h
+++ b/src/libpollenledge/test_support/random_tables.h
@@ -52,9 +52,7 @@
     for (const char* name : {"a", "b", "c"}) {
       if (random_.Chance(0.9)) tables.services.push_back(MakeService(name));
     }
-    for (int i = 0; i < kCustomers; ++i) {
-      if (random_.Chance(0.95)) tables.customers.push_back(MakeCustomer(i));
-    }
+    tables.access = MakeAccess();
     return tables;
   }
 
@@ -105,6 +103,16 @@
     return service;
   }
 
+  CallerAccess MakeAccess() {
+    if (random_.Chance(0.02)) return AnyCaller{};
+    KnownCustomers known;
+    if (random_.Chance(0.02)) return known;
+    for (int i = 0; i < kCustomers; ++i) {
+      if (random_.Chance(0.95)) known.customers.push_back(MakeCustomer(i));
+    }
+    return known;
+  }
+
   ForwardingCustomer MakeCustomer(int number) {
     const std::string suffix = std::to_string(number);
     ForwardingCustomer customer;
--- a/src/libpollenledge/version/forwarding_tables.cc
+++ b/src/libpollenledge/version/forwarding_tables.cc
@@ -25,6 +25,12 @@
   return nullptr;
 }
 
+const std::vector<ForwardingCustomer>& ForwardingTables::customers() const {
+  static const std::vector<ForwardingCustomer> kNone;
+  const auto* known = std::get_if<KnownCustomers>(&access);
+  return known == nullptr ? kNone : known->customers;
+}
+
 ForwardingIndex::ForwardingIndex(ForwardingTables tables, std::string document)
     : tables_(std::move(tables)), document_(std::move(document)) {
   for (std::size_t i = 0; i < tables_.routes.size(); ++i) {
@@ -37,8 +43,9 @@
                               tables_.routes[b].path_prefix.size();
                      });
   }
-  for (std::size_t i = 0; i < tables_.customers.size(); ++i) {
-    for (const std::string& key : tables_.customers[i].api_keys) {
+  const std::vector<ForwardingCustomer>& customers = tables_.customers();
+  for (std::size_t i = 0; i < customers.size(); ++i) {
+    for (const std::string& key : customers[i].api_keys) {
       customers_by_key_[key] = i;
     }
   }
@@ -61,7 +68,7 @@
     const std::string& api_key) const {
   const auto found = customers_by_key_.find(api_key);
   return found == customers_by_key_.end() ? nullptr
-                                          : &tables_.customers[found->second];
+                                          : &tables_.customers()[found->second];
 }
 
 }  // namespace pollenledge
--- a/src/platform/platform_decode.cc
+++ b/src/platform/platform_decode.cc
@@ -134,6 +134,21 @@
   return customer;
 }
 
+/// Without the list "tenants", requests need no key. A list without entries
+/// admits nobody. Throws if the field is there but isn't a list: none of its
+/// forms may read as "no key is needed".
+CallerAccess ParseAccess(const Json& config) {
+  const auto list = config.find("tenants");
+  if (list == config.end()) return AnyCaller{};
+  if (!list->is_array())
+    throw std::invalid_argument("tenants is not a list of customers");
+  KnownCustomers known;
+  for (const Json& customer : *list) {
+    known.customers.push_back(ParseCustomer(customer));
+  }
+  return known;
+}
+
 /// Returns the whole number `name` of `json`, or `fallback` if there is none.
 /// Throws if it is of another type or greater than `max`.
 std::uint64_t ReadWholeNumber(const Json& json, const char* name,
@@ -181,11 +196,7 @@
     for (const Json& service : json.at("services")) {
       tables.services.push_back(ParseService(service));
     }
-    if (json.contains("tenants")) {
-      for (const Json& customer : json.at("tenants")) {
-        tables.customers.push_back(ParseCustomer(customer));
-      }
-    }
+    tables.access = ParseAccess(json);
     if (json.contains("limits")) tables.limits = ParseLimits(json.at("limits"));
     return tables;
   } catch (const std::exception& error) {
--- a/testsuite/platform_relay_older_tables/run.py
+++ b/testsuite/platform_relay_older_tables/run.py
@@ -18,8 +18,7 @@
 
 
 def has_newer_tables(node):
-    log = Path(node.log.name).read_text()
-    return any('"tables_in_force"' in line and '"version":"2"' in line.replace(" ", "") for line in log.splitlines())
+    return "2" in node.activated_tables()
 
 
 def statuses_of(platform, name, path, key):
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -930,6 +930,10 @@
     def read_log(self):
         return Path(self.log.name).read_text()
 
+    def activated_tables(self):
+        """Returns the versions of the tables that this node has activated, each with its source."""
+        return dict(re.findall(r'"tables_in_force".*?"version":"(\d+)","source":"(\w+)"', self.read_log()))
+
 
 class Platform:
     """Context manager that starts the stand-ins and the nodes. Properties and methods
--- a/testsuite/platform_tables_from_peers/run.py
+++ b/testsuite/platform_tables_from_peers/run.py
@@ -2,7 +2,6 @@
 """Guards against a node that goes on by old tables, or rejects its callers, because the store
 turns it away while its peers have what it lacks (CONFIG with full links)."""
 
-import re
 import sys
 import time
 from pathlib import Path
@@ -24,16 +23,10 @@
                   tenants=[{"name": "ada", "api_keys": [KEY]}])
 
 
-def tables_of(node):
-    """Returns the versions that were activated, each with its source."""
-    log = Path(node.log.name).read_text()
-    return re.findall(r'"tables_in_force".*?"version":"(\d+)","source":"(\w+)"', log)
-
-
 def source_of(platform, version):
     """Waits until the first node has the version, and returns where it came from."""
-    platform.wait_until(lambda: version in dict(tables_of(platform.nodes[0])))
-    return dict(tables_of(platform.nodes[0]))[version]
+    platform.wait_until(lambda: version in platform.nodes[0].activated_tables())
+    return platform.nodes[0].activated_tables()[version]
 
 
 def status_of(platform, name, path):
