Own interface: a route whose list of customers is empty admits none

An operator who takes the last customer off a route opened it to everybody: "customers: []" and no field were one value (Route::Admits, docs/tables.md).

Change: the list is optional. Without the field every customer may use the route; an empty list admits none, and a field without a value is reported, as before. A route that nobody may use overlaps with no other. Tables in the store that have an empty list for "all" must lose the field.

Weighed: the check of the tables rejects the empty list. Then an entry that starts with such tables in the store has none at all; so the type says it.

Measured: TablesTest.ARouteWithAnEmptyListAdmitsNobody fails before (two of its five sections) and passes now; the other tests of TablesTest and SettingsTest pass.

--- a/src/include/pollenledge/version/field_reader.h
+++ b/src/include/pollenledge/version/field_reader.h
@@ -3,6 +3,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -108,6 +109,11 @@
   /// A list of non-empty strings; empty if it is absent.
   std::vector<std::string> StringList(const std::string& name,
                                       const std::string& description);
+  /// The same, for a list whose absence means something else than an empty
+  /// list. `absent` describes what it means.
+  std::optional<std::vector<std::string>> OptionalStringList(
+      const std::string& name, const std::string& absent,
+      const std::string& description);
   /// A nested mapping; a null node if it is absent.
   YAML::Node Mapping(const std::string& name, const std::string& description);
   /// A list of mappings; a null node if it is absent.
@@ -130,6 +136,9 @@
                   const std::string& range, const std::string& default_value,
                   const std::string& description);
   std::string PathOf(const std::string& name) const;
+  /// Returns the strings of the list `value`, which is the value of `name`.
+  std::vector<std::string> ReadStrings(const std::string& name,
+                                       const YAML::Node& value);
 
   YAML::Node node_;
   std::string path_;
--- a/src/include/pollenledge/version/tables.h
+++ b/src/include/pollenledge/version/tables.h
@@ -56,7 +56,9 @@
   std::string name;
   WorkKind kind = WorkKind::kModel;
   std::string model;  ///< The `model` in the request; empty for services.
-  std::vector<std::string> customers;  ///< Empty means every customer.
+  /// Customers that may use it; none if the list is empty. Without a list,
+  /// every customer may.
+  std::optional<std::vector<std::string>> customers;
   Rank rank = Rank::kStandard;
   std::string pool;
   bool idempotent = true;
--- a/src/libpollenledge/version/field_reader.cc
+++ b/src/libpollenledge/version/field_reader.cc
@@ -189,8 +189,22 @@
     const std::string& name, const std::string& description) {
   const YAML::Node value =
       Find(name, "list of strings", "any", "empty", description);
+  if (!value.IsDefined()) return {};
+  return ReadStrings(name, value);
+}
+
+std::optional<std::vector<std::string>> FieldReader::OptionalStringList(
+    const std::string& name, const std::string& absent,
+    const std::string& description) {
+  const YAML::Node value =
+      Find(name, "list of strings", "any", absent, description);
+  if (!value.IsDefined()) return std::nullopt;
+  return ReadStrings(name, value);
+}
+
+std::vector<std::string> FieldReader::ReadStrings(const std::string& name,
+                                                  const YAML::Node& value) {
   std::vector<std::string> texts;
-  if (!value.IsDefined()) return texts;
   if (!value.IsSequence()) {
     ReportProblem(name, DescribeValue(value), "a list of strings");
     return texts;
--- a/src/libpollenledge/version/tables.cc
+++ b/src/libpollenledge/version/tables.cc
@@ -99,8 +99,9 @@
   route.kind = kind == "model" ? WorkKind::kModel : WorkKind::kService;
   route.model = reader->String(
       "model", "", "Model named in the request; model routes only.");
-  route.customers = reader->StringList(
-      "customers", "Customers that may use the route; empty means all.");
+  route.customers = reader->OptionalStringList(
+      "customers", "all",
+      "Customers that may use the route; an empty list admits none.");
   route.rank =
       *ParseRank(reader->Choice("rank", {"urgent", "standard", "background"},
                                 "standard", "Urgency of the requests."));
@@ -221,12 +222,21 @@
   }
 }
 
+bool AdmitsAnyone(const Route& route) {
+  return !route.customers.has_value() || !route.customers->empty();
+}
+
+bool HaveCommonCustomer(const Route& a, const Route& b) {
+  if (!a.customers.has_value()) return AdmitsAnyone(b);
+  if (!b.customers.has_value()) return AdmitsAnyone(a);
+  return std::any_of(a.customers->begin(), a.customers->end(),
+                     [&](const std::string& name) { return b.Admits(name); });
+}
+
 bool RoutesOverlap(const Route& a, const Route& b) {
   if (a.kind != WorkKind::kModel || b.kind != WorkKind::kModel) return false;
   if (a.model != b.model || a.rank != b.rank) return false;
-  if (a.customers.empty() || b.customers.empty()) return true;
-  return std::any_of(a.customers.begin(), a.customers.end(),
-                     [&](const std::string& name) { return b.Admits(name); });
+  return HaveCommonCustomer(a, b);
 }
 
 void CheckRoutes(const Tables& tables, const std::vector<int>& lines,
@@ -245,7 +255,8 @@
            "\"" + route.pool + "\", which has a different kind or model",
            "a pool with the kind and model of the route"});
     }
-    for (const std::string& name : route.customers) {
+    for (const std::string& name :
+         route.customers.value_or(std::vector<std::string>())) {
       if (tables.FindCustomer(name) != nullptr) continue;
       out->push_back({kRoutesFile, lines[i], path + ".customers",
                       "\"" + name + "\"", "a customer defined in this table"});
@@ -329,8 +340,9 @@
 }
 
 bool Route::Admits(const std::string& customer) const {
-  return customers.empty() || std::find(customers.begin(), customers.end(),
-                                        customer) != customers.end();
+  return !customers.has_value() ||
+         std::find(customers->begin(), customers->end(), customer) !=
+             customers->end();
 }
 
 const PoolMember* Pool::FindMember(const std::string& domain,
--- a/src/libpollenledge/version/tables_test.cc
+++ b/src/libpollenledge/version/tables_test.cc
@@ -115,6 +115,44 @@
             std::string::npos);
 }
 
+// Guards against a route that admits every customer once the last one was taken
+// off its list.
+TEST(TablesTest, ARouteWithAnEmptyListAdmitsNobody) {
+  const auto parse = [](const std::string& customers) {
+    const std::string routes = Replaced(ValidRoutes(), "    rank: urgent\n",
+                                        "    rank: urgent\n" + customers);
+    return ParseTables({routes, ValidPools()}, 1);
+  };
+  const auto find = [](const TablesResult& result) {
+    return std::get<Tables>(result).FindModelRoute("north", "m", std::nullopt);
+  };
+  {
+    SCOPED_TRACE("without the list, all may use it");
+    EXPECT_NE(find(parse("")), nullptr);
+  }
+  {
+    SCOPED_TRACE("the customer is listed");
+    EXPECT_NE(find(parse("    customers: [north]\n")), nullptr);
+  }
+  {
+    SCOPED_TRACE("the list is empty");
+    const TablesResult result = parse("    customers: []\n");
+    EXPECT_EQ(find(result), nullptr);
+    EXPECT_FALSE(std::get<Tables>(result).routes.at(0).Admits("north"));
+  }
+  {
+    SCOPED_TRACE("the field has no value");
+    EXPECT_TRUE(std::holds_alternative<std::vector<FieldProblem>>(
+        parse("    customers:\n")));
+  }
+  {
+    SCOPED_TRACE("a route that nobody may use overlaps with none");
+    const std::string nobody =
+        "  - {name: other, model: m, rank: urgent, pool: p, customers: []}\n";
+    EXPECT_TRUE(ProblemsOf(ValidRoutes() + nobody, ValidPools()).empty());
+  }
+}
+
 TEST(TablesTest, AuthenticatesApiKeysByDigest) {
   Tables tables;
   tables.customers.push_back({"north", Sha256Hex("secret"), 1, 1});
