Tables: an empty API key belongs to nobody

A request without a key has the empty key. A customer whose list of keys has an empty one therefore let every request without a key run as that customer's.

Change: the index of keys leaves empty ones out. The own interface refuses a request without a key before it looks one up (read).

Measured: AccessTest.AnEmptyKeyBelongsToNobody fails before ("runs as c" where 401 is expected) and passes now.

--- a/src/libpollenledge/version/forwarding_tables.cc
+++ b/src/libpollenledge/version/forwarding_tables.cc
@@ -46,7 +46,8 @@
   const std::vector<ForwardingCustomer>& customers = tables_.customers();
   for (std::size_t i = 0; i < customers.size(); ++i) {
     for (const std::string& key : customers[i].api_keys) {
-      customers_by_key_[key] = i;
+      // A request without a key belongs to nobody.
+      if (!key.empty()) customers_by_key_[key] = i;
     }
   }
 }
--- a/src/platform/platform_access_test.cc
+++ b/src/platform/platform_access_test.cc
@@ -173,6 +173,14 @@
   EXPECT_FALSE(IsReady());
 }
 
+// Guards against an empty key that lets requests without a key pass.
+TEST_F(AccessTest, AnEmptyKeyBelongsToNobody) {
+  const Json customers = {{{"name", "c"}, {"api_keys", {"", kRevokedKey}}}};
+  ASSERT_TRUE(Read(WithCustomers(1, customers)));
+  EXPECT_EQ(Send("keyed", kNoKey), "401");
+  EXPECT_EQ(Send("keyed", kRevokedKey), "runs as c");
+}
+
 // A configuration that doesn't have the list asks for no keys.
 TEST_F(AccessTest, WithoutTheListNoKeyIsNeeded) {
   ASSERT_TRUE(Read(WithCustomers(1, kOneCustomer)));
