Tables: a customer's limit below zero is rejected

A rate below zero read as "no limit", and a negative burst or cost as one that fills itself. PROTOCOL has 0 or an absent rate for "no limit" and names no other value.

Change: such a version is rejected with the field's name.

--- a/src/platform/platform_access_test.cc
+++ b/src/platform/platform_access_test.cc
@@ -181,6 +181,18 @@
   EXPECT_EQ(Send("keyed", kRevokedKey), "runs as c");
 }
 
+// Guards against a limit that can't be meant and reads as "no limit".
+TEST_F(AccessTest, ALimitBelowZeroIsRejected) {
+  for (const char* field : {"rate_per_s", "burst", "uncached_tokens"}) {
+    SCOPED_TRACE(field);
+    Json customers = kOneCustomer;
+    customers[0][field] = 0;
+    EXPECT_TRUE(Read(WithCustomers(1, customers)));
+    customers[0][field] = -1;
+    EXPECT_FALSE(Read(WithCustomers(2, customers)));
+  }
+}
+
 // A configuration that doesn't have the list asks for no keys.
 TEST_F(AccessTest, WithoutTheListNoKeyIsNeeded) {
   ASSERT_TRUE(Read(WithCustomers(1, kOneCustomer)));
--- a/src/platform/platform_decode.cc
+++ b/src/platform/platform_decode.cc
@@ -115,6 +115,16 @@
   return service;
 }
 
+/// Returns the number `name` of `json`, or `fallback` if there is none. Throws
+/// if it is negative.
+double ReadNonNegative(const Json& json, const char* name, double fallback) {
+  const double number = json.value(name, fallback);
+  if (number < 0) {
+    throw std::invalid_argument(std::string(name) + " is negative");
+  }
+  return number;
+}
+
 /// The platform calls a customer "tenant". Its limit counts requests unless
 /// "unit" is "token_count".
 ForwardingCustomer ParseCustomer(const Json& json) {
@@ -124,13 +134,13 @@
   if (json.contains("priority") && json.at("priority").is_number()) {
     customer.priority = json.at("priority").get<int>();
   }
-  customer.limit_per_s = json.value("rate_per_s", 0.0);
-  customer.burst = json.value("burst", 0.0);
+  customer.limit_per_s = ReadNonNegative(json, "rate_per_s", 0);
+  customer.burst = ReadNonNegative(json, "burst", 0);
   customer.limit_counts_tokens =
       json.value("unit", std::string()) == "token_count";
   // Despite its name, "uncached_tokens" is the cost of a request that does not
   // state its token counts.
-  customer.default_cost = json.value("uncached_tokens", 1.0);
+  customer.default_cost = ReadNonNegative(json, "uncached_tokens", 1);
   return customer;
 }
 
