BUDGET: a request that ends its runners is recognized with another query

Cause: its fingerprint was taken of the path with the query.

Change: a request with a query has one suspect more, of customer, path and body. Weighed: leave the query out of the one fingerprint; then three crashes of one query refuse all others of that customer and path for ten minutes. With two suspects, a request whose own one has no crashes runs isolated and clears the common one.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -229,6 +229,8 @@
     ForwardId id = 0;
     ForwardSpec spec;
     Fingerprint fingerprint;  ///< Of the customer, target and body.
+    /// The above, and that of the customer, path and body if there is a query.
+    std::vector<Fingerprint> own_fingerprints;
     /// The above, and those of the prompt's shared segments.
     std::vector<Fingerprint> suspect_fingerprints;
     /// The tables version that was active when the request arrived, here or at
@@ -345,6 +347,8 @@
   /// acquires its units. Returns why it is rejected; empty if it is admitted.
   std::optional<NotRun> Admit(Request* request);
   std::optional<NotRun> CheckKey(Request* request);
+  /// Sets the fingerprints of the request as a whole.
+  static void SetFingerprints(Request* request);
   /// Returns an error if this node is draining, the load balancer has had time
   /// to notice it, and the node may stop before the request completes.
   std::optional<NotRun> CheckDrain(const Request& request) const;
--- a/src/include/pollenledge/request/fingerprint.h
+++ b/src/include/pollenledge/request/fingerprint.h
@@ -27,11 +27,11 @@
 /// fingerprint.
 Fingerprint ComputeFingerprint(std::initializer_list<std::string_view> parts);
 
-/// Returns the fingerprints by which crashes are attributed to a request: its
-/// own, and one of each shared segment of its prompt. A segment has the same
-/// fingerprint in all requests to `model`, whoever sends them.
+/// Returns the fingerprints by which crashes are attributed to a request:
+/// `own_fingerprints`, and one of each shared segment of its prompt. A segment
+/// has the same fingerprint in all requests to `model`, whoever sends them.
 std::vector<Fingerprint> SuspectFingerprints(
-    const Fingerprint& request, std::string_view model,
+    std::vector<Fingerprint> own_fingerprints, std::string_view model,
     const std::vector<std::uint64_t>& segment_ids);
 
 /// Formats the fingerprint as 32 hexadecimal digits, the form used in logs and
--- a/src/include/pollenledge/request/forward_request.h
+++ b/src/include/pollenledge/request/forward_request.h
@@ -27,6 +27,9 @@
   std::string path;  ///< Without the query string.
   /// Of the request target and the body.
   Fingerprint content_fingerprint;
+  /// Of the path and the body, if the target has a query as well: a caller may
+  /// send the same request with another query each time.
+  std::optional<Fingerprint> path_fingerprint;
   std::string api_key;
   std::string model;                  ///< Empty if the request names none.
   std::optional<Duration> time_left;  ///< Until the caller stops waiting.
@@ -53,6 +56,11 @@
   friend bool operator==(const ForwardSpec&, const ForwardSpec&) = default;
 };
 
+/// Sets the fingerprints of a request with this target, whose path `spec` has,
+/// and this body.
+void SetContentFingerprints(const std::string& target, const std::string& body,
+                            ForwardSpec* spec);
+
 /// Returns the ids of the segments of the request's prompt that other requests
 /// may share: all but the last one.
 std::vector<std::uint64_t> SharedSegmentIds(const ForwardSpec& spec);
--- a/src/libpollenledge/process/forward_node.cc
+++ b/src/libpollenledge/process/forward_node.cc
@@ -136,9 +136,7 @@
         {404, "no-route", "no route matches the request's host and path", {}});
   }
   if (std::optional<NotRun> not_run = CheckKey(request)) return not_run;
-  request->fingerprint = ComputeFingerprint(
-      {request->customer == nullptr ? "" : request->customer->name,
-       ToHex(request->spec.content_fingerprint)});
+  SetFingerprints(request);
   const ForwardingRoute& route = *request->route;
   request->priority = request->customer != nullptr
                           ? request->customer->priority.value_or(route.priority)
@@ -156,7 +154,7 @@
   IdentifyStream(request);
   request->service = PickService(*request);
   request->suspect_fingerprints = SuspectFingerprints(
-      request->fingerprint,
+      request->own_fingerprints,
       request->spec.model.empty() ? request->service : request->spec.model,
       SharedSegmentIds(request->spec));
   if (std::optional<NotRun> not_run = CheckSuspect(request)) return not_run;
@@ -180,6 +178,20 @@
   return std::nullopt;
 }
 
+void ForwardNode::SetFingerprints(Request* request) {
+  const std::string customer =
+      request->customer == nullptr ? "" : request->customer->name;
+  const auto of_customer = [&customer](const Fingerprint& content) {
+    return ComputeFingerprint({customer, ToHex(content)});
+  };
+  request->fingerprint = of_customer(request->spec.content_fingerprint);
+  request->own_fingerprints = {request->fingerprint};
+  if (request->spec.path_fingerprint.has_value()) {
+    request->own_fingerprints.push_back(
+        of_customer(*request->spec.path_fingerprint));
+  }
+}
+
 std::optional<NotRun> ForwardNode::CheckDrain(const Request& request) const {
   if (!draining()) return std::nullopt;
   const bool balancer_noticed =
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -140,8 +140,7 @@
   }
   Value(spec).is_relayed = is_relayed;
   if (!is_relayed) Value(spec).min_tables_version = 0;
-  Value(spec).content_fingerprint =
-      ComputeFingerprint({head.target, *exchange.request_body});
+  SetContentFingerprints(head.target, *exchange.request_body, &Value(spec));
   if (const ForwardingIndex* index = node_.tables_index().get()) {
     const ForwardingCustomer* customer =
         index->FindCustomer(Value(spec).api_key);
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -110,8 +110,9 @@
 std::string ForwardNode::SegmentOf(const Request& request,
                                    const Fingerprint& suspect) {
   const std::vector<std::uint64_t> segments = SharedSegmentIds(request.spec);
+  const std::size_t first = request.own_fingerprints.size();
   for (std::size_t i = 0; i < segments.size(); ++i) {
-    if (request.suspect_fingerprints[i + 1] == suspect) {
+    if (request.suspect_fingerprints[first + i] == suspect) {
       return FormatSegment(segments[i]);
     }
   }
--- a/src/libpollenledge/process/forward_suspects_test.cc
+++ b/src/libpollenledge/process/forward_suspects_test.cc
@@ -74,6 +74,29 @@
             std::set<std::string>{kCrashingContent});
 }
 
+// Guards against a crash-causing request that is never recognized because it
+// comes with another query each time (review/9, BUDGET), and against rejecting
+// the same path with other contents.
+TEST_P(CrashingRequest, IsRejectedWithAnotherQueryEachTime) {
+  ForwardFleet fleet(GetParam().nodes, GetParam().seed);
+  std::mt19937_64 random(GetParam().seed);
+  int innocent = 0;
+  for (int i = 0; i < 48; ++i) {
+    fleet.SubmitRequest(random() % fleet.size(), GetParam().route,
+                        kCrashingContent + ("?" + std::to_string(i)));
+    for (int step = 0; step < 25; ++step) {
+      const std::string number = std::to_string(++innocent);
+      fleet.SubmitRequest(random() % fleet.size(), GetParam().route,
+                          "innocent" + number + "?" + number);
+      fleet.RunFor(20 * kMillisecond);
+    }
+  }
+  EXPECT_LE(fleet.CrashesAfterThird(GetParam().propagation_time),
+            kMaxLateCrashes);
+  EXPECT_EQ(fleet.rejected_suspect_contents,
+            std::set<std::string>{kCrashingContent});
+}
+
 // Guards against rejecting innocent requests that ran on upstreams when these
 // crashed, and against missing a crash-causing request among many unrelated
 // crashes.
--- a/src/libpollenledge/request/fingerprint.cc
+++ b/src/libpollenledge/request/fingerprint.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cstdio>
 #include <memory>
+#include <utility>
 
 namespace pollenledge {
 namespace {
@@ -45,9 +46,9 @@
 }
 
 std::vector<Fingerprint> SuspectFingerprints(
-    const Fingerprint& request, std::string_view model,
+    std::vector<Fingerprint> own_fingerprints, std::string_view model,
     const std::vector<std::uint64_t>& segment_ids) {
-  std::vector<Fingerprint> fingerprints = {request};
+  std::vector<Fingerprint> fingerprints = std::move(own_fingerprints);
   for (const std::uint64_t id : segment_ids) {
     fingerprints.push_back(
         ComputeFingerprint({"prompt segment", model, std::to_string(id)}));
--- a/src/libpollenledge/request/forward_request.cc
+++ b/src/libpollenledge/request/forward_request.cc
@@ -22,6 +22,13 @@
   return "?";
 }
 
+void SetContentFingerprints(const std::string& target, const std::string& body,
+                            ForwardSpec* spec) {
+  spec->content_fingerprint = ComputeFingerprint({target, body});
+  if (target != spec->path)
+    spec->path_fingerprint = ComputeFingerprint({spec->path, body});
+}
+
 std::vector<std::uint64_t> SharedSegmentIds(const ForwardSpec& spec) {
   std::vector<std::uint64_t> ids;
   for (std::size_t i = 0; i + 1 < spec.prompt_segments.size(); ++i) {
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -112,8 +112,11 @@
     spec.host = "h";
     spec.api_key = kMeteredKey;
     spec.path = "/" + route + "/x";
+    const std::string body = content.substr(0, content.find('?'));
     spec.content_fingerprint = ComputeFingerprint({route, content});
-    contents_[id] = content;
+    if (body != content)
+      spec.path_fingerprint = ComputeFingerprint({route, body});
+    contents_[id] = body;
     routes_[id] = route;
     submitted_at_[id] = now_;
     Submit(node, forward_event::RequestArrived{id, spec});
--- a/testsuite/crashing_requests/run.py
+++ b/testsuite/crashing_requests/run.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """A request that crashes every runner that starts it is sent repeatedly through four
 nodes, next to other requests. All nodes are killed half-way, so that the suspects
-must survive a restart."""
+must survive a restart. Guards also against such a request that comes with another query
+each time (review/9)."""
 
 import json
 import sys
@@ -22,6 +23,8 @@
 # (route, method, body): one route of each kind.
 ROUTE_KINDS = (("draft", "GET", b""), ("chat", "GET", b""), ("read", "POST", b"look up"),
                ("order", "POST", b"one ring"))
+# The same, for requests with another query each time.
+QUERY_KINDS = (("order", "POST", b"two rings"),)
 
 
 def start_background_load(platform, kind):
@@ -49,13 +52,14 @@
     return sum(1 for crash in crashes if crash[2] > crashes[2][2] + PROPAGATION_SECONDS)
 
 
-def send_repeatedly(platform, kind, method, body, count, label):
+def send_repeatedly(platform, kind, method, body, count, label, has_query):
     """Sends the request through the nodes in turn and returns the statuses."""
     statuses = []
     for i in range(count):
+        query = f"?label={label}&number={i}" if has_query else ""
         try:
             status, _, response = platform.send_request(
-                f"{label}-{kind}-{i}", f"/{kind}/crash", method, body, node=i % NODE_COUNT)
+                f"{label}-{kind}-{i}", f"/{kind}/crash{query}", method, body, node=i % NODE_COUNT)
             statuses.append(status if response is not None else 502)
         except OSError:
             statuses.append(0)
@@ -63,28 +67,31 @@
     return statuses
 
 
-def check_route_kind(platform, transcript, kind, method, body):
+def check_route_kind(platform, transcript, kind, method, body, has_query=False):
     previous_crashes = len(CRASHES)
     background_load = start_background_load(platform, kind)
-    send_repeatedly(platform, kind, method, body, SEND_COUNT // 2, "first")
+    send_repeatedly(platform, kind, method, body, SEND_COUNT // 2, "first", has_query)
     for node in platform.nodes:
         node.kill()
     for node in platform.nodes:
         node.start()
     platform.wait_until(lambda: all(node.readiness_status() == 200 for node in platform.nodes))
-    statuses = send_repeatedly(platform, kind, method, body, SEND_COUNT // 2, "again")
+    statuses = send_repeatedly(platform, kind, method, body, SEND_COUNT // 2, "again", has_query)
     background_load.stop()
     responses = background_load.take()
     crashes = CRASHES[previous_crashes:]
     print(f"# {kind}: {len(crashes)} runner crashes, {late_crashes(crashes)} of them late; "
           f"responses {sorted(set(statuses))}; responses to other requests {dict(responses)}", file=sys.stderr)
-    transcript.write(f"{kind}: late crashes within the limit: {late_crashes(crashes) <= MAX_LATE_CRASHES}, "
+    name = f"{kind}, another query each time" if has_query else kind
+    transcript.write(f"{name}: late crashes within the limit: {late_crashes(crashes) <= MAX_LATE_CRASHES}, "
                      f"rejected as not run: {set(statuses) == {503}}")
 
 
 def run_checks(platform, transcript):
     for kind, method, body in ROUTE_KINDS:
         check_route_kind(platform, transcript, kind, method, body)
+    for kind, method, body in QUERY_KINDS:
+        check_route_kind(platform, transcript, kind, method, body, has_query=True)
     transcript.write(f"harmless requests rejected as suspects: {rejected_as_suspects(platform)}")
 
 
