--- a/src/include/pollenledge/process/crash_record.h
+++ b/src/include/pollenledge/process/crash_record.h
@@ -13,6 +13,22 @@
 /// derives the same id.
 using CrashId = std::uint64_t;
 
+/// How far a request's run on an upstream has come, in this order. A run that
+/// has come further than another one did until its crash shows that the request
+/// does not crash upstreams in that phase.
+enum class RunPhase : std::uint8_t {
+  kStarting,   ///< Sent, and not yet writing for `kSoundWritingTime`.
+  kWriting,    ///< The upstream has been writing the response that long.
+  kCompleted,  ///< The upstream has written the whole response.
+};
+
+/// Returns the phase with the number `value`, and `kStarting` for any other.
+RunPhase ToRunPhase(std::uint64_t value);
+
+/// An upstream that has been writing a response for this long has got over the
+/// start of the request, in which most crashes occur.
+constexpr Duration kSoundWritingTime = std::chrono::milliseconds(250);
+
 /// A crash of an upstream that was running a request.
 struct RecordedCrash {
   TimePoint at;
@@ -22,6 +38,9 @@
   bool shared = false;
   bool observed_locally = false;
   std::string domain;  ///< Empty unless observed locally.
+  /// Of the request at the crash. If several requests with the suspect ran, the
+  /// earliest of their phases.
+  RunPhase phase = RunPhase::kStarting;
 
   friend bool operator==(const RecordedCrash&, const RecordedCrash&) = default;
 };
@@ -47,8 +66,9 @@
   bool Add(CrashId id, const RecordedCrash& crash);
   /// Removes the crash; does nothing if it is not recorded.
   void Remove(CrashId id);
-  /// Removes all crashes that happened at `time` or earlier.
-  void RemoveUpTo(TimePoint time);
+  /// Removes the crashes that happened at `time` or earlier in a phase before
+  /// `reached`.
+  void RemoveUpTo(TimePoint time, RunPhase reached);
 
   /// Returns the length of the longest sequence of crashes of which each
   /// request was sent after the previous crash.
@@ -61,6 +81,10 @@
   /// request of the sequence is sent.
   std::size_t PausesAfter(std::size_t skip, Duration pause) const;
   bool has_unshared_crash() const;
+  /// Returns the latest phase of its crashes; `kStarting` if it has none.
+  RunPhase LatestPhase() const;
+  /// Returns true if all of its crashes happened while upstreams were writing.
+  bool has_writing_crashes_only() const;
   /// Returns true if it has a crash that is not shared and that `other` does
   /// not contain.
   bool HasUnsharedCrashWithout(const CrashRecord& other) const;
--- a/src/include/pollenledge/process/crash_suspects.h
+++ b/src/include/pollenledge/process/crash_suspects.h
@@ -33,15 +33,17 @@
   bool shared = false;
   Duration age{0};       ///< Time since the crash.
   Duration run_time{0};  ///< From sending the request to the crash.
+  RunPhase phase = RunPhase::kStarting;  ///< Of the request at the crash.
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
 
 /// Reports that an upstream responded to a request with the suspect without
-/// crashing.
+/// crashing until the request had reached a phase.
 struct SoundReport {
   Fingerprint fingerprint;
   Duration age{0};  ///< Time since the upstream began to respond.
+  RunPhase reached = RunPhase::kWriting;
 
   friend bool operator==(const SoundReport&, const SoundReport&) = default;
 };
@@ -69,14 +71,11 @@
 /// Maximum number of reports in one heartbeat, so that it fits into a datagram.
 constexpr std::size_t kMaxSuspectReportsPerHeartbeat = 16;
 
-/// An upstream that has been writing a response for this long is not crashed by
-/// the request: crashes occur when it begins to write.
-constexpr Duration kSoundWritingTime = std::chrono::milliseconds(250);
-
 /// A request that ran on a lost upstream and may have crashed it.
 struct SuspectRun {
   std::vector<Fingerprint> fingerprints;
   TimePoint sent_at;  ///< To that upstream.
+  RunPhase phase = RunPhase::kStarting;
 
   friend bool operator==(const SuspectRun&, const SuspectRun&) = default;
 };
@@ -92,6 +91,8 @@
 struct BlamedSuspect {
   Fingerprint fingerprint;
   bool shared = false;  ///< As in `CrashReport`.
+  /// Requests in this phase are blamed.
+  RunPhase phase = RunPhase::kStarting;
 
   friend bool operator==(const BlamedSuspect&, const BlamedSuspect&) = default;
 };
@@ -121,10 +122,18 @@
 ///
 /// A suspect is rejected after `crashes_to_reject` crashes in sequence, see
 /// `CrashRecord`, or one more if each of them may have had another cause.
-/// An upstream that begins to respond to the suspect and does not crash clears
-/// it of all crashes before that. For `kVouchTime` afterwards the suspect needs
-/// twice as many crashes, so that one that many requests contain is not
-/// rejected before the next of them has cleared it.
+/// An upstream that responds to the suspect and does not crash clears it of all
+/// crashes before that in an earlier phase of their runs: once it has written
+/// for `kSoundWritingTime`, of those at the start; once it has completed the
+/// response, of all. For `kVouchTime` afterwards the suspect needs twice as
+/// many crashes, so that one that many requests contain is not rejected before
+/// the next of them has cleared it.
+///
+/// Most crashes occur at the start of a run. Those requests on a lost upstream
+/// that were starting are judged among themselves, and those that were being
+/// written among themselves; the latter only if none of the former is more
+/// suspected. One crash while writing raises no suspicion: all begun responses
+/// of an upstream have it in common.
 ///
 /// Two suspects may run together in all crashes. A request is then rejected
 /// only if it contains both; one that contains only one of them runs isolated
@@ -161,7 +170,7 @@
   explicit CrashSuspects(SuspectOptions options = {}) : options_(options) {}
 
   /// Returns the suspects to which the crash of an upstream that ran `running`
-  /// is attributed: all those of the most suspected requests.
+  /// is attributed: all those of the most suspected requests in each phase.
   std::vector<BlamedSuspect> MostSuspected(
       const std::vector<SuspectRun>& running, TimePoint now) const;
   /// Attributes the crash of an upstream in failure domain `domain` to the
@@ -179,10 +188,12 @@
   /// crashes in `domain` that this node observed itself.
   void OnDomainOutage(const std::string& domain);
   /// Records that an upstream began to respond to a request at `began_at` and
-  /// did not crash, which clears the request's suspects of earlier crashes.
-  /// Returns those that had crashed several times and are no longer suspected.
+  /// did not crash until the request had `reached` a phase, which clears the
+  /// request's suspects of earlier crashes in the phases before. Returns those
+  /// that had crashed several times and are no longer suspected.
   std::vector<Fingerprint> OnSoundResponse(
-      const std::vector<Fingerprint>& fingerprints, TimePoint began_at);
+      const std::vector<Fingerprint>& fingerprints, TimePoint began_at,
+      RunPhase reached = RunPhase::kWriting);
   /// Merges a report from a peer or from the store. Returns the suspect if it
   /// becomes rejected.
   std::optional<Fingerprint> OnReport(const SuspectReport& report,
@@ -214,8 +225,13 @@
   /// may do so.
   bool IsRetrialDue(const Fingerprint& fingerprint, TimePoint now) const;
   /// Returns true if an upstream began a sound response to a request with the
-  /// suspect within the last `kVouchTime`.
+  /// suspect within the last `kVouchTime`, which got beyond the phases of the
+  /// suspect's crashes.
   bool IsVouchedFor(const Fingerprint& fingerprint, TimePoint now) const;
+  /// Returns true if a request with these suspects may crash its upstream also
+  /// while it is being written.
+  bool MayCrashWhileWriting(const std::vector<Fingerprint>& fingerprints,
+                            TimePoint now) const;
   /// Returns the number of crashes in sequence recorded for the suspect.
   std::size_t CrashCount(const Fingerprint& fingerprint) const;
   /// Returns true if this node observed one of the suspect's crashes itself.
@@ -245,12 +261,19 @@
     TimePoint last_active;    ///< Last crash or rejected request.
     int remaining_sends = 0;  ///< Heartbeats that still carry it as an update.
   };
-  /// The last sound response to a request with the suspect.
+  /// The last sound responses to requests with the suspect.
   struct Sound {
-    TimePoint began_at;
+    TimePoint began_at;  ///< Of the last one that reached `kWriting`.
+    /// Of the last one that was completed.
+    std::optional<TimePoint> completed_began_at;
     /// When the response began that was last announced to peers.
     std::optional<TimePoint> announced;
 
+    /// Returns when the last one began that got beyond `phase`; empty if there
+    /// is none.
+    std::optional<TimePoint> BeganBeyond(RunPhase phase) const;
+    /// Records another one.
+    void Add(TimePoint began, RunPhase reached);
     /// Returns true if peers must learn of it after a crash at `crash_at`.
     bool NeedsAnnouncement(TimePoint crash_at) const;
   };
@@ -276,7 +299,17 @@
   /// Returns the weight of a request when a crash is attributed.
   std::size_t BlameOf(const std::vector<Fingerprint>& fingerprints,
                       TimePoint now) const;
-  void Clear(const Fingerprint& fingerprint, TimePoint began_at);
+  /// Returns the largest `BlameOf` of the runs in `phase`; empty if there are
+  /// none.
+  std::optional<std::size_t> MaxBlame(const std::vector<SuspectRun>& running,
+                                      RunPhase phase, TimePoint now) const;
+  /// Returns the suspects of the runs in `phase` with this blame. All are
+  /// shared if `is_shared` is true.
+  std::vector<BlamedSuspect> BlameRuns(const std::vector<SuspectRun>& running,
+                                       RunPhase phase, std::size_t blame,
+                                       bool is_shared, TimePoint now) const;
+  void Clear(const Fingerprint& fingerprint, TimePoint began_at,
+             RunPhase reached);
   /// Reports the last sound response to peers.
   void AnnounceSound(const Fingerprint& fingerprint);
   void EvictIfFull(TimePoint now);
@@ -284,6 +317,13 @@
   static void AppendCrashes(const Fingerprint& fingerprint,
                             const Record& record, std::size_t max_reports,
                             TimePoint now, std::vector<SuspectReport>* reports);
+  /// Returns the reports of the last sound responses.
+  static std::vector<SuspectReport> SoundReports(const Fingerprint& fingerprint,
+                                                 const Sound& sound,
+                                                 TimePoint now);
+  /// Returns true if all that is known is one crash while writing, which all
+  /// begun responses of an upstream have in common.
+  static bool IsCommonCrash(const Record& record);
   const Fingerprint* NextRoundRobin() const;
   void AppendRoundRobin(std::size_t max_reports, TimePoint now,
                         std::vector<SuspectReport>* reports);
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -257,7 +257,7 @@
     TimePoint last_event_at;
     bool first_event_received = false;  ///< By the current attempt.
     TimePoint first_event_at;           ///< Of the current attempt.
-    bool proven_sound = false;     ///< The current attempt, see `MayCrash`.
+    RunPhase phase = RunPhase::kStarting;  ///< Of the current attempt.
     bool sent_under_load = false;  ///< The current attempt's upstream had load.
     /// The current attempt opened its connection. Known once it responds.
     bool on_new_connection = false;
@@ -557,8 +557,8 @@
   static std::string SegmentOf(const Request& request,
                                const Fingerprint& suspect);
   bool IsSuspect(const Request& request) const;
-  /// Returns true if the request's attempt may still crash its upstream: the
-  /// upstream has not been writing the response long enough.
+  /// Returns true if the request's attempt may still crash its upstream: it is
+  /// starting, or such requests have crashed upstreams while these were writing.
   bool MayCrash(const Request& request) const;
   /// Returns true if a request that shares a suspect with this one is queued or
   /// `MayCrash`.
@@ -566,9 +566,14 @@
   /// Returns true if this node is the one that tries the rejected suspect again
   /// and this is due.
   bool MayRetrySuspect(const Fingerprint& suspect);
-  /// The upstream has been responding to the request's attempt and did not
-  /// crash.
-  void RecordSoundResponse(Request* request, TimePoint began_at);
+  /// The upstream has been responding to the request's attempt and did not crash
+  /// until the attempt `reached` this phase.
+  void RecordSoundResponse(Request* request, RunPhase reached,
+                           TimePoint began_at);
+  /// Returns the suspects of the request that its upstream's crash may be
+  /// attributed to.
+  static const std::vector<Fingerprint>& BlamableSuspects(
+      const Request& request);
   /// Makes `query` avoid upstreams so that suspects run isolated.
   void IsolateSuspects(const Request& request, UpstreamCriteria* query) const;
   /// The connection of the request's attempt was lost before the response was
--- a/src/include/pollenledge/process/suspect_document.h
+++ b/src/include/pollenledge/process/suspect_document.h
@@ -16,6 +16,7 @@
   bool shared = false;  ///< As in `CrashReport`.
   WallTime at;
   Duration run_time{0};  ///< As in `CrashReport`.
+  RunPhase phase = RunPhase::kStarting;
 
   friend bool operator==(const StoredCrash&, const StoredCrash&) = default;
 };
--- a/src/libpollenledge/connection/report_codec.cc
+++ b/src/libpollenledge/connection/report_codec.cc
@@ -32,10 +32,12 @@
 SuspectReport FromWire(wire::SuspectReport::Reader reader) {
   const Fingerprint fingerprint = FromWire(reader.getFingerprint());
   const Duration age(std::max<std::int64_t>(0, reader.getAgeMicros()));
-  if (reader.getCrash() == 0) return SoundReport{fingerprint, age};
+  const RunPhase phase = ToRunPhase(reader.getPhase());
+  if (reader.getCrash() == 0)
+    return SoundReport{fingerprint, age, std::max(phase, RunPhase::kWriting)};
   const Duration run_time(std::max<std::int64_t>(0, reader.getRunMicros()));
-  return CrashReport{fingerprint, reader.getCrash(), reader.getShared(), age,
-                     run_time};
+  return CrashReport{fingerprint, reader.getCrash(), reader.getShared(),
+                     age,         run_time,          phase};
 }
 
 void ToWire(const SuspectReport& report, wire::SuspectReport::Builder builder) {
@@ -49,6 +51,10 @@
     builder.setCrash(crash->crash);
     builder.setShared(crash->shared);
     builder.setRunMicros(crash->run_time.count());
+    builder.setPhase(static_cast<std::uint8_t>(crash->phase));
+  } else {
+    builder.setPhase(
+        static_cast<std::uint8_t>(std::get<SoundReport>(report).reached));
   }
 }
 
--- a/src/libpollenledge/connection/wire/peer.capnp
+++ b/src/libpollenledge/connection/wire/peer.capnp
@@ -59,6 +59,9 @@
   ageMicros @3 :Int64;
   # From sending the request to the crash.
   runMicros @4 :Int64;
+  # How far the run of the request had come, a RunPhase. An earlier release
+  # states none.
+  phase @5 :UInt8;
 }
 
 # What an upstream said of its load.
--- a/src/libpollenledge/connection/wire/peer.capnp.h
+++ b/src/libpollenledge/connection/wire/peer.capnp.h
@@ -2145,6 +2145,8 @@
 
   inline  ::int64_t getRunMicros() const;
 
+  inline  ::uint8_t getPhase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2192,6 +2194,9 @@
   inline  ::int64_t getRunMicros();
   inline void setRunMicros( ::int64_t value);
 
+  inline  ::uint8_t getPhase();
+  inline void setPhase( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8221,6 +8226,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t SuspectReport::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t SuspectReport::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void SuspectReport::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HeardLoad::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpollenledge/process/crash_record.cc
+++ b/src/libpollenledge/process/crash_record.cc
@@ -5,6 +5,11 @@
 
 namespace pollenledge {
 
+RunPhase ToRunPhase(std::uint64_t value) {
+  const auto last = static_cast<std::uint64_t>(RunPhase::kCompleted);
+  return value <= last ? static_cast<RunPhase>(value) : RunPhase::kStarting;
+}
+
 bool CrashRecord::Add(CrashId id, const RecordedCrash& crash) {
   const auto [found, is_new] = crashes_.try_emplace(id, crash);
   if (is_new) {
@@ -18,8 +23,11 @@
     known.domain = crash.domain;
   }
   // Nodes that ran different requests of the suspect on the upstream report
-  // different times. The latest one depends on no order of the reports.
-  if (crash.sent_at <= known.sent_at) return false;
+  // different times and phases. The latest time and the earliest phase depend
+  // on no order of the reports.
+  const bool is_earlier_phase = crash.phase < known.phase;
+  known.phase = std::min(known.phase, crash.phase);
+  if (crash.sent_at <= known.sent_at) return is_earlier_phase;
   known.sent_at = crash.sent_at;
   sequential_count_ = Sequence().size();
   return true;
@@ -29,9 +37,11 @@
   if (crashes_.erase(id) > 0) sequential_count_ = Sequence().size();
 }
 
-void CrashRecord::RemoveUpTo(TimePoint time) {
-  std::erase_if(crashes_,
-                [time](const auto& entry) { return entry.second.at <= time; });
+void CrashRecord::RemoveUpTo(TimePoint time, RunPhase reached) {
+  std::erase_if(crashes_, [time, reached](const auto& entry) {
+    const RecordedCrash& crash = entry.second;
+    return crash.at <= time && crash.phase < reached;
+  });
   sequential_count_ = Sequence().size();
 }
 
@@ -83,6 +93,19 @@
                      [](const auto& entry) { return !entry.second.shared; });
 }
 
+RunPhase CrashRecord::LatestPhase() const {
+  RunPhase latest = RunPhase::kStarting;
+  for (const auto& [id, crash] : crashes_)
+    latest = std::max(latest, crash.phase);
+  return latest;
+}
+
+bool CrashRecord::has_writing_crashes_only() const {
+  return std::all_of(crashes_.begin(), crashes_.end(), [](const auto& entry) {
+    return entry.second.phase == RunPhase::kWriting;
+  });
+}
+
 bool CrashRecord::HasUnsharedCrashWithout(const CrashRecord& other) const {
   return std::any_of(
       crashes_.begin(), crashes_.end(), [&other](const auto& entry) {
--- a/src/libpollenledge/process/crash_record_test.cc
+++ b/src/libpollenledge/process/crash_record_test.cc
@@ -20,7 +20,7 @@
   EXPECT_EQ(record.SequentialCount(), 1U);
   record.Add(4, Crash(10, 13));
   EXPECT_EQ(record.SequentialCount(), 2U);
-  record.RemoveUpTo(TimePoint(kSecond * 10));
+  record.RemoveUpTo(TimePoint(kSecond * 10), RunPhase::kCompleted);
   EXPECT_EQ(record.SequentialCount(), 1U);
 }
 
--- a/src/libpollenledge/process/crash_suspects.cc
+++ b/src/libpollenledge/process/crash_suspects.cc
@@ -29,6 +29,9 @@
 /// store.
 constexpr std::size_t kCrashesToPersist = 2;
 constexpr Duration::rep kRetrialBackoffFactor = 4;
+/// Number of heartbeats that carry the report of a single crash while writing:
+/// all begun responses of the upstream have it in common.
+constexpr int kSendsOfCommonCrash = 2;
 /// Typical maximum time of a report between two nodes.
 constexpr Duration kReportTransitTime = std::chrono::milliseconds(100);
 
@@ -73,16 +76,25 @@
   return blame;
 }
 
-std::vector<BlamedSuspect> CrashSuspects::MostSuspected(
-    const std::vector<SuspectRun>& running, TimePoint now) const {
-  std::size_t max_blame = 0;
+std::optional<std::size_t> CrashSuspects::MaxBlame(
+    const std::vector<SuspectRun>& running, RunPhase phase,
+    TimePoint now) const {
+  std::optional<std::size_t> max_blame;
   for (const SuspectRun& run : running) {
-    max_blame = std::max(max_blame, BlameOf(run.fingerprints, now));
+    if (run.phase != phase) continue;
+    const std::size_t blame = BlameOf(run.fingerprints, now);
+    max_blame = std::max(max_blame.value_or(0), blame);
   }
+  return max_blame;
+}
+
+std::vector<BlamedSuspect> CrashSuspects::BlameRuns(
+    const std::vector<SuspectRun>& running, RunPhase phase, std::size_t blame,
+    bool is_shared, TimePoint now) const {
   std::map<Fingerprint, std::size_t> run_counts;
   std::size_t blamed_runs = 0;
   for (const SuspectRun& run : running) {
-    if (BlameOf(run.fingerprints, now) < max_blame) continue;
+    if (run.phase != phase || BlameOf(run.fingerprints, now) < blame) continue;
     ++blamed_runs;
     for (const Fingerprint& fingerprint : std::set<Fingerprint>(
              run.fingerprints.begin(), run.fingerprints.end())) {
@@ -92,7 +104,23 @@
   std::vector<BlamedSuspect> blamed;
   blamed.reserve(run_counts.size());
   for (const auto& [fingerprint, count] : run_counts) {
-    blamed.push_back({fingerprint, count < blamed_runs});
+    blamed.push_back({fingerprint, is_shared || count < blamed_runs, phase});
+  }
+  return blamed;
+}
+
+std::vector<BlamedSuspect> CrashSuspects::MostSuspected(
+    const std::vector<SuspectRun>& running, TimePoint now) const {
+  const auto starting = MaxBlame(running, RunPhase::kStarting, now);
+  const auto writing = MaxBlame(running, RunPhase::kWriting, now);
+  std::vector<BlamedSuspect> blamed;
+  if (starting.has_value()) {
+    blamed = BlameRuns(running, RunPhase::kStarting, *starting, false, now);
+  }
+  if (!writing.has_value() || starting > writing) return blamed;
+  for (const BlamedSuspect& suspect : BlameRuns(
+           running, RunPhase::kWriting, *writing, starting == writing, now)) {
+    blamed.push_back(suspect);
   }
   return blamed;
 }
@@ -101,7 +129,8 @@
                                    TimePoint sent_at, const std::string& domain,
                                    TimePoint now) {
   return AddCrash(suspect.fingerprint, crash,
-                  {now, sent_at, suspect.shared, true, domain}, now);
+                  {now, sent_at, suspect.shared, true, domain, suspect.phase},
+                  now);
 }
 
 std::vector<Fingerprint> CrashSuspects::OnUpstreamLost(
@@ -110,7 +139,9 @@
   std::vector<Fingerprint> rejected;
   for (const BlamedSuspect& suspect : MostSuspected(running, now)) {
     for (const SuspectRun& run : running) {
-      if (!Contains(run.fingerprints, suspect.fingerprint)) continue;
+      if (run.phase != suspect.phase ||
+          !Contains(run.fingerprints, suspect.fingerprint))
+        continue;
       if (AttributeCrash(suspect, crash, run.sent_at, domain, now)) {
         rejected.push_back(suspect.fingerprint);
       }
@@ -123,7 +154,10 @@
                              const RecordedCrash& crash, TimePoint now) {
   if (withdrawn_crashes_.count(id) > 0) return false;
   const auto sound = sounds_.find(fingerprint);
-  if (sound != sounds_.end() && crash.at <= sound->second.began_at) {
+  const std::optional<TimePoint> sound_began_at =
+      sound == sounds_.end() ? std::nullopt
+                             : sound->second.BeganBeyond(crash.phase);
+  if (sound_began_at.has_value() && crash.at <= *sound_began_at) {
     // Peers that suspect it must receive the evidence as well.
     if (sound->second.NeedsAnnouncement(crash.at)) AnnounceSound(fingerprint);
     return false;
@@ -131,7 +165,7 @@
   if (records_.count(fingerprint) == 0) {
     EvictIfFull(now);
     // Nodes that have run no request with it rely on those that have.
-    if (sound != sounds_.end() && sound->second.NeedsAnnouncement(crash.at))
+    if (sound_began_at.has_value() && sound->second.NeedsAnnouncement(crash.at))
       AnnounceSound(fingerprint);
   }
   Record& record =
@@ -142,7 +176,8 @@
   const bool was_rejected = IsRejected(fingerprint, record, now);
   if (!record.crashes.Add(id, crash)) return false;
   record.last_active = std::max(record.last_active, crash.at);
-  record.remaining_sends = kSendsPerUpdate;
+  record.remaining_sends =
+      IsCommonCrash(record) ? kSendsOfCommonCrash : kSendsPerUpdate;
   has_unsent_reports_ = true;
   if (!IsRejected(fingerprint, record, now)) return false;
   rejected_.insert(fingerprint);
@@ -166,15 +201,14 @@
 }
 
 std::vector<Fingerprint> CrashSuspects::OnSoundResponse(
-    const std::vector<Fingerprint>& fingerprints, TimePoint began_at) {
+    const std::vector<Fingerprint>& fingerprints, TimePoint began_at,
+    RunPhase reached) {
   std::vector<Fingerprint> cleared;
   for (const Fingerprint& fingerprint : fingerprints) {
     const bool was_suspected = CrashCount(fingerprint) > 1;
-    if (sounds_.size() < kMaxSounds || records_.count(fingerprint) > 0) {
-      TimePoint& known = sounds_[fingerprint].began_at;
-      known = std::max(known, began_at);
-    }
-    Clear(fingerprint, began_at);
+    if (sounds_.size() < kMaxSounds || records_.count(fingerprint) > 0)
+      sounds_[fingerprint].Add(began_at, reached);
+    Clear(fingerprint, began_at, reached);
     if (was_suspected && CrashCount(fingerprint) == 0) {
       cleared.push_back(fingerprint);
     }
@@ -182,14 +216,27 @@
   return cleared;
 }
 
-void CrashSuspects::Clear(const Fingerprint& fingerprint, TimePoint began_at) {
+void CrashSuspects::Clear(const Fingerprint& fingerprint, TimePoint began_at,
+                          RunPhase reached) {
   const auto found = records_.find(fingerprint);
   if (found == records_.end()) return;
-  found->second.crashes.RemoveUpTo(began_at);
+  found->second.crashes.RemoveUpTo(began_at, reached);
   if (found->second.crashes.empty()) records_.erase(found);
   AnnounceSound(fingerprint);
 }
 
+std::optional<TimePoint> CrashSuspects::Sound::BeganBeyond(
+    RunPhase phase) const {
+  if (phase == RunPhase::kStarting) return began_at;
+  return completed_began_at;
+}
+
+void CrashSuspects::Sound::Add(TimePoint began, RunPhase reached) {
+  began_at = std::max(began_at, began);
+  if (reached < RunPhase::kCompleted) return;
+  completed_began_at = std::max(completed_began_at.value_or(began), began);
+}
+
 bool CrashSuspects::Sound::NeedsAnnouncement(TimePoint crash_at) const {
   return !announced.has_value() || crash_at - *announced > kAnnounceInterval;
 }
@@ -206,20 +253,25 @@
   if (const auto* sound = std::get_if<SoundReport>(&report)) {
     if (sound->age > kClearedTime) return std::nullopt;
     const TimePoint began_at = now - sound->age;
-    TimePoint& known = sounds_[sound->fingerprint].began_at;
+    Sound& known = sounds_[sound->fingerprint];
+    const std::optional<TimePoint> known_began_at =
+        sound->reached == RunPhase::kCompleted ? known.completed_began_at
+                                               : known.began_at;
     // A report that comes back is older by its time on the way.
-    if (began_at <= known + kReportTransitTime) return std::nullopt;
-    known = began_at;
+    if (known_began_at.has_value() &&
+        began_at <= *known_began_at + kReportTransitTime)
+      return std::nullopt;
+    known.Add(began_at, sound->reached);
     unsent_sounds_.erase(sound->fingerprint);
-    Clear(sound->fingerprint, began_at);
+    Clear(sound->fingerprint, began_at, sound->reached);
     return std::nullopt;
   }
   const auto& crash = std::get<CrashReport>(report);
   if (crash.age > kSuspicionTime) return std::nullopt;
   const TimePoint at = now - crash.age;
-  const bool rejected =
-      AddCrash(crash.fingerprint, crash.crash,
-               {at, at - crash.run_time, crash.shared, false, ""}, now);
+  const bool rejected = AddCrash(
+      crash.fingerprint, crash.crash,
+      {at, at - crash.run_time, crash.shared, false, "", crash.phase}, now);
   return rejected ? std::optional(crash.fingerprint) : std::nullopt;
 }
 
@@ -238,7 +290,25 @@
 bool CrashSuspects::IsVouchedFor(const Fingerprint& fingerprint,
                                  TimePoint now) const {
   const auto found = sounds_.find(fingerprint);
-  return found != sounds_.end() && now - found->second.began_at <= kVouchTime;
+  if (found == sounds_.end()) return false;
+  const auto record = records_.find(fingerprint);
+  const RunPhase phase = record == records_.end()
+                             ? RunPhase::kStarting
+                             : record->second.crashes.LatestPhase();
+  const std::optional<TimePoint> began_at = found->second.BeganBeyond(phase);
+  return began_at.has_value() && now - *began_at <= kVouchTime;
+}
+
+bool CrashSuspects::MayCrashWhileWriting(
+    const std::vector<Fingerprint>& fingerprints, TimePoint now) const {
+  return std::any_of(
+      fingerprints.begin(), fingerprints.end(),
+      [&](const Fingerprint& fingerprint) {
+        const auto found = records_.find(fingerprint);
+        return found != records_.end() &&
+               found->second.crashes.LatestPhase() == RunPhase::kWriting &&
+               SuspicionOfOne(fingerprint, now) != Suspicion::kNone;
+      });
 }
 
 bool CrashSuspects::IsRejected(const Fingerprint& fingerprint,
@@ -298,6 +368,11 @@
       });
 }
 
+bool CrashSuspects::IsCommonCrash(const Record& record) {
+  return record.crashes.SequentialCount() == 1 &&
+         record.crashes.has_writing_crashes_only();
+}
+
 Suspicion CrashSuspects::SuspicionOfOne(const Fingerprint& fingerprint,
                                         TimePoint now) const {
   const auto found = records_.find(fingerprint);
@@ -314,7 +389,8 @@
   if (crashes > 1) {
     return is_vouched_for ? Suspicion::kSeparated : Suspicion::kIsolated;
   }
-  return is_vouched_for ? Suspicion::kNone : Suspicion::kSeparated;
+  return is_vouched_for || IsCommonCrash(record) ? Suspicion::kNone
+                                                 : Suspicion::kSeparated;
 }
 
 std::optional<Fingerprint> CrashSuspects::RejectedSuspect(
@@ -386,17 +462,32 @@
     if (reports->size() >= max_reports) return;
     reports->push_back(CrashReport{fingerprint, id, crash.shared,
                                    std::max(Duration(0), now - crash.at),
-                                   crash.at - crash.sent_at});
+                                   crash.at - crash.sent_at, crash.phase});
   }
 }
 
+std::vector<SuspectReport> CrashSuspects::SoundReports(
+    const Fingerprint& fingerprint, const Sound& sound, TimePoint now) {
+  std::vector<SuspectReport> reports;
+  const std::optional<TimePoint> completed = sound.completed_began_at;
+  if (completed != sound.began_at)
+    reports.emplace_back(SoundReport{fingerprint, now - sound.began_at});
+  if (completed.has_value()) {
+    reports.emplace_back(
+        SoundReport{fingerprint, now - *completed, RunPhase::kCompleted});
+  }
+  return reports;
+}
+
 void CrashSuspects::AppendUpdates(std::size_t max_reports, TimePoint now,
                                   std::vector<SuspectReport>* reports) {
   for (auto it = unsent_sounds_.begin(); it != unsent_sounds_.end();) {
-    if (reports->size() >= max_reports) return;
     const auto sound = sounds_.find(it->first);
     if (sound != sounds_.end()) {
-      reports->push_back(SoundReport{it->first, now - sound->second.began_at});
+      const std::vector<SuspectReport> sounds =
+          SoundReports(it->first, sound->second, now);
+      if (reports->size() + sounds.size() > max_reports) return;
+      reports->insert(reports->end(), sounds.begin(), sounds.end());
     }
     const bool sent = sound == sounds_.end() || --it->second <= 0;
     it = sent ? unsent_sounds_.erase(it) : std::next(it);
@@ -468,7 +559,7 @@
     if (!is_included) continue;
     for (const auto& [id, crash] : record.crashes.crashes()) {
       reports.push_back({fingerprint, id, crash.shared, now - crash.at,
-                         crash.at - crash.sent_at});
+                         crash.at - crash.sent_at, crash.phase});
     }
   }
   return reports;
--- a/src/libpollenledge/process/crash_suspects_test.cc
+++ b/src/libpollenledge/process/crash_suspects_test.cc
@@ -133,6 +133,77 @@
   EXPECT_EQ(SuspicionOf(suspects_, 1), Suspicion::kNone);
 }
 
+// Guards against a request that clears itself of its crashes each time that it
+// runs, because it crashes upstreams only after a while (review/6).
+TEST_F(ThreeCrashes, ACrashWhileWritingIsClearedOnlyByACompletedResponse) {
+  const auto crash_while_writing = [&](std::uint64_t number) {
+    return suspects_.OnUpstreamLost({{{F(number)}, now_, RunPhase::kWriting}},
+                                    next_crash_++, "d", now_);
+  };
+  {
+    SCOPED_TRACE("all begun responses have one such crash in common");
+    crash_while_writing(1);
+    EXPECT_EQ(SuspicionOf(suspects_, 1), Suspicion::kNone);
+    EXPECT_EQ(suspects_.CrashCount(F(1)), 1U);
+  }
+  {
+    SCOPED_TRACE("the next run begins to write, and crashes as well");
+    now_ += kSecond;
+    suspects_.OnSoundResponse({F(1)}, now_);
+    EXPECT_EQ(suspects_.CrashCount(F(1)), 1U);
+    EXPECT_FALSE(suspects_.IsVouchedFor(F(1), now_));
+    crash_while_writing(1);
+    EXPECT_EQ(SuspicionOf(suspects_, 1), Suspicion::kIsolated);
+    EXPECT_TRUE(suspects_.MayCrashWhileWriting({F(1)}, now_));
+  }
+  {
+    SCOPED_TRACE("peers learn of it with its phase");
+    SendReports(&suspects_, &other_);
+    other_.OnReport(SoundReport{F(1), Duration(0)}, now_ + kSecond);
+    EXPECT_EQ(other_.CrashCount(F(1)), 2U);
+  }
+  {
+    SCOPED_TRACE("a completed response clears it everywhere");
+    now_ += 2 * kSecond;
+    suspects_.OnSoundResponse({F(1)}, now_, RunPhase::kCompleted);
+    EXPECT_EQ(SuspicionOf(suspects_, 1), Suspicion::kNone);
+    SendReports(&suspects_, &other_);
+    EXPECT_EQ(other_.CrashCount(F(1)), 0U);
+  }
+}
+
+// Guards against blaming what an upstream has been writing for a while for the
+// crashes of a request that was starting there, and the other way round.
+TEST_F(ThreeCrashes, StartingAndWritingRequestsAreJudgedApart) {
+  const SuspectRun starting{{F(1)}, now_, RunPhase::kStarting};
+  const SuspectRun writing{{F(2)}, now_, RunPhase::kWriting};
+  const auto blamed = [&] {
+    return suspects_.MostSuspected({starting, writing}, now_);
+  };
+  const BlamedSuspect starting_alone{F(1), false, RunPhase::kStarting};
+  const BlamedSuspect writing_alone{F(2), false, RunPhase::kWriting};
+  {
+    SCOPED_TRACE("nobody is suspected: both may be the cause");
+    const BlamedSuspect writing_shared{F(2), true, RunPhase::kWriting};
+    EXPECT_EQ(blamed(),
+              (std::vector<BlamedSuspect>{starting_alone, writing_shared}));
+  }
+  {
+    SCOPED_TRACE("the starting one is suspected");
+    suspects_.AttributeCrash(starting_alone, 1, now_, "d", now_);
+    EXPECT_EQ(blamed(), std::vector<BlamedSuspect>{starting_alone});
+  }
+  {
+    SCOPED_TRACE("the writing one is suspected more");
+    for (const CrashId crash : {2, 3}) {
+      now_ += kSecond;
+      suspects_.AttributeCrash(writing_alone, crash, now_, "d", now_);
+    }
+    EXPECT_EQ(blamed(),
+              (std::vector<BlamedSuspect>{starting_alone, writing_alone}));
+  }
+}
+
 // Many callers send the same request: some repeatedly lose their upstream while
 // others get a response. The request must not be rejected.
 TEST_F(ThreeCrashes, SoundResponsesClearARequestSentByManyCallers) {
--- a/src/libpollenledge/process/entry_attempts.cc
+++ b/src/libpollenledge/process/entry_attempts.cc
@@ -205,7 +205,8 @@
                                    const event::AttemptFinished& finished) {
   crash_suspects_.OnSoundResponse(
       SuspectsOf(request->spec),
-      request->attempt_has_token ? request->attempt_first_token_at : now());
+      request->attempt_has_token ? request->attempt_first_token_at : now(),
+      RunPhase::kCompleted);
   BroadcastSuspects();
   const double actual_cost =
       request->is_service() ? request->predicted_cost
@@ -257,8 +258,13 @@
     const bool is_writing =
         other.attempt_has_token &&
         now() - other.attempt_first_token_at >= kSoundWritingTime;
-    if (other.phase == RequestPhase::kRunning &&
-        other.upstream == request.upstream && !is_writing) {
+    if (other.phase != RequestPhase::kRunning ||
+        other.upstream != request.upstream)
+      continue;
+    if (is_writing) {
+      running.push_back(
+          {{other.spec.fingerprint}, other.dispatched_at, RunPhase::kWriting});
+    } else {
       running.push_back({SuspectsOf(other.spec), other.dispatched_at});
     }
   }
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -107,7 +107,7 @@
   request->sent_at = now();
   request->last_event_at = now();
   request->first_event_received = false;
-  request->proven_sound = false;
+  request->phase = RunPhase::kStarting;
   request->pending_prompt_tokens = request->spec.prompt_tokens;
   request->sent_under_load = IsLoaded(*upstream, now());
   request->event_batches = 0;
@@ -318,7 +318,7 @@
   ExpectNextEvent(request);
   if (request->first_event_received &&
       now() - request->first_event_at >= kSoundWritingTime) {
-    RecordSoundResponse(request, request->first_event_at);
+    RecordSoundResponse(request, RunPhase::kWriting, request->first_event_at);
     SendSuspectReports();
   }
 }
@@ -363,9 +363,9 @@
     }
   }
   if (ran) {
-    RecordSoundResponse(request, request->first_event_received
-                                     ? request->first_event_at
-                                     : now());
+    RecordSoundResponse(
+        request, RunPhase::kCompleted,
+        request->first_event_received ? request->first_event_at : now());
   }
   SendSuspectReports();
   FinalizeAttempt(request, ended.end);
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -125,7 +125,9 @@
 }
 
 bool ForwardNode::MayCrash(const Request& request) const {
-  return !request.current_upstream.empty() && !request.proven_sound;
+  if (request.current_upstream.empty()) return false;
+  return request.phase == RunPhase::kStarting ||
+         suspects_.MayCrashWhileWriting(request.own_fingerprints, now());
 }
 
 bool ForwardNode::HasActiveTrial(const Request& request) const {
@@ -186,11 +188,12 @@
   }
 }
 
-void ForwardNode::RecordSoundResponse(Request* request, TimePoint began_at) {
-  if (request->proven_sound) return;
-  request->proven_sound = true;
-  for (const Fingerprint& cleared :
-       suspects_.OnSoundResponse(request->suspect_fingerprints, began_at)) {
+void ForwardNode::RecordSoundResponse(Request* request, RunPhase reached,
+                                      TimePoint began_at) {
+  if (request->phase >= reached) return;
+  request->phase = reached;
+  for (const Fingerprint& cleared : suspects_.OnSoundResponse(
+           request->suspect_fingerprints, began_at, reached)) {
     LogRequest(LogLevel::kWarn, "suspect_cleared", *request,
                {{"suspect", ToHex(cleared)},
                 {"upstream", request->current_upstream},
@@ -207,13 +210,12 @@
                          request.sent_at <= loss.observed_at &&
                          now() - loss.observed_at < kSameCrashWindow;
   if (!same_loss) RecordConnectionLoss(*upstream, &loss);
-  if (!MayCrash(request)) return;
+  const std::vector<Fingerprint>& suspects = BlamableSuspects(request);
   for (const BlamedSuspect& suspect : loss.suspects) {
-    if (std::find(request.suspect_fingerprints.begin(),
-                  request.suspect_fingerprints.end(),
-                  suspect.fingerprint) == request.suspect_fingerprints.end()) {
+    if (suspect.phase != request.phase ||
+        std::find(suspects.begin(), suspects.end(), suspect.fingerprint) ==
+            suspects.end())
       continue;
-    }
     LogSuspected(request, suspect);
     if (!suspects_.AttributeCrash(suspect, loss.crash_id, request.sent_at,
                                   upstream->info.domain, now())) {
@@ -224,6 +226,15 @@
   PersistSuspects();
 }
 
+const std::vector<Fingerprint>& ForwardNode::BlamableSuspects(
+    const Request& request) {
+  // A segment that crashes upstreams does so when it is read. Begun responses
+  // are many and have segments in common, so that these are not blamed for each
+  // crash.
+  return request.phase == RunPhase::kStarting ? request.suspect_fingerprints
+                                              : request.own_fingerprints;
+}
+
 void ForwardNode::LogSuspected(const Request& request,
                                const BlamedSuspect& suspect) {
   LogRequest(LogLevel::kWarn, "suspected", request,
@@ -235,6 +246,7 @@
                std::to_string(suspects_.CrashCount(suspect.fingerprint))},
               {"others_to_blame", suspect.shared ? "yes" : "no"},
               {"first_event_seen", request.first_event_received ? "yes" : "no"},
+              {"writing", request.phase == RunPhase::kWriting ? "yes" : "no"},
               {"since_send_ms", FormatMilliseconds(now() - request.sent_at)}});
 }
 
@@ -247,8 +259,8 @@
   loss->observed_at = now();
   std::vector<SuspectRun> running;
   for (const auto& [id, other] : requests_) {
-    if (other.current_upstream == upstream.info.id.name && MayCrash(other)) {
-      running.push_back({other.suspect_fingerprints, other.sent_at});
+    if (other.current_upstream == upstream.info.id.name) {
+      running.push_back({BlamableSuspects(other), other.sent_at, other.phase});
     }
   }
   loss->suspects = suspects_.MostSuspected(running, now());
@@ -366,7 +378,7 @@
       {{"suspect", ToHex(lifted.fingerprint)},
        {"crashes", std::to_string(suspects_.CrashCount(lifted.fingerprint))}}});
   // Peers receive it like the evidence of a sound response.
-  suspects_.OnSoundResponse({lifted.fingerprint}, now());
+  suspects_.OnSoundResponse({lifted.fingerprint}, now(), RunPhase::kCompleted);
   SendSuspectReports();
 }
 
--- a/src/libpollenledge/process/forward_suspects_test.cc
+++ b/src/libpollenledge/process/forward_suspects_test.cc
@@ -13,6 +13,7 @@
 
 using testing::ForwardFleet;
 using testing::kCrashingContent;
+using testing::kLateCrashingContent;
 
 constexpr Duration kMillisecond = std::chrono::milliseconds(1);
 constexpr Duration kSecond = std::chrono::seconds(1);
@@ -176,6 +177,41 @@
             std::set<std::string>{kCrashingContent});
 }
 
+class LateCrashingStream : public ::testing::TestWithParam<FleetParams> {};
+
+// Guards against a stream that is never recognized because it crashes its
+// upstreams only after these have been writing for a while (review/6, BUDGET):
+// what it wrote cleared it, and a request that wrote wasn't blamed.
+TEST_P(LateCrashingStream, IsTheOnlyOneRejected) {
+  ForwardFleet fleet(GetParam().nodes, GetParam().seed);
+  std::mt19937_64 random(GetParam().seed);
+  int innocent = 0;
+  for (int i = 0; i < 24; ++i) {
+    fleet.SubmitRequest(random() % fleet.size(), GetParam().route,
+                        kLateCrashingContent);
+    for (int step = 0; step < 50; ++step) {
+      if (i % 4 == 1 && step < 4)
+        fleet.CrashUpstream(random() % ForwardFleet::kUpstreamCount);
+      fleet.SubmitRequest(random() % fleet.size(), GetParam().route,
+                          "innocent" + std::to_string(++innocent));
+      fleet.RunFor(30 * kMillisecond);
+    }
+  }
+  EXPECT_LE(fleet.CrashesAfterThird(GetParam().propagation_time),
+            kMaxLateCrashes);
+  EXPECT_EQ(fleet.rejected_suspect_contents,
+            std::set<std::string>{kLateCrashingContent});
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Seeds, LateCrashingStream,
+    ::testing::Values(FleetParams{4, 3 * kSecond, "draft", 1},
+                      FleetParams{4, 3 * kSecond, "chat", 2},
+                      FleetParams{7, 3 * kSecond, "draft", 3},
+                      FleetParams{7, 3 * kSecond, "chat", 4},
+                      FleetParams{91, 4 * kSecond, "draft", 5},
+                      FleetParams{91, 4 * kSecond, "chat", 6}));
+
 // Guards against crashes that are lost if the store is away when they occur,
 // and against nodes that need the store to serve.
 TEST(CrashingRequestWithoutStore, IsKnownToUnknownNodesOnceTheStoreIsBack) {
--- a/src/libpollenledge/process/suspect_document.cc
+++ b/src/libpollenledge/process/suspect_document.cc
@@ -55,7 +55,8 @@
                     {"crash", crash.crash},
                     {"shared", crash.shared},
                     {"at_us", crash.at.time_since_epoch().count()},
-                    {"run_us", crash.run_time.count()}});
+                    {"run_us", crash.run_time.count()},
+                    {"phase", static_cast<int>(crash.phase)}});
   }
   return Json{{"crashes", list}}.dump();
 }
@@ -78,8 +79,9 @@
       crash.crash = entry.at("crash").get<CrashId>();
       crash.shared = entry.at("shared").get<bool>();
       crash.at = WallTime(Duration(entry.at("at_us").get<std::int64_t>()));
-      // Nodes of an earlier version do not write the run time.
+      // Nodes of an earlier version do not write these.
       crash.run_time = Duration(entry.value("run_us", std::int64_t{0}));
+      crash.phase = ToRunPhase(entry.value("phase", std::uint64_t{0}));
       crashes.push_back(crash);
     }
   } catch (const Json::exception& problem) {
@@ -113,7 +115,8 @@
     // The clock of the node that recorded the crash may be ahead.
     const Duration age = std::max<Duration>(Duration(0), now - crash.at);
     reports.emplace_back(CrashReport{crash.fingerprint, crash.crash,
-                                     crash.shared, age, crash.run_time});
+                                     crash.shared, age, crash.run_time,
+                                     crash.phase});
   }
   return reports;
 }
@@ -124,7 +127,7 @@
   crashes.reserve(reports.size());
   for (const CrashReport& report : reports) {
     crashes.push_back({report.fingerprint, report.crash, report.shared,
-                       now - report.age, report.run_time});
+                       now - report.age, report.run_time, report.phase});
   }
   return crashes;
 }
--- a/src/libpollenledge/process/suspect_document_test.cc
+++ b/src/libpollenledge/process/suspect_document_test.cc
@@ -15,8 +15,9 @@
 }
 
 TEST(SuspectDocumentTest, DecodesWhatWasEncoded) {
-  const std::vector<StoredCrash> crashes = {{{~0ULL, 1}, ~0ULL, true, kNow},
-                                            {{1, 2}, 3, false, kNow - kMinute}};
+  const std::vector<StoredCrash> crashes = {
+      {{~0ULL, 1}, ~0ULL, true, kNow},
+      {{1, 2}, 3, false, kNow - kMinute, kMinute, RunPhase::kWriting}};
   const auto read = DecodeSuspects(EncodeSuspects(crashes));
   ASSERT_TRUE(Ok(read));
   EXPECT_EQ(Value(read), crashes);
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -21,6 +21,9 @@
 
 /// Content of a request that crashes every upstream that starts it.
 constexpr char kCrashingContent[] = "crashing";
+/// Content of a stream that crashes its upstream half a second after its first
+/// event.
+constexpr char kLateCrashingContent[] = "late-crashing";
 
 /// A simulated fleet of forwarding nodes and upstreams that runs in virtual
 /// time. It owns the nodes, executes the actions they return and delivers
@@ -592,6 +595,11 @@
   void WriteEvent(ForwardId id, int number, int event) {
     if (!IsRunning(id, number)) return;
     const std::size_t node = attempts_.at(id).node;
+    if (event == kLateCrashEvent && contents_[id] == kLateCrashingContent) {
+      crash_times.push_back(now_);
+      CrashUpstream(std::stoul(attempts_.at(id).upstream.substr(1)));
+      return;
+    }
     if (event == 1) SubmitHead(id);
     Submit(node, forward_event::FirstEventReceived{id});
     Submit(node, forward_event::EventsForwarded{id, event});
@@ -673,6 +681,7 @@
   static constexpr Duration kPromptTime = 200 * kMillisecond;
   static constexpr Duration kEventInterval = 50 * kMillisecond;
   static constexpr int kStreamEvents = 12;
+  static constexpr int kLateCrashEvent = 11;
   static constexpr std::int64_t kSegmentTokens = 100;
 
   TimePoint now_{std::chrono::seconds(1000)};
