--- a/src/include/pollenledge/connection/forwarding_codec.h
+++ b/src/include/pollenledge/connection/forwarding_codec.h
@@ -31,6 +31,7 @@
   std::optional<std::int64_t> last_event_id;
   std::string first_attempt;             ///< Empty if no stream is resumed.
   std::uint64_t min_tables_version = 0;  ///< As in `ForwardSpec`.
+  int max_runs = 1;                      ///< As in `ForwardSpec`.
 
   friend bool operator==(const RelayFields&, const RelayFields&) = default;
 };
--- a/src/include/pollenledge/process/forward_events.h
+++ b/src/include/pollenledge/process/forward_events.h
@@ -208,6 +208,7 @@
   std::string first_attempt;
   /// The other node must have tables of this version or a later one.
   std::uint64_t min_tables_version = 0;
+  int max_runs = 1;  ///< How often the other node may run the request.
 };
 /// Connect to an upstream and send nothing. `UpstreamProbed` follows.
 struct ProbeUpstream {
--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -245,18 +245,19 @@
     TimePoint next_check_at;    ///< Time of the next `OnCheckDue`.
     double acquired_units = 0;  ///< Acquired from the customer's limit.
     int attempts = 0;
-    int possible_runs = 0;                     ///< Attempts that may have run.
+    int possible_runs = 0;  ///< Attempts that may have run, here or elsewhere.
     std::vector<std::string> tried_upstreams;  ///< Upstreams it was sent to.
     std::string current_upstream;  ///< Of the current attempt; empty: none.
     std::uint64_t current_incarnation = 0;  ///< Of `current_upstream`.
     std::string current_version;            ///< Software of `current_upstream`.
     std::string relay;  ///< Node that it was relayed to and that has not ended.
+    int relay_max_runs = 0;  ///< How often `relay` may run it.
     std::vector<std::string> tried_relays;
     std::int64_t pending_prompt_tokens = 0;  ///< Of the current attempt.
     TimePoint sent_at;
     TimePoint last_event_at;
-    bool first_event_received = false;  ///< By the current attempt.
-    TimePoint first_event_at;           ///< Of the current attempt.
+    bool first_event_received = false;     ///< By the current attempt.
+    TimePoint first_event_at;              ///< Of the current attempt.
     RunPhase phase = RunPhase::kStarting;  ///< Of the current attempt.
     bool sent_under_load = false;  ///< The current attempt's upstream had load.
     /// The current attempt opened its connection. Known once it responds.
@@ -458,6 +459,8 @@
   /// node's. The other node then tries another one.
   std::optional<NotRun> CheckTablesVersion(const Request& request);
   bool MayRelay(const Request& request) const;
+  /// Returns how often the other node may run a request that is relayed now.
+  static int RunsForRelay(const Request& request);
   /// Returns the id of the caller's request that began the stream which the
   /// request goes on with; empty if it begins one.
   static std::string FirstAttemptOf(const Request& request);
@@ -558,7 +561,8 @@
                                const Fingerprint& suspect);
   bool IsSuspect(const Request& request) const;
   /// Returns true if the request's attempt may still crash its upstream: it is
-  /// starting, or such requests have crashed upstreams while these were writing.
+  /// starting, or such requests have crashed upstreams while these were
+  /// writing.
   bool MayCrash(const Request& request) const;
   /// Returns true if a request that shares a suspect with this one is queued or
   /// `MayCrash`.
@@ -566,8 +570,8 @@
   /// Returns true if this node is the one that tries the rejected suspect again
   /// and this is due.
   bool MayRetrySuspect(const Fingerprint& suspect);
-  /// The upstream has been responding to the request's attempt and did not crash
-  /// until the attempt `reached` this phase.
+  /// The upstream has been responding to the request's attempt and did not
+  /// crash until the attempt `reached` this phase.
   void RecordSoundResponse(Request* request, RunPhase reached,
                            TimePoint began_at);
   /// Returns the suspects of the request that its upstream's crash may be
@@ -656,6 +660,10 @@
   /// Updates the upstream's state and the request after an attempt ended.
   void FinalizeAttempt(Request* request, ForwardOutcome end);
   bool MayRetry(const Request& request) const;
+  /// Returns how often this node may run the request, and how many of these
+  /// runs are left.
+  static int MaxRuns(const Request& request);
+  static int RunsLeft(const Request& request);
   /// Sends the request again. Returns false if that is not allowed or no
   /// upstream has capacity.
   bool Retry(Request* request, ForwardOutcome end);
--- a/src/include/pollenledge/request/forward_request.h
+++ b/src/include/pollenledge/request/forward_request.h
@@ -52,6 +52,9 @@
   /// The tables version of that node, by which it admitted the request; older
   /// ones must not decide about it. 0 if it is not stated.
   std::uint64_t min_tables_version = 0;
+  /// How often that node allows the request to be run. Empty if it is not
+  /// stated.
+  std::optional<int> max_runs;
 
   friend bool operator==(const ForwardSpec&, const ForwardSpec&) = default;
 };
--- a/src/libpollenledge/process/forward_dispatch.cc
+++ b/src/libpollenledge/process/forward_dispatch.cc
@@ -433,18 +433,27 @@
 bool ForwardNode::MayRetry(const Request& request) const {
   const ForwardingRoute& route = *request.route;
   if (request.may_have_run && !route.IsRetrySafe()) return false;
-  if (request.possible_runs >= route.max_attempts) return false;
+  if (RunsLeft(request) <= 0) return false;
   if (suspects_.RejectedSuspect(request.suspect_fingerprints, now()))
     return false;
   // Of several requests with the same suspect, one at a time is tried.
   if (IsSuspect(request) && HasActiveTrial(request)) return false;
   // Attempts that did not run do not count as runs, so their total number is
   // bounded separately, unless only the deadline ends the response.
-  if (request.attempts > route.max_attempts && !HasSoundResponse(request))
+  if (request.attempts > MaxRuns(request) && !HasSoundResponse(request))
     return false;
   return now() < request.deadline;
 }
 
+int ForwardNode::MaxRuns(const Request& request) {
+  const int max_attempts = request.route->max_attempts;
+  return std::min(max_attempts, request.spec.max_runs.value_or(max_attempts));
+}
+
+int ForwardNode::RunsLeft(const Request& request) {
+  return MaxRuns(request) - request.possible_runs;
+}
+
 bool ForwardNode::Retry(Request* request, ForwardOutcome end) {
   if (!MayRetry(*request) || paths_.IsLost(request->service)) return false;
   if (request->customer != nullptr && !AreKeysFresh(now())) return false;
--- a/src/libpollenledge/process/forward_relay.cc
+++ b/src/libpollenledge/process/forward_relay.cc
@@ -133,6 +133,7 @@
   if (request.spec.is_relayed || request.tried_relays.size() >= kMaxRelays)
     return false;
   if (request.may_have_run && !request.route->IsRetrySafe()) return false;
+  if (RunsLeft(request) <= 0) return false;
   if (request.customer != nullptr && !AreKeysFresh(now())) return false;
   return now() < request.deadline;
 }
@@ -143,6 +144,13 @@
                                             : request.spec.first_attempt;
 }
 
+int ForwardNode::RunsForRelay(const Request& request) {
+  const int left = RunsLeft(request);
+  // A long response may outlive the other node, and is resumed elsewhere then.
+  const bool is_long = request.route->kind == RouteKind::kStreaming;
+  return is_long && left > 1 ? left - 1 : left;
+}
+
 bool ForwardNode::Relay(Request* request) {
   if (!MayRelay(*request)) return false;
   const MemberRecord* peer = ChooseRelay(*request);
@@ -154,6 +162,7 @@
   }
   request->usage_counted = true;
   request->relay = peer->id.name;
+  request->relay_max_runs = RunsForRelay(*request);
   request->tried_relays.push_back(peer->id.name);
   request->sent_at = now();
   request->last_event_at = now();
@@ -174,7 +183,8 @@
                               : ConnectionReuse::kRecentlyUsed,
       .last_event_id = request->last_event_id,
       .first_attempt = FirstAttemptOf(*request),
-      .min_tables_version = request->tables_index->tables().version});
+      .min_tables_version = request->tables_index->tables().version,
+      .max_runs = request->relay_max_runs});
   ScheduleCheck(request);
   return true;
 }
@@ -210,7 +220,11 @@
   LogAttemptEnd("relay_ended", {"peer", peer}, *request, ended);
   const bool not_run = ended.end == ForwardOutcome::kNotSent ||
                        ended.end == ForwardOutcome::kRejected;
-  if (!not_run) request->may_have_run = true;
+  if (!not_run) {
+    request->may_have_run = true;
+    // The other node may have used all the runs that it was allowed.
+    request->possible_runs += request->relay_max_runs;
+  }
   switch (ended.end) {
     case ForwardOutcome::kCompleted:
     case ForwardOutcome::kFailed:
--- a/src/libpollenledge/process/forward_relay_test.cc
+++ b/src/libpollenledge/process/forward_relay_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <utility>
+
 #include "forward_fleet.h"
 
 namespace pollenledge::testing {
@@ -106,6 +108,36 @@
   }
 }
 
+// Guards against a request that runs on more upstreams than its route allows,
+// because the node that it passes through is lost and the next one counts anew
+// (review/8, BUDGET).
+TEST_P(RelayedRequests, RunOnNoMoreUpstreamsThanTheirRouteAllows) {
+  const std::map<std::string, int> limits = {{"once", 1}, {"read", 2}};
+  for (const auto& [route, limit] : limits) {
+    SCOPED_TRACE(route);
+    // Requests that it sends itself fill the node's retry budget.
+    const auto cut = std::exchange(fleet_.is_cut_from_upstream, nullptr);
+    SendFor(route, 4 * kSecond);
+    fleet_.is_cut_from_upstream = cut;
+    SendFor(route, kSecond);
+    for (std::size_t round = 0; round < 10; ++round) {
+      for (int i = 0; i < 5; ++i) {
+        const std::string content = route + "-" + std::to_string(++number_);
+        fleet_.SubmitRequest(kCutNode, route, content);
+      }
+      fleet_.RunFor(10 * kMillisecond);
+      // Half of the nodes that these requests pass through are lost.
+      for (std::size_t peer = 1 + round % 2; peer < fleet_.size(); peer += 2)
+        fleet_.StartNode(peer);
+      fleet_.RunFor(kSecond);
+    }
+    for (const auto& [content, arrivals] : fleet_.arrival_counts) {
+      if (content.rfind(route + "-", 0) != 0) continue;
+      EXPECT_LE(arrivals, limit) << content;
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, RelayedRequests,
                          ::testing::Values(std::size_t{6}, std::size_t{24}));
 
--- a/src/libpollenledge/process/forward_service.cc
+++ b/src/libpollenledge/process/forward_service.cc
@@ -139,7 +139,11 @@
     return;
   }
   Value(spec).is_relayed = is_relayed;
-  if (!is_relayed) Value(spec).min_tables_version = 0;
+  if (!is_relayed) {
+    // Only other nodes may state these.
+    Value(spec).min_tables_version = 0;
+    Value(spec).max_runs.reset();
+  }
   SetContentFingerprints(head.target, *exchange.request_body, &Value(spec));
   if (const ForwardingIndex* index = node_.tables_index().get()) {
     const ForwardingCustomer* customer =
--- a/src/libpollenledge/process/forward_service_attempts.cc
+++ b/src/libpollenledge/process/forward_service_attempts.cc
@@ -122,8 +122,9 @@
       AcquireConnection(*exchange, relay.address, relay.connection_reuse);
   metrics_.IncrementCounter("relays_total");
   const std::vector<HttpField> fields = codec_.encode_relay(
-      exchange->request_head, {relay.deadline - now, relay.last_event_id,
-                               relay.first_attempt, relay.min_tables_version});
+      exchange->request_head,
+      {relay.deadline - now, relay.last_event_id, relay.first_attempt,
+       relay.min_tables_version, relay.max_runs});
   StartExchange(relay.id, exchange, fields, relay.send_before, nullptr);
 }
 
--- a/src/libpollenledge/process/forward_timeouts.cc
+++ b/src/libpollenledge/process/forward_timeouts.cc
@@ -118,8 +118,7 @@
       {{"upstream", request->current_upstream},
        {"silent_ms", FormatMilliseconds(now() - request->last_event_at)}});
   if (upstream != nullptr) upstreams_.OnUnresponsive(upstream, now());
-  const bool may_retry = MayRetry(*request) && request->possible_runs + 1 <
-                                                   request->route->max_attempts;
+  const bool may_retry = MayRetry(*request) && RunsLeft(*request) > 1;
   ForwardUpstream* other = may_retry ? ChooseUpstream(*request) : nullptr;
   const bool may_go_on = IsOriginConfirmed(*request);
   if (!may_go_on) Emit(forward_action::ReadUpstreams{});
--- a/src/libpollenledge/test_support/forward_fleet.h
+++ b/src/libpollenledge/test_support/forward_fleet.h
@@ -64,6 +64,10 @@
   /// previous run but the crashes that the fleet has persisted. Its requests in
   /// progress are lost.
   void StartNode(std::size_t node) {
+    for (const auto& [id, attempt] : std::map(attempts_)) {
+      if (attempt.node == node)
+        EndRelay(id, ForwardOutcome::kConnectionLost, 0);
+    }
     std::erase_if(attempts_, [node](const auto& entry) {
       return entry.second.node == node;
     });
@@ -91,18 +95,20 @@
   }
 
   /// Sends a request to a node now; returns the request's id. `route` is
-  /// "read", "order", "draft" or "chat". Content kCrashingContent crashes the
-  /// upstream when it arrives, and a shared segment in `crashing_segments`
-  /// when the upstream begins to write the response.
+  /// "read", "once", "order", "draft" or "chat". Content kCrashingContent
+  /// crashes the upstream when it arrives, and a shared segment in
+  /// `crashing_segments` when the upstream begins to write the response.
   ForwardId SubmitRequest(std::size_t node, const std::string& route,
                           const std::string& content,
                           const std::vector<std::uint64_t>& segments = {},
                           bool is_relayed = false,
-                          std::uint64_t min_tables_version = 0) {
+                          std::uint64_t min_tables_version = 0,
+                          std::optional<int> max_runs = std::nullopt) {
     const ForwardId id = next_id_++;
     ForwardSpec spec;
     spec.is_relayed = is_relayed;
     spec.min_tables_version = min_tables_version;
+    spec.max_runs = max_runs;
     for (const std::uint64_t segment : segments) {
       spec.prompt_segments.push_back({segment, kSegmentTokens});
     }
@@ -264,6 +270,8 @@
   std::map<std::string, int> log_line_counts;
   // Number of attempts, by the version of the tables that they were decided by.
   std::map<std::string, int> sent_by_version;
+  // Number of attempts that reached an upstream, by the request's content.
+  std::map<std::string, int> arrival_counts;
   // Counters of all nodes, by name and labels.
   std::map<std::string, int> counters;
   // Times of the first attempts and of the retries.
@@ -344,11 +352,9 @@
     ForwardingTables tables;
     tables.version = version;
     std::map<std::string, RouteKind> routes{
-        {"read", RouteKind::kIdempotent},
-        {"metered", RouteKind::kIdempotent},
-        {"order", RouteKind::kNonIdempotent},
-        {"draft", RouteKind::kStreaming},
-        {"chat", RouteKind::kStreaming}};
+        {"read", RouteKind::kIdempotent}, {"metered", RouteKind::kIdempotent},
+        {"once", RouteKind::kIdempotent}, {"order", RouteKind::kNonIdempotent},
+        {"draft", RouteKind::kStreaming}, {"chat", RouteKind::kStreaming}};
     if (version > 1) routes["added"] = RouteKind::kIdempotent;
     for (const auto& [name, kind] : routes) {
       ForwardingRoute route;
@@ -362,7 +368,9 @@
       route.timeout = 10 * kSecond;
       route.latency_target = kSecond;
       route.event_gap_target = kSecond;
-      route.max_attempts = name == "order" || name == "chat" ? 1 : 2;
+      const bool runs_once =
+          name == "order" || name == "chat" || name == "once";
+      route.max_attempts = runs_once ? 1 : 2;
       tables.routes.push_back(route);
     }
     tables.services = {{.name = "s"}};
@@ -420,6 +428,7 @@
       if (!IsRunning(id, number)) return;
       RecordArrival(attempts_.at(id).node, index);
       attempts_.at(id).has_arrived = true;
+      ++arrival_counts[contents_.at(id)];
       if (now_ < upstreams_[index].down_until) {
         EndAttempt(id, ForwardOutcome::kNotSent);
       } else if (upstreams_fail ||
@@ -463,12 +472,12 @@
         is_earlier_release && is_earlier_release(peer)
             ? 0
             : relay.min_tables_version;
-    Schedule(kMillisecond,
-             [this, id = relay.id, number, peer, route, content, min_version] {
-               if (!IsRunning(id, number)) return;
-               relayed_from_[next_id_] = id;
-               SubmitRequest(peer, route, content, {}, true, min_version);
-             });
+    Schedule(kMillisecond, [this, id = relay.id, number, peer, route, content,
+                            min_version, max_runs = relay.max_runs] {
+      if (!IsRunning(id, number)) return;
+      relayed_from_[next_id_] = id;
+      SubmitRequest(peer, route, content, {}, true, min_version, max_runs);
+    });
   }
   void Execute(std::size_t node, const forward_action::ProbeUpstream& probe) {
     const auto index =
--- a/src/libpollenledge/test_support/random_refusals.h
+++ b/src/libpollenledge/test_support/random_refusals.h
@@ -409,6 +409,7 @@
     child.spec.last_event_id = relay.last_event_id;
     child.spec.first_attempt = relay.first_attempt;
     child.spec.min_tables_version = relay.min_tables_version;
+    child.spec.max_runs = relay.max_runs;
     Schedule(Delay(), [this, child, incarnation = nodes_[peer].incarnation] {
       if (nodes_[child.node].incarnation != incarnation) {
         EndLater(child.parent, child.parent_attempt,
--- a/src/platform/platform_headers.cc
+++ b/src/platform/platform_headers.cc
@@ -28,6 +28,8 @@
 constexpr char kFirstAttempt[] = "Resumes";
 // Between nodes: `ForwardSpec::min_tables_version`.
 constexpr char kMinTablesVersion[] = "Min-Tables-Version";
+// Between nodes: `ForwardSpec::max_runs`.
+constexpr char kMaxRuns[] = "Max-Runs";
 // Name of the customer.
 constexpr char kCustomer[] = "Tenant";
 // Name of the upstream that the attempt is sent to.
@@ -64,10 +66,10 @@
 
 /// Request headers of the caller that are not forwarded. The node uses them
 /// itself, sets its own value for each attempt, or accepts them from no caller.
-constexpr std::array<const char*, 12> kReservedHeaders = {
-    kRemainingTime, kApiKey,      kCustomer,         kTargetUpstream,
-    kPriority,      kLastEventId, kMinTablesVersion, "Hold",
-    "Pin-Ms",       "Kv-From",    "Kv-Backup",       "Kv-Fetch"};
+constexpr std::array<const char*, 13> kReservedHeaders = {
+    kRemainingTime, kApiKey,           kCustomer, kTargetUpstream, kPriority,
+    kLastEventId,   kMinTablesVersion, kMaxRuns,  "Hold",          "Pin-Ms",
+    "Kv-From",      "Kv-Backup",       "Kv-Fetch"};
 
 /// Headers that are forwarded even if the caller's `Connection` header names
 /// them, because the upstream needs them for its work.
@@ -187,6 +189,8 @@
     spec.first_attempt = *first;
   if (const std::string* version = head.Find(kMinTablesVersion))
     spec.min_tables_version = ParseNumber<std::uint64_t>(*version).value_or(0);
+  if (const std::string* max_runs = head.Find(kMaxRuns))
+    spec.max_runs = ParseNumber<int>(*max_runs);
   ParseLengthHint(head, &spec);
   if (Status status = ParseTokenCounts(head, &spec); !Ok(status)) {
     return ErrorOf(status);
@@ -229,8 +233,8 @@
 
 std::vector<HttpField> EncodeRelay(const HttpHead& request,
                                    const RelayFields& relay) {
-  constexpr std::array<const char*, 4> kReplaced = {
-      kRemainingTime, kLastEventId, kFirstAttempt, kMinTablesVersion};
+  constexpr std::array<const char*, 5> kReplaced = {
+      kRemainingTime, kLastEventId, kFirstAttempt, kMinTablesVersion, kMaxRuns};
   const std::string* connection = request.Find("Connection");
   const std::string_view connection_value =
       connection == nullptr ? std::string_view() : *connection;
@@ -250,9 +254,11 @@
     fields.push_back({kFirstAttempt, relay.first_attempt});
   fields.push_back(
       {kMinTablesVersion, std::to_string(relay.min_tables_version)});
-  // A node of an earlier release doesn't know the field. Named here, it isn't
-  // forwarded to the upstream.
-  fields.push_back({"Connection", kMinTablesVersion});
+  fields.push_back({kMaxRuns, std::to_string(relay.max_runs)});
+  // A node of an earlier release doesn't know these fields. Named here, they
+  // aren't forwarded to the upstream.
+  fields.push_back(
+      {"Connection", std::string(kMinTablesVersion) + ", " + kMaxRuns});
   return fields;
 }
 
--- a/src/platform/platform_test.cc
+++ b/src/platform/platform_test.cc
@@ -93,19 +93,16 @@
                  {"Connection", "X-A, Api-Key"},
                  {"X-A", "1"},
                  {"Min-Tables-Version", "99"},
+                 {"Max-Runs", "99"},
                  {"Tenant", "other"}};
   const std::vector<HttpField> fields = PlatformHeaderCodec().encode_relay(
-      head, {std::chrono::milliseconds(1500), 7, "first", 12});
+      head, {std::chrono::milliseconds(1500), 7, "first", 12, 2});
   const std::vector<std::pair<std::string, std::string>> expected = {
-      {"Host", "h"},
-      {"Api-Key", "k"},
-      {"Attempt-Id", "a"},
-      {"Tenant", "other"},
-      {"Deadline-Ms", "1500"},
-      {"Last-Event-Id", "7"},
-      {"Resumes", "first"},
-      {"Min-Tables-Version", "12"},
-      {"Connection", "Min-Tables-Version"}};
+      {"Host", "h"},           {"Api-Key", "k"},
+      {"Attempt-Id", "a"},     {"Tenant", "other"},
+      {"Deadline-Ms", "1500"}, {"Last-Event-Id", "7"},
+      {"Resumes", "first"},    {"Min-Tables-Version", "12"},
+      {"Max-Runs", "2"},       {"Connection", "Min-Tables-Version, Max-Runs"}};
   ASSERT_EQ(fields.size(), expected.size());
   for (std::size_t i = 0; i < fields.size(); ++i) {
     EXPECT_EQ(fields[i].name, expected[i].first);
@@ -129,6 +126,19 @@
   EXPECT_EQ(Value(codec.decode_request(head)).min_tables_version, 0U);
 }
 
+// The same of how often a relayed request may be run.
+TEST(PlatformHeadersTest, TheAllowedRunsStayBetweenNodes) {
+  const ForwardingCodec codec = PlatformHeaderCodec();
+  HttpHead head;
+  head.fields = {{"Host", "h"}, {"Max-Runs", "2"}};
+  EXPECT_EQ(Value(codec.decode_request(head)).max_runs, 2);
+  for (const HttpField& field : codec.encode_attempt(head, {})) {
+    EXPECT_NE(field.name, "Max-Runs");
+  }
+  head.fields.back().value = "all";
+  EXPECT_EQ(Value(codec.decode_request(head)).max_runs, std::nullopt);
+}
+
 TEST(PlatformHeadersTest, DecodesTheIncarnationOfAReport) {
   const auto decode = PlatformHeaderCodec().decode_incarnation;
   EXPECT_EQ(decode(R"({"busy":false,"born":1772393587012})"), 1772393587012U);
--- a/testsuite/platform_cut.py
+++ b/testsuite/platform_cut.py
@@ -23,6 +23,11 @@
         self.wait_until(lambda: node.readiness_status() == 200)
         return self
 
+    def put_config(self, text):
+        """Writes the same configuration to both stores."""
+        for store in (self.own_store, self.store):
+            store.put("op/config", text)
+
     def entry_in_own_store(self, runner):
         return self.store.items[f"servers/{runner.name}"][0]
 
--- a/testsuite/platform_no_customers/run.py
+++ b/testsuite/platform_no_customers/run.py
@@ -26,10 +26,6 @@
     def __init__(self):
         super().__init__(nodes=NODES)
 
-    def put_config(self, text):
-        for store in (self.own_store, self.store):
-            store.put("op/config", text)
-
     def wait_for_version(self, version):
         self.wait_until(lambda: all(str(version) in node.activated_tables() for node in self.nodes))
 
