--- a/src/include/pollenledge/process/crash_suspects.h
+++ b/src/include/pollenledge/process/crash_suspects.h
@@ -74,8 +74,8 @@
 /// A request that ran on a lost upstream and may have crashed it.
 struct SuspectRun {
   std::vector<Fingerprint> fingerprints;
-  TimePoint sent_at;  ///< To that upstream.
-  RunPhase phase = RunPhase::kStarting;
+  TimePoint sent_at;                     ///< To that upstream.
+  RunPhase phase = RunPhase::kStarting;  ///< When the upstream was lost.
 
   friend bool operator==(const SuspectRun&, const SuspectRun&) = default;
 };
--- a/src/include/pollenledge/process/suspect_document.h
+++ b/src/include/pollenledge/process/suspect_document.h
@@ -15,8 +15,8 @@
   CrashId crash = 0;
   bool shared = false;  ///< As in `CrashReport`.
   WallTime at;
-  Duration run_time{0};  ///< As in `CrashReport`.
-  RunPhase phase = RunPhase::kStarting;
+  Duration run_time{0};                  ///< As in `CrashReport`.
+  RunPhase phase = RunPhase::kStarting;  ///< As in `CrashReport`.
 
   friend bool operator==(const StoredCrash&, const StoredCrash&) = default;
 };
