Own interface: begun responses aren't blamed for a crash, as before

A request that crashes instances while they write isn't recognized on the own interface, as before; the design page says so under "Not promised".

--- a/src/libpollenledge/process/entry_attempts.cc
+++ b/src/libpollenledge/process/entry_attempts.cc
@@ -258,13 +258,8 @@
     const bool is_writing =
         other.attempt_has_token &&
         now() - other.attempt_first_token_at >= kSoundWritingTime;
-    if (other.phase != RequestPhase::kRunning ||
-        other.upstream != request.upstream)
-      continue;
-    if (is_writing) {
-      running.push_back(
-          {{other.spec.fingerprint}, other.dispatched_at, RunPhase::kWriting});
-    } else {
+    if (other.phase == RequestPhase::kRunning &&
+        other.upstream == request.upstream && !is_writing) {
       running.push_back({SuspectsOf(other.spec), other.dispatched_at});
     }
   }
