--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -259,7 +259,10 @@
   loss->observed_at = now();
   std::vector<SuspectRun> running;
   for (const auto& [id, other] : requests_) {
-    if (other.current_upstream == upstream.info.id.name) {
+    // Many callers may send the same request, so that its begun responses are
+    // in crashes of any cause.
+    if (other.current_upstream == upstream.info.id.name &&
+        other.phase == RunPhase::kStarting) {
       running.push_back({BlamableSuspects(other), other.sent_at, other.phase});
     }
   }
