Suspects: what blamed begun responses leaves the node

Behaviour stays as it is. CrashSuspects keeps the phases and their tests.

Formatter and linter (of this file) clean. Tests with real processes not run.

--- a/src/include/pollenledge/process/forward_node.h
+++ b/src/include/pollenledge/process/forward_node.h
@@ -560,9 +560,8 @@
   static std::string SegmentOf(const Request& request,
                                const Fingerprint& suspect);
   bool IsSuspect(const Request& request) const;
-  /// Returns true if the request's attempt may still crash its upstream: it is
-  /// starting, or such requests have crashed upstreams while these were
-  /// writing.
+  /// Returns true if a crash of the attempt's upstream may be attributed to the
+  /// request: the attempt is still starting.
   bool MayCrash(const Request& request) const;
   /// Returns true if a request that shares a suspect with this one is queued or
   /// `MayCrash`.
@@ -574,10 +573,6 @@
   /// crash until the attempt `reached` this phase.
   void RecordSoundResponse(Request* request, RunPhase reached,
                            TimePoint began_at);
-  /// Returns the suspects of the request that its upstream's crash may be
-  /// attributed to.
-  static const std::vector<Fingerprint>& BlamableSuspects(
-      const Request& request);
   /// Makes `query` avoid upstreams so that suspects run isolated.
   void IsolateSuspects(const Request& request, UpstreamCriteria* query) const;
   /// The connection of the request's attempt was lost before the response was
--- a/src/libpollenledge/process/forward_suspects.cc
+++ b/src/libpollenledge/process/forward_suspects.cc
@@ -125,9 +125,10 @@
 }
 
 bool ForwardNode::MayCrash(const Request& request) const {
-  if (request.current_upstream.empty()) return false;
-  return request.phase == RunPhase::kStarting ||
-         suspects_.MayCrashWhileWriting(request.own_fingerprints, now());
+  // Many callers may send the same request, so that its begun responses are in
+  // crashes of any cause.
+  return !request.current_upstream.empty() &&
+         request.phase == RunPhase::kStarting;
 }
 
 bool ForwardNode::HasActiveTrial(const Request& request) const {
@@ -210,11 +211,11 @@
                          request.sent_at <= loss.observed_at &&
                          now() - loss.observed_at < kSameCrashWindow;
   if (!same_loss) RecordConnectionLoss(*upstream, &loss);
-  const std::vector<Fingerprint>& suspects = BlamableSuspects(request);
+  if (!MayCrash(request)) return;
+  const std::vector<Fingerprint>& suspects = request.suspect_fingerprints;
   for (const BlamedSuspect& suspect : loss.suspects) {
-    if (suspect.phase != request.phase ||
-        std::find(suspects.begin(), suspects.end(), suspect.fingerprint) ==
-            suspects.end())
+    if (std::find(suspects.begin(), suspects.end(), suspect.fingerprint) ==
+        suspects.end())
       continue;
     LogSuspected(request, suspect);
     if (!suspects_.AttributeCrash(suspect, loss.crash_id, request.sent_at,
@@ -226,15 +227,6 @@
   PersistSuspects();
 }
 
-const std::vector<Fingerprint>& ForwardNode::BlamableSuspects(
-    const Request& request) {
-  // A segment that crashes upstreams does so when it is read. Begun responses
-  // are many and have segments in common, so that these are not blamed for each
-  // crash.
-  return request.phase == RunPhase::kStarting ? request.suspect_fingerprints
-                                              : request.own_fingerprints;
-}
-
 void ForwardNode::LogSuspected(const Request& request,
                                const BlamedSuspect& suspect) {
   LogRequest(LogLevel::kWarn, "suspected", request,
@@ -246,7 +238,6 @@
                std::to_string(suspects_.CrashCount(suspect.fingerprint))},
               {"others_to_blame", suspect.shared ? "yes" : "no"},
               {"first_event_seen", request.first_event_received ? "yes" : "no"},
-              {"writing", request.phase == RunPhase::kWriting ? "yes" : "no"},
               {"since_send_ms", FormatMilliseconds(now() - request.sent_at)}});
 }
 
@@ -259,11 +250,8 @@
   loss->observed_at = now();
   std::vector<SuspectRun> running;
   for (const auto& [id, other] : requests_) {
-    // Many callers may send the same request, so that its begun responses are
-    // in crashes of any cause.
-    if (other.current_upstream == upstream.info.id.name &&
-        other.phase == RunPhase::kStarting) {
-      running.push_back({BlamableSuspects(other), other.sent_at, other.phase});
+    if (other.current_upstream == upstream.info.id.name && MayCrash(other)) {
+      running.push_back({other.suspect_fingerprints, other.sent_at});
     }
   }
   loss->suspects = suspects_.MostSuspected(running, now());
